--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command-line client of the resource API.
--- /dev/null
+++ b/crates/core/src/api/request.rs
@@ -0,0 +1,92 @@
+//! Requests at the resource API and their answers.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::ApiError;
+use crate::config::{ChangeRequest, StoredResource};
+use crate::distribution::Progress;
+use crate::ids::{TargetId, Version};
+use crate::membership::TargetAnnouncement;
+use crate::resource::{ResourceKey, ResourceKind};
+use crate::slo::BurnReport;
+
+/// A request, checked for its form.
+#[derive(Clone, Debug)]
+pub enum ApiRequest {
+    /// Accept a change set.
+    Change(ChangeRequest),
+    /// One resource, as it is now.
+    Get(ResourceKey),
+    /// Every resource of a kind, as they are now.
+    List(ResourceKind),
+    /// Events after a version, until the client hangs up.
+    Watch {
+        /// The last version that the client has seen; the present one when absent.
+        from: Option<Version>,
+    },
+    /// Status of the mesh as this process knows it.
+    Status,
+    /// The burn report.
+    Burn,
+    /// A target announces itself.
+    Announce(TargetAnnouncement),
+    /// A target leaves.
+    Leave(TargetId),
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub enum ApiResponse {
+    /// A change set is accepted.
+    Accepted {
+        /// The version that holds it.
+        version: Version,
+    },
+    /// One resource.
+    Resource(StoredResource),
+    /// Resources of a kind.
+    List {
+        /// Version of the configuration.
+        version: Version,
+        /// The resources, by name.
+        resources: Vec<StoredResource>,
+    },
+    /// The next event of a watch.
+    Watch(WatchEvent),
+    /// Status.
+    Status(Arc<StatusReport>),
+    /// The burn report.
+    Burn(BurnReport),
+    /// Done, with nothing to say.
+    Done,
+    /// An error. Ends a watch.
+    Error(ApiError),
+}
+
+/// An event of a watch: one line of JSON.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub enum WatchEvent {
+    /// A version was accepted.
+    Accepted {
+        /// The version.
+        version: Version,
+        /// The resources that it changed.
+        changed: Vec<ResourceKey>,
+    },
+    /// The newest version came further.
+    Progress(Progress),
+    /// A version is in force on every proxy.
+    InForce {
+        /// The version.
+        version: Version,
+        /// Proxies that hold it.
+        proxies: u32,
+    },
+}
+
+/// Status of the mesh as one process knows it.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StatusReport {}
--- /dev/null
+++ b/crates/core/src/config/configuration.rs
@@ -0,0 +1,111 @@
+//! One immutable version of the whole configuration.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ContentHash, Name, Version};
+use crate::resource::{Policy, Resource, ResourceKey, ResourceKind, Route, Service};
+
+/// A resource with the version that last changed it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StoredResource {
+    /// Version of the configuration that last changed the resource.
+    pub version: Version,
+    /// The resource.
+    pub resource: Arc<Resource>,
+}
+
+/// One version of the whole configuration, with the hash of its content.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Configuration {
+    version: Version,
+    hash: ContentHash,
+    resources: BTreeMap<ResourceKey, StoredResource>,
+}
+
+impl Default for Configuration {
+    fn default() -> Self {
+        Self::new(Version(0), BTreeMap::new())
+    }
+}
+
+impl Configuration {
+    /// Makes a version of these resources and computes its hash.
+    pub fn new(version: Version, resources: BTreeMap<ResourceKey, StoredResource>) -> Self {
+        let hash = content_hash(version, &resources);
+        Self { version, hash, resources }
+    }
+
+    /// The version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Hash over the version and every resource.
+    pub fn hash(&self) -> ContentHash {
+        self.hash
+    }
+
+    /// Every resource, by kind and name.
+    pub fn resources(&self) -> &BTreeMap<ResourceKey, StoredResource> {
+        &self.resources
+    }
+
+    /// One resource.
+    pub fn get(&self, key: &ResourceKey) -> Option<&StoredResource> {
+        self.resources.get(key)
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &Name) -> Option<&Service> {
+        match self.find(ResourceKind::Service, name)? {
+            Resource::Service(service) => Some(service),
+            _ => None,
+        }
+    }
+
+    /// The policy of this name.
+    pub fn policy(&self, name: &Name) -> Option<&Policy> {
+        match self.find(ResourceKind::Policy, name)? {
+            Resource::Policy(policy) => Some(policy),
+            _ => None,
+        }
+    }
+
+    /// Every service, by name.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.resources.values().filter_map(|stored| match &*stored.resource {
+            Resource::Service(service) => Some(service),
+            _ => None,
+        })
+    }
+
+    /// Every route, by name.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.resources.values().filter_map(|stored| match &*stored.resource {
+            Resource::Route(route) => Some(route),
+            _ => None,
+        })
+    }
+
+    fn find(&self, kind: ResourceKind, name: &Name) -> Option<&Resource> {
+        let key = ResourceKey { kind, name: name.clone() };
+        self.resources.get(&key).map(|stored| &*stored.resource)
+    }
+}
+
+/// Hashes the version and the resources in the order of their keys.
+fn content_hash(
+    version: Version,
+    resources: &BTreeMap<ResourceKey, StoredResource>,
+) -> ContentHash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&version.0.to_le_bytes());
+    let stored: Vec<_> = resources.values().collect();
+    ciborium::into_writer(&stored, &mut hasher).expect("a hasher takes every byte");
+    let mut hash = [0; 16];
+    hash.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    ContentHash(hash)
+}
--- /dev/null
+++ b/crates/core/src/context.rs
@@ -0,0 +1,78 @@
+//! What each part of the reducer is given besides its own state.
+
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use serde::{Deserialize, Serialize};
+
+use crate::event::{Effect, LogLevel, LogPart};
+use crate::ids::{Locality, Name, NodeId};
+use crate::time::Instant;
+
+/// Addresses at which a process listens, as others reach them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// Messages between processes.
+    pub peers: SocketAddr,
+    /// Calls forwarded by other proxies to this owner.
+    pub forward: SocketAddr,
+    /// Resource API, announcements, metrics and health.
+    pub api: SocketAddr,
+    /// Calls from callers.
+    pub calls: SocketAddr,
+}
+
+/// Who this process is. Fixed while it runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// Key of the process.
+    pub id: NodeId,
+    /// Name of the host.
+    pub host: Name,
+    /// Region and availability zone of the host.
+    pub locality: Locality,
+    /// Grows with each start of the process (Unix time of the start, in milliseconds).
+    pub incarnation: u64,
+    /// Unix time at [`Instant::ZERO`], in milliseconds.
+    pub started_unix_ms: u64,
+    /// Where the process listens.
+    pub addresses: Addresses,
+    /// Whether the process is a control replica.
+    pub control: bool,
+}
+
+impl Identity {
+    /// Unix time at `now`, in milliseconds.
+    pub fn unix_ms(&self, now: Instant) -> u64 {
+        self.started_unix_ms + now.as_ms()
+    }
+}
+
+/// Time, randomness, identity and the effects gathered so far.
+pub struct Context<'a> {
+    /// Time of the event.
+    pub now: Instant,
+    /// Seeded random numbers.
+    pub rng: &'a mut SmallRng,
+    /// Who this process is.
+    pub me: &'a Identity,
+    /// Effects of the event, in the order in which they must be carried out.
+    pub effects: &'a mut Vec<Effect>,
+}
+
+impl Context<'_> {
+    /// Adds an effect.
+    pub fn emit(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    /// Adds a message to another process.
+    pub fn send(&mut self, to: NodeId, message: impl Into<crate::message::PeerMessage>) {
+        self.emit(Effect::Send { to, message: message.into() });
+    }
+
+    /// Adds a log line.
+    pub fn log(&mut self, level: LogLevel, part: LogPart, text: String) {
+        self.emit(Effect::Log { level, part, text });
+    }
+}
--- /dev/null
+++ b/crates/core/src/message.rs
@@ -0,0 +1,43 @@
+//! Messages between processes, one variant for each part of the reducer.
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::ApiMessage;
+use crate::consensus::ConsensusMessage;
+use crate::distribution::DistributionMessage;
+use crate::membership::MembershipMessage;
+use crate::slo::SloMessage;
+
+/// A message between processes.
+#[derive(Clone, Debug, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "lowercase")]
+pub enum PeerMessage {
+    /// Between control replicas.
+    Consensus(ConsensusMessage),
+    /// Versions and acknowledgements.
+    Distribution(DistributionMessage),
+    /// Hosts and targets.
+    Membership(MembershipMessage),
+    /// Operators' requests passed on to the leader, and their answers.
+    Api(ApiMessage),
+    /// Counts for the service-level burn report.
+    Slo(SloMessage),
+}
+
+macro_rules! into_peer_message {
+    ($($variant:ident($message:ty)),* $(,)?) => {
+        $(impl From<$message> for PeerMessage {
+            fn from(message: $message) -> Self {
+                Self::$variant(message)
+            }
+        })*
+    };
+}
+
+into_peer_message! {
+    Consensus(ConsensusMessage),
+    Distribution(DistributionMessage),
+    Membership(MembershipMessage),
+    Api(ApiMessage),
+    Slo(SloMessage),
+}
--- /dev/null
+++ b/crates/core/src/reducer.rs
@@ -0,0 +1,169 @@
+//! The one door of the reducer: [`reduce`].
+
+use crate::api::ApiParts;
+use crate::consensus::ControlOutput;
+use crate::context::Context;
+use crate::event::{Effect, Event};
+use crate::ids::NodeId;
+use crate::message::PeerMessage;
+use crate::state::State;
+use crate::time::Instant;
+
+/// Most rounds in which the parts hear of each other after one event.
+const MAX_SETTLE_ROUNDS: usize = 16;
+
+/// Takes one event into the state and returns what the edges must do.
+///
+/// `now` must not go back between calls.
+pub fn reduce(state: &mut State, event: Event, now: Instant) -> Vec<Effect> {
+    let mut effects = Vec::new();
+    take(state, event, now, &mut effects);
+    settle(state, now, &mut effects);
+    if state.stopping && !state.exited && state.routing.is_idle() {
+        state.exited = true;
+        effects.push(Effect::Exit);
+    }
+    effects
+}
+
+macro_rules! context {
+    ($state:ident, $now:ident, $effects:ident) => {
+        Context { now: $now, rng: &mut $state.rng, me: &$state.me, effects: $effects }
+    };
+}
+
+macro_rules! api_parts {
+    ($state:ident) => {
+        ApiParts {
+            control: $state.control.as_mut(),
+            distribution: &$state.distribution,
+            membership: &mut $state.membership,
+            slo: &$state.slo,
+        }
+    };
+}
+
+fn take(state: &mut State, event: Event, now: Instant, effects: &mut Vec<Effect>) {
+    let mut cx = context!(state, now, effects);
+    match event {
+        Event::Tick => {
+            if let Some(control) = &mut state.control {
+                control.tick(&mut cx);
+            }
+            state.membership.tick(&mut cx);
+            state.distribution.tick(&mut cx, &state.membership);
+            state.routing.tick(&mut cx, &mut state.slo);
+            state.slo.tick(&mut cx, &state.membership);
+            state.api.tick(&mut cx, api_parts!(state));
+        }
+        Event::PeerConnected { peer } => {
+            state.membership.peer_connected(&mut cx, peer);
+            state.distribution.peer_connected(&mut cx, &state.membership, peer);
+        }
+        Event::PeerDisconnected { peer } => {
+            state.membership.peer_disconnected(&mut cx, peer);
+            state.distribution.peer_disconnected(&mut cx, &state.membership, peer);
+            if let Some(control) = &mut state.control {
+                control.peer_disconnected(&mut cx, peer);
+            }
+            state.api.peer_disconnected(&mut cx, peer);
+        }
+        Event::PeerMessage { from, message } => take_message(state, from, message, now, effects),
+        Event::Disk(event) => {
+            if let Some(control) = &mut state.control {
+                control.disk(&mut cx, event);
+            }
+        }
+        Event::ApiRequest { request, body } => {
+            state.api.request(&mut cx, api_parts!(state), request, body);
+        }
+        Event::ApiClosed { request } => state.api.closed(&mut cx, request),
+        Event::Call(event) => state.routing.step(&mut cx, &mut state.slo, event),
+        Event::Stop => {
+            state.stopping = true;
+            state.membership.stop(&mut cx);
+            state.routing.stop(&mut cx);
+        }
+    }
+}
+
+fn take_message(
+    state: &mut State,
+    from: NodeId,
+    message: PeerMessage,
+    now: Instant,
+    effects: &mut Vec<Effect>,
+) {
+    let mut cx = context!(state, now, effects);
+    match message {
+        PeerMessage::Consensus(message) => {
+            if let Some(control) = &mut state.control {
+                control.step(&mut cx, from, message);
+            }
+        }
+        PeerMessage::Distribution(message) => {
+            state.distribution.step(&mut cx, &state.membership, from, message);
+        }
+        PeerMessage::Membership(message) => state.membership.step(&mut cx, from, message),
+        PeerMessage::Api(message) => state.api.step(&mut cx, api_parts!(state), from, message),
+        PeerMessage::Slo(message) => state.slo.step(&mut cx, from, message),
+    }
+}
+
+/// Lets the parts hear of each other's changes until nothing is left to tell.
+fn settle(state: &mut State, now: Instant, effects: &mut Vec<Effect>) {
+    for _ in 0..MAX_SETTLE_ROUNDS {
+        let mut told = settle_control(state, now, effects);
+        told |= settle_membership(state, now, effects);
+        told |= settle_versions(state, now, effects);
+        if !told {
+            return;
+        }
+    }
+}
+
+fn settle_control(state: &mut State, now: Instant, effects: &mut Vec<Effect>) -> bool {
+    let outputs = state.control.as_mut().map(|control| control.take_outputs()).unwrap_or_default();
+    let told = !outputs.is_empty();
+    let mut cx = context!(state, now, effects);
+    for output in outputs {
+        match output {
+            ControlOutput::Committed(configuration) => {
+                state.api.committed(&mut cx, &configuration);
+                state.distribution.publish(&mut cx, configuration);
+            }
+            ControlOutput::Outcome(origin, outcome) => {
+                state.api.outcome(&mut cx, origin, outcome);
+            }
+            ControlOutput::Read(origin, read) => state.api.read_ready(&mut cx, origin, read),
+        }
+    }
+    told
+}
+
+fn settle_membership(state: &mut State, now: Instant, effects: &mut Vec<Effect>) -> bool {
+    let changes = state.membership.take_changes();
+    let told = !changes.is_empty();
+    let mut cx = context!(state, now, effects);
+    for change in &changes {
+        state.distribution.membership_changed(&mut cx, &state.membership, change);
+        state.routing.membership_changed(&mut cx, change);
+    }
+    told
+}
+
+fn settle_versions(state: &mut State, now: Instant, effects: &mut Vec<Effect>) -> bool {
+    let mut cx = context!(state, now, effects);
+    let applied = state.distribution.take_applied();
+    let told = applied.is_some();
+    if let Some(configuration) = applied {
+        state.routing.configure(&mut cx, configuration.clone());
+        state.slo.configure(&mut cx, configuration);
+    }
+    let progress = state.distribution.take_progress();
+    let told = told || progress.is_some();
+    if let Some(progress) = progress {
+        state.api.progress(&mut cx, progress);
+    }
+    told
+}
--- /dev/null
+++ b/crates/core/src/resource.rs
@@ -0,0 +1,265 @@
+//! The resources that operators declare: services, routes and policies.
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Name;
+
+/// Kind of a declared resource.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "lowercase")]
+#[strum(serialize_all = "lowercase")]
+pub enum ResourceKind {
+    /// A named group of targets.
+    Service,
+    /// A rule that sends calls to a service.
+    Route,
+    /// Limits, retries, deadline and objective of calls.
+    Policy,
+}
+
+/// Kind and name of one resource.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct ResourceKey {
+    /// Kind of the resource.
+    pub kind: ResourceKind,
+    /// Name, unique within the kind.
+    pub name: Name,
+}
+
+impl std::fmt::Display for ResourceKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+/// A declared resource with its name.
+///
+/// In JSON: `{"kind": "service", "name": "seatdesk", ...fields}`.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase")]
+pub enum Resource {
+    /// A named group of targets.
+    Service(Service),
+    /// A rule that sends calls to a service.
+    Route(Route),
+    /// Limits, retries, deadline and objective of calls.
+    Policy(Policy),
+}
+
+impl Resource {
+    /// Kind and name of the resource.
+    pub fn key(&self) -> ResourceKey {
+        let (kind, name) = match self {
+            Self::Service(service) => (ResourceKind::Service, &service.name),
+            Self::Route(route) => (ResourceKind::Route, &route.name),
+            Self::Policy(policy) => (ResourceKind::Policy, &policy.name),
+        };
+        ResourceKey { kind, name: name.clone() }
+    }
+}
+
+/// A named group of targets that answer the same calls.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Name,
+    /// Policy of calls whose route names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Name>,
+    /// Retries allowed as a share of first attempts, in percent.
+    #[serde(default = "default_retry_budget_percent")]
+    pub retry_budget_percent: u8,
+    /// Largest share of the targets that may be ejected at once, in percent.
+    #[serde(default = "default_max_ejected_percent")]
+    pub max_ejected_percent: u8,
+    /// Time over which a new target is given its full share of calls, in milliseconds.
+    #[serde(default = "default_slow_start_ms")]
+    pub slow_start_ms: u32,
+}
+
+const fn default_retry_budget_percent() -> u8 {
+    10
+}
+
+const fn default_max_ejected_percent() -> u8 {
+    50
+}
+
+const fn default_slow_start_ms() -> u32 {
+    5_000
+}
+
+impl Service {
+    /// Makes a service with default limits.
+    pub fn new(name: Name) -> Self {
+        Self {
+            name,
+            policy: None,
+            retry_budget_percent: default_retry_budget_percent(),
+            max_ejected_percent: default_max_ejected_percent(),
+            slow_start_ms: default_slow_start_ms(),
+        }
+    }
+
+    /// Sets the policy of calls whose route names none.
+    pub fn with_policy(mut self, policy: Name) -> Self {
+        self.policy = Some(policy);
+        self
+    }
+}
+
+/// A rule that sends calls to a service. Of the routes that match a call, one
+/// with a host goes before one without, then the longest path prefix wins.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name of the route.
+    pub name: Name,
+    /// Host that the call names, in lower case and without port; any when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<CompactString>,
+    /// Prefix of the call's path, matched by whole segments. Starts with `/`.
+    pub path_prefix: CompactString,
+    /// Service that answers.
+    pub service: Name,
+    /// Policy of the calls; the service's when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Name>,
+}
+
+impl Route {
+    /// Makes a route for any host.
+    pub fn new(name: Name, path_prefix: &str, service: Name) -> Self {
+        Self { name, host: None, path_prefix: path_prefix.into(), service, policy: None }
+    }
+
+    /// Restricts the route to one host.
+    pub fn with_host(mut self, host: &str) -> Self {
+        self.host = Some(host.into());
+        self
+    }
+
+    /// Sets the policy of the calls.
+    pub fn with_policy(mut self, policy: Name) -> Self {
+        self.policy = Some(policy);
+        self
+    }
+}
+
+/// Which calls may run more than once.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Repeatable {
+    /// No call: each reaches at most one target, once.
+    Never,
+    /// Calls with a safe method: GET, HEAD and OPTIONS.
+    #[default]
+    SafeMethods,
+    /// Every call.
+    Always,
+}
+
+/// Limits, retries, deadline and objective of calls.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    /// Name of the policy.
+    pub name: Name,
+    /// Time a call may take from its arrival at the first proxy, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u32,
+    /// Which calls may run more than once.
+    #[serde(default)]
+    pub repeatable: Repeatable,
+    /// Most attempts of one call, the first included.
+    #[serde(default = "default_max_attempts")]
+    pub max_attempts: u8,
+    /// Most calls that wait at an owner for one target's slots.
+    #[serde(default = "default_max_queued")]
+    pub max_queued: u32,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: u64,
+    /// Service-level objective of the calls.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective: Option<Objective>,
+}
+
+const fn default_deadline_ms() -> u32 {
+    10_000
+}
+
+const fn default_max_attempts() -> u8 {
+    3
+}
+
+const fn default_max_queued() -> u32 {
+    16
+}
+
+const fn default_max_body_bytes() -> u64 {
+    8 * 1024 * 1024
+}
+
+impl Policy {
+    /// Makes a policy with default limits.
+    pub fn new(name: Name) -> Self {
+        Self {
+            name,
+            deadline_ms: default_deadline_ms(),
+            repeatable: Repeatable::default(),
+            max_attempts: default_max_attempts(),
+            max_queued: default_max_queued(),
+            max_body_bytes: default_max_body_bytes(),
+            objective: None,
+        }
+    }
+
+    /// Sets the deadline, in milliseconds from a call's arrival.
+    pub fn with_deadline_ms(mut self, deadline_ms: u32) -> Self {
+        self.deadline_ms = deadline_ms;
+        self
+    }
+
+    /// Sets which calls may run more than once.
+    pub fn with_repeatable(mut self, repeatable: Repeatable) -> Self {
+        self.repeatable = repeatable;
+        self
+    }
+
+    /// Sets the service-level objective.
+    pub fn with_objective(mut self, objective: Objective) -> Self {
+        self.objective = Some(objective);
+        self
+    }
+}
+
+/// A service-level objective over the last 30 days.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Objective {
+    /// Share of calls that must be answered well, in parts per million.
+    pub availability_ppm: u32,
+    /// Time within which a call counts as fast, in milliseconds.
+    pub latency_ms: u32,
+    /// Share of calls that must be fast, in parts per million.
+    pub latency_ppm: u32,
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,20 @@
+//! The edges of the daemon: network, disk, metrics, logs and signals.
+//!
+//! [`Runtime`] owns the [`fireflylug_core::State`], passes each event to the
+//! reducer and hands the effects to the edges. Several daemons can run in one
+//! program; nothing here is global.
+
+pub mod api;
+pub mod calls;
+pub mod daemon;
+pub mod disk;
+pub mod key;
+pub mod log;
+pub mod peers;
+pub mod runtime;
+pub mod translation;
+
+pub use daemon::Daemon;
+pub use key::SharedKey;
+pub use runtime::Runtime;
+pub use translation::Translation;
--- /dev/null
+++ b/crates/fault/src/lib.rs
@@ -0,0 +1,1 @@
+//! A fault-injecting TCP proxy and a target stand-in for tests and measurements.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the bars that the project sets itself.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Synced log and snapshots of a control replica on disk.
--- /dev/null
+++ b/examples/minibus.rs
@@ -0,0 +1,3 @@
+//! The Malabar deployment on loopback inside one process.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/fireflylug.rs
@@ -0,0 +1,2 @@
+//! Thin binary.
+fn main() {}
