--- /dev/null
+++ b/crates/core/src/routing/arrive.rs
@@ -0,0 +1,177 @@
+//! Calls that arrive: checks before a target is chosen.
+
+use std::sync::Arc;
+
+use super::call::{CallHead, CallOrigin, ForwardHead, Outcome, Refusal, RefusalCode};
+use super::chain::Chain;
+use super::finish::Finished;
+use super::state::{Call, MAX_ATTEMPTS, Stage};
+use super::table::RouteRule;
+use super::{CallEffect, Routing, ServiceKey, TargetKey};
+use crate::context::Context;
+use crate::event::Effect;
+use crate::ids::CallId;
+use crate::slo::CallResult;
+use crate::time::Instant;
+
+/// Most calls in a chain. Above the 16 of the deepest real chain, so that only loops meet it.
+const MAX_HOPS: u8 = 20;
+
+impl Routing {
+    pub(super) fn arrived(&mut self, cx: &mut Context<'_>, id: CallId, head: CallHead) {
+        let checked = match &head.origin {
+            CallOrigin::Caller => self.check_caller(cx, &head),
+            CallOrigin::Proxy(forward) => self.check_forwarded(cx, &head, forward),
+        };
+        match checked {
+            Ok((call, target)) => self.begin(cx, id, call, target),
+            Err(code) => {
+                self.refusals.count(code);
+                self.count_refused(&head);
+                let refusal = Refusal { code, outcome: Outcome::NotRun };
+                cx.emit(Effect::Call(CallEffect::Refuse { call: id, refusal, load: None }));
+            }
+        }
+    }
+
+    /// Counts a call that was refused before it began against its objective.
+    fn count_refused(&mut self, head: &CallHead) {
+        let rule = self.table.as_ref().and_then(|table| table.find(&head.host, &head.path));
+        if let (CallOrigin::Caller, Some(rule)) = (&head.origin, rule) {
+            self.finished.push(Finished { rule: Arc::clone(rule), result: CallResult::Refused });
+        }
+    }
+
+    fn check_caller(
+        &mut self,
+        cx: &Context<'_>,
+        head: &CallHead,
+    ) -> Result<(Call, Option<TargetKey>), RefusalCode> {
+        if self.is_refusing {
+            return Err(RefusalCode::Stopping);
+        }
+        let table = self.table.as_ref().ok_or(RefusalCode::NoConfiguration)?;
+        let rule = table.find(&head.host, &head.path).ok_or(RefusalCode::NoRoute)?;
+        let rule = Arc::clone(rule);
+        if head.chain.hops >= MAX_HOPS {
+            return Err(RefusalCode::HopLimit);
+        }
+        if head.body_bytes.is_some_and(|bytes| bytes > rule.policy.max_body_bytes) {
+            return Err(RefusalCode::BodyTooLarge);
+        }
+        let deadline = self.deadline(cx, head, &rule);
+        if deadline <= cx.now {
+            return Err(RefusalCode::DeadlineExceeded);
+        }
+        let service = *self.service_keys.get(&rule.service).ok_or(RefusalCode::NoTarget)?;
+        self.check_share(service)?;
+        let call = Call {
+            is_repeatable: rule.is_repeatable(head.is_safe_method),
+            max_queued: rule.policy.max_queued,
+            chain: Chain { hops: head.chain.hops + 1, ..head.chain },
+            rule: Some(rule),
+            ..new_call(cx.now, head, service, deadline)
+        };
+        Ok((call, None))
+    }
+
+    fn check_forwarded(
+        &mut self,
+        cx: &Context<'_>,
+        head: &CallHead,
+        forward: &ForwardHead,
+    ) -> Result<(Call, Option<TargetKey>), RefusalCode> {
+        if self.is_refusing {
+            return Err(RefusalCode::Stopping);
+        }
+        let key = self.target_keys.get(&forward.target).copied();
+        let key = key.ok_or(RefusalCode::TargetGone)?;
+        let target = &self.targets[key];
+        if target.gate.is_none() || !target.is_ready() {
+            return Err(RefusalCode::TargetGone);
+        }
+        self.check_share(target.service)?;
+        let deadline = cx.now.plus_ms(u64::from(forward.remaining_ms));
+        let call = Call {
+            is_repeatable: forward.repeatable,
+            max_queued: forward.max_queued,
+            ..new_call(cx.now, head, target.service, deadline)
+        };
+        Ok((call, Some(key)))
+    }
+
+    /// The earliest of the policy's deadline and those of the calls before.
+    fn deadline(&self, cx: &Context<'_>, head: &CallHead, rule: &RouteRule) -> Instant {
+        let mut deadline = cx.now.plus_ms(u64::from(rule.policy.deadline_ms));
+        if let Some(remaining_ms) = head.chain.remaining_ms {
+            deadline = deadline.min(cx.now.plus_ms(u64::from(remaining_ms)));
+        }
+        match self.parent(cx, &head.chain) {
+            Some(parent) => deadline.min(parent.deadline),
+            None => deadline,
+        }
+    }
+
+    /// The call before this one, where this proxy dispatched it and it is still in flight.
+    fn parent(&self, cx: &Context<'_>, chain: &Chain) -> Option<&Call> {
+        let (owner, call) = chain.parent?;
+        (owner == cx.me.id).then(|| self.calls.get(&call))?
+    }
+
+    /// Keeps one service from taking every call in flight that this proxy allows.
+    fn check_share(&self, service: ServiceKey) -> Result<(), RefusalCode> {
+        let all = self.calls.len() as u32;
+        if all >= self.settings.max_calls {
+            return Err(RefusalCode::ProxyBusy);
+        }
+        let share = self.settings.max_calls / self.busy_services.max(1);
+        let is_crowded = all >= self.settings.max_calls / 2;
+        if is_crowded && self.services[service].counts.in_flight >= share {
+            return Err(RefusalCode::ProxyBusy);
+        }
+        Ok(())
+    }
+
+    fn begin(&mut self, cx: &mut Context<'_>, id: CallId, call: Call, target: Option<TargetKey>) {
+        if let Some((owner, parent)) = call.chain.parent
+            && owner == cx.me.id
+            && let Some(parent) = self.calls.get_mut(&parent)
+        {
+            parent.children.push(id);
+        }
+        let service = &mut self.services[call.service];
+        service.counts.in_flight += 1;
+        self.busy_services += u32::from(service.counts.in_flight == 1);
+        if call.is_ingress() {
+            service.budget.earn(service.retry_budget_percent);
+        }
+        self.deadlines.insert((call.due, id));
+        self.calls.insert(id, call);
+        match target {
+            Some(target) => self.begin_at_gate(cx, id, target),
+            None => self.try_next(cx, id),
+        }
+    }
+}
+
+fn new_call(now: Instant, head: &CallHead, service: ServiceKey, deadline: Instant) -> Call {
+    Call {
+        service,
+        rule: None,
+        arrived_at: now,
+        deadline,
+        due: deadline,
+        is_repeatable: false,
+        is_replayable: head.is_replayable,
+        max_queued: 0,
+        chain: head.chain,
+        attempt: 0,
+        stage: Stage::Choosing,
+        tried: [TargetKey::default(); MAX_ATTEMPTS],
+        may_have_run: false,
+        last_failure: None,
+        children: Vec::new(),
+        status: 0,
+        is_retry_paid: false,
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/attempt.rs
@@ -0,0 +1,360 @@
+//! Attempts of a call: at the gate, under way, failed, tried elsewhere.
+
+use super::call::{ForwardHead, GateLoad, Outcome, Refusal, RefusalCode};
+use super::chain::Chain;
+use super::gate::Admission;
+use super::state::{Attempt, Call, Stage};
+use super::{CallEffect, Routing, TargetKey};
+use crate::context::Context;
+use crate::event::Effect;
+use crate::ids::CallId;
+use crate::time::Instant;
+
+/// Least time after which silence counts against a target, in microseconds.
+const MIN_PATIENCE_US: u64 = 50_000;
+/// Times the usual highest latency after which silence counts against a target.
+const PATIENCE_FACTOR: u64 = 3;
+/// Time that an ingress waits past the deadline for the owner to say what
+/// became of the call, in microseconds.
+const OWNER_GRACE_US: u64 = 50_000;
+
+impl Routing {
+    /// Makes the next attempt of a call at this ingress, or refuses the call.
+    pub(super) fn try_next(&mut self, cx: &mut Context<'_>, id: CallId) {
+        loop {
+            let Some(target) = self.choose(cx, id) else { return self.give_up(cx, id) };
+            self.count_attempt(id, target);
+            if self.targets[target].gate.is_none() {
+                return self.forward(cx, id, target);
+            }
+            if self.enter_gate(cx, id, target) {
+                return;
+            }
+            let refusal = Refusal { code: RefusalCode::Overloaded, outcome: Outcome::NotRun };
+            if !self.take_failure(cx, id, refusal) {
+                return self.give_up(cx, id);
+            }
+        }
+    }
+
+    /// Takes a forwarded call to the gate of the target that its ingress chose.
+    pub(super) fn begin_at_gate(&mut self, cx: &mut Context<'_>, id: CallId, target: TargetKey) {
+        self.call_mut(id).begin_attempt(target);
+        if !self.enter_gate(cx, id, target) {
+            self.call_mut(id).last_failure =
+                Some(Refusal { code: RefusalCode::Overloaded, outcome: Outcome::NotRun });
+            self.give_up(cx, id);
+        }
+    }
+
+    fn count_attempt(&mut self, id: CallId, target: TargetKey) {
+        let call = self.call_mut(id);
+        call.begin_attempt(target);
+        let is_retry = call.attempt > 1;
+        let service = call.service;
+        let counts = &mut self.services[service].counts;
+        counts.attempts += 1;
+        counts.retries += u64::from(is_retry);
+    }
+
+    /// Returns false where the gate sheds the call.
+    fn enter_gate(&mut self, cx: &mut Context<'_>, id: CallId, target: TargetKey) -> bool {
+        let call = &self.calls[&id];
+        let (deadline, max_queued) = (call.deadline, call.max_queued);
+        let Some(gate) = &mut self.targets[target].gate else { return false };
+        match gate.admit(id, cx.now, deadline, max_queued) {
+            Admission::Admitted => self.dispatch(cx, id, target),
+            Admission::Queued => {
+                self.call_mut(id).stage = Stage::Queued(target);
+                self.set_due(id, deadline);
+            }
+            Admission::Shed => return false,
+        }
+        true
+    }
+
+    /// Gives free slots of a target to the calls that wait for them.
+    pub(super) fn admit_waiting(&mut self, cx: &mut Context<'_>, target: TargetKey) {
+        while let Some(gate) = &mut self.targets[target].gate
+            && let Some(id) = gate.admit_next()
+        {
+            self.dispatch(cx, id, target);
+        }
+    }
+
+    fn dispatch(&mut self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
+        self.begin_running(cx, id, key, true);
+        let call = &self.calls[&id];
+        let target = &self.targets[key].record;
+        let chain = Chain { parent: Some((cx.me.id, id)), ..outgoing_chain(call, cx.now) };
+        cx.emit(Effect::Call(CallEffect::Dispatch {
+            call: id,
+            attempt: call.attempt,
+            target: target.target.clone(),
+            address: target.address,
+            connections: target.connections,
+            repeatable: call.is_repeatable,
+            chain,
+            max_body_bytes: max_body_bytes(call),
+        }));
+    }
+
+    fn forward(&mut self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
+        let record = &self.targets[key].record;
+        let Some(owner) = self.members.get(&record.owner) else { return self.give_up(cx, id) };
+        let (owner, address, target) = (owner.id, owner.addresses.forward, record.target.clone());
+        self.begin_running(cx, id, key, false);
+        let call = &self.calls[&id];
+        let chain = outgoing_chain(call, cx.now);
+        let head = ForwardHead {
+            target,
+            remaining_ms: remaining_ms(call, cx.now),
+            max_queued: call.max_queued,
+            repeatable: call.is_repeatable,
+        };
+        cx.emit(Effect::Call(CallEffect::Forward {
+            call: id,
+            attempt: call.attempt,
+            owner,
+            address,
+            head,
+            chain,
+            max_body_bytes: max_body_bytes(call),
+        }));
+    }
+
+    fn begin_running(&mut self, cx: &Context<'_>, id: CallId, target: TargetKey, holds_slot: bool) {
+        let patience_us = self.patience_us(id, target);
+        let call = self.call_mut(id);
+        call.stage =
+            Stage::Running(Attempt { target, began_at: cx.now, holds_slot, is_overdue: false });
+        let mut due = give_up_at(call, holds_slot);
+        if let Some(patience_us) = patience_us {
+            due = due.min(cx.now.plus_us(patience_us));
+        }
+        if call.is_ingress() {
+            self.targets[target].in_flight += 1;
+        }
+        self.set_due(id, due);
+    }
+
+    /// Time after which silence of a target is looked into. Only for calls
+    /// that can be tried elsewhere.
+    pub(super) fn patience_us(&self, id: CallId, target: TargetKey) -> Option<u64> {
+        let call = &self.calls[&id];
+        if !call.is_ingress() || !call.is_repeatable || !call.is_replayable {
+            return None;
+        }
+        let of_service = self.services[call.service].latency.high_us()?;
+        let of_target = self.targets[target].latency.high_us().unwrap_or(0);
+        Some((of_service.max(of_target) * PATIENCE_FACTOR).max(MIN_PATIENCE_US))
+    }
+
+    /// The head of an answer arrived.
+    pub(super) fn answered(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        attempt: u8,
+        status: u16,
+        load: Option<GateLoad>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Stage::Running(running) = call.stage else { return };
+        if call.attempt != attempt {
+            return;
+        }
+        call.stage = Stage::Relaying(running);
+        call.status = status;
+        let is_ingress = call.is_ingress();
+        self.set_due(id, Instant::NEVER);
+        if is_ingress {
+            self.observe_answer(cx, running, status, load);
+        }
+        let own_load = self.targets[running.target].gate.as_ref().map(|gate| gate.load());
+        let load = own_load.filter(|_| !is_ingress);
+        cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
+    }
+
+    fn observe_answer(
+        &mut self,
+        cx: &Context<'_>,
+        attempt: Attempt,
+        status: u16,
+        load: Option<GateLoad>,
+    ) {
+        let took_us = cx.now.since_us(attempt.began_at);
+        let target = &mut self.targets[attempt.target];
+        target.observe(took_us, cx.now);
+        if let Some(load) = load {
+            target.hear_gate(load, cx.now);
+        }
+        let service = &mut self.services[target.service];
+        service.latency.observe(took_us);
+        service.note_answer(attempt.target, cx.now);
+        if status >= FIRST_SERVER_ERROR {
+            self.note_failure(cx, attempt.target);
+        } else {
+            self.note_success(cx, attempt.target);
+        }
+    }
+
+    /// An attempt ended without an answer of a target.
+    pub(super) fn failed(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        attempt: u8,
+        refusal: Refusal,
+        replayable: bool,
+        load: Option<GateLoad>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let (Stage::Running(running) | Stage::Cancelling(running)) = call.stage else { return };
+        if call.attempt != attempt {
+            return;
+        }
+        call.is_replayable &= replayable;
+        if call.is_ingress() {
+            self.observe_failure(cx, running, refusal, load);
+        }
+        self.release(cx, id, running, false);
+        self.attempt_failed(cx, id, refusal);
+    }
+
+    fn observe_failure(
+        &mut self,
+        cx: &Context<'_>,
+        attempt: Attempt,
+        refusal: Refusal,
+        load: Option<GateLoad>,
+    ) {
+        if let Some(load) = load {
+            self.targets[attempt.target].hear_gate(load, cx.now);
+        }
+        let says_of_target = match refusal.code {
+            RefusalCode::Overloaded | RefusalCode::ProxyBusy => false,
+            RefusalCode::DeadlineExceeded => false,
+            _ => !attempt.is_overdue,
+        };
+        if says_of_target {
+            self.note_failure(cx, attempt.target);
+        }
+    }
+
+    /// Tries a call elsewhere after a failed attempt, or refuses it.
+    pub(super) fn attempt_failed(&mut self, cx: &mut Context<'_>, id: CallId, refusal: Refusal) {
+        if !self.calls.contains_key(&id) {
+            return;
+        }
+        if self.take_failure(cx, id, refusal) {
+            self.try_next(cx, id);
+        } else {
+            self.give_up(cx, id);
+        }
+    }
+
+    /// Notes the end of an attempt. Returns whether the call is tried again.
+    fn take_failure(&mut self, cx: &mut Context<'_>, id: CallId, refusal: Refusal) -> bool {
+        let call = self.call_mut(id);
+        call.stage = Stage::Choosing;
+        call.may_have_run |= refusal.outcome != Outcome::NotRun;
+        call.last_failure = Some(refusal);
+        let is_paid = std::mem::take(&mut call.is_retry_paid);
+        let is_safe = refusal.outcome == Outcome::NotRun || call.is_repeatable;
+        let is_possible = call.is_ingress()
+            && is_safe
+            && call.is_replayable
+            && call.may_try_again()
+            && cx.now < call.deadline;
+        if !is_possible {
+            return false;
+        }
+        is_paid || self.is_free(cx, id, refusal) || self.pay_for_retry(id)
+    }
+
+    /// Whether another attempt adds no load to the targets: nothing was asked
+    /// of the last one, and another has room.
+    fn is_free(&self, cx: &Context<'_>, id: CallId, refusal: Refusal) -> bool {
+        if refusal.outcome != Outcome::NotRun {
+            return false;
+        }
+        match refusal.code {
+            RefusalCode::Overloaded | RefusalCode::ProxyBusy => self.has_spare_elsewhere(cx, id),
+            _ => true,
+        }
+    }
+
+    /// Takes a retry from the service's budget. A call that is itself a retry,
+    /// or was made for one, is not retried: a chain of calls must not multiply.
+    pub(super) fn pay_for_retry(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let service = &mut self.services[call.service];
+        let paid = !call.chain.retried && service.budget.spend();
+        if paid {
+            call.chain.retried = true;
+        } else {
+            service.counts.retries_denied += 1;
+        }
+        paid
+    }
+
+    /// Drops an attempt; [`super::CallEvent::Failed`] follows.
+    pub(super) fn cancel_attempt(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let call = self.call_mut(id);
+        if let Stage::Running(attempt) = call.stage {
+            call.stage = Stage::Cancelling(attempt);
+            let due = give_up_at(call, true);
+            self.set_due(id, due);
+            cx.emit(Effect::Call(CallEffect::Cancel { call: id }));
+        }
+    }
+
+    /// Gives back what an attempt held.
+    pub(super) fn release(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        attempt: Attempt,
+        completed: bool,
+    ) {
+        let is_ingress = self.calls.get(&id).is_some_and(Call::is_ingress);
+        let target = &mut self.targets[attempt.target];
+        target.health.end_probe();
+        if is_ingress {
+            target.in_flight -= 1;
+        }
+        if attempt.holds_slot
+            && let Some(gate) = &mut target.gate
+        {
+            gate.release(cx.now, attempt.began_at, completed);
+            self.admit_waiting(cx, attempt.target);
+        }
+        self.forget_target(attempt.target);
+    }
+
+    pub(super) fn call_mut(&mut self, id: CallId) -> &mut Call {
+        self.calls.get_mut(&id).expect("the call is in flight")
+    }
+}
+
+/// First HTTP status that counts against a target.
+pub(super) const FIRST_SERVER_ERROR: u16 = 500;
+
+/// When an attempt is given up: at the deadline, and a little later where the
+/// owner can still say what became of the call.
+pub(super) fn give_up_at(call: &Call, is_local: bool) -> Instant {
+    if is_local { call.deadline } else { call.deadline.plus_us(OWNER_GRACE_US) }
+}
+
+fn remaining_ms(call: &Call, now: Instant) -> u32 {
+    u32::try_from(call.deadline.since_ms(now)).unwrap_or(u32::MAX - 1)
+}
+
+fn outgoing_chain(call: &Call, now: Instant) -> Chain {
+    Chain { remaining_ms: Some(remaining_ms(call, now)), parent: None, ..call.chain }
+}
+
+fn max_body_bytes(call: &Call) -> u64 {
+    call.rule.as_ref().map_or(u64::MAX, |rule| rule.policy.max_body_bytes)
+}
--- /dev/null
+++ b/crates/core/src/routing/chain.rs
@@ -0,0 +1,61 @@
+//! The calls that led to a call, as one opaque header carries them.
+//!
+//! A target that calls another service copies the header to its own call, as
+//! it does with trace headers. Callers may send anything in it: each field can
+//! only restrict the call that carries it.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::ids::{CallId, NodeId};
+
+/// The calls that led to a call. In text: `hops.attempt.remaining_ms.owner.call`.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Chain {
+    /// Calls before this one.
+    pub hops: u8,
+    /// Whether a call before this one, or this one, is a retry.
+    pub retried: bool,
+    /// Time left when the header was written, in milliseconds.
+    pub remaining_ms: Option<u32>,
+    /// The call that led to this one, at the owner that dispatched it.
+    pub parent: Option<(NodeId, CallId)>,
+}
+
+/// A chain that is out of form.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("fireflylug-chain is out of form: copy it from the request that led to this one")]
+pub struct ChainError;
+
+impl fmt::Display for Chain {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let remaining_ms = self.remaining_ms.unwrap_or(u32::MAX);
+        write!(f, "{}.{}.{remaining_ms}", self.hops, u8::from(self.retried))?;
+        match self.parent {
+            Some((owner, call)) => write!(f, ".{owner}.{:x}", call.0),
+            None => Ok(()),
+        }
+    }
+}
+
+impl FromStr for Chain {
+    type Err = ChainError;
+
+    fn from_str(text: &str) -> Result<Self, ChainError> {
+        let mut fields = text.split('.');
+        let mut next = || fields.next().ok_or(ChainError);
+        let hops = next()?.parse().map_err(|_| ChainError)?;
+        let retried = next()? == "1";
+        let remaining_ms: u32 = next()?.parse().map_err(|_| ChainError)?;
+        let parent = match (fields.next(), fields.next()) {
+            (Some(owner), Some(call)) => Some((NodeId(hex(owner)?), CallId(hex(call)?))),
+            _ => None,
+        };
+        let remaining_ms = (remaining_ms != u32::MAX).then_some(remaining_ms);
+        Ok(Self { hops, retried, remaining_ms, parent })
+    }
+}
+
+fn hex(text: &str) -> Result<u64, ChainError> {
+    u64::from_str_radix(text, 16).map_err(|_| ChainError)
+}
--- /dev/null
+++ b/crates/core/src/routing/estimate.rs
@@ -0,0 +1,38 @@
+//! Observed times, smoothed.
+
+/// Weight of a new observation is one in this many.
+const SMOOTHING: u64 = 8;
+/// Observations after which an estimate may be relied upon.
+const MIN_SAMPLES: u32 = 16;
+
+/// Smoothed mean and mean deviation of an observed time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Estimate {
+    mean_us: u64,
+    deviation_us: u64,
+    samples: u32,
+}
+
+impl Estimate {
+    pub fn observe(&mut self, us: u64) {
+        if self.samples == 0 {
+            self.mean_us = us;
+            self.deviation_us = us / 2;
+        } else {
+            let error_us = us.abs_diff(self.mean_us);
+            self.mean_us = (self.mean_us * (SMOOTHING - 1) + us) / SMOOTHING;
+            self.deviation_us = (self.deviation_us * (SMOOTHING - 1) + error_us) / SMOOTHING;
+        }
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Smoothed mean, in microseconds; 0 before the first observation.
+    pub fn mean_us(&self) -> u64 {
+        self.mean_us
+    }
+
+    /// A time that few observations exceed, in microseconds, once there are enough.
+    pub fn high_us(&self) -> Option<u64> {
+        (self.samples >= MIN_SAMPLES).then(|| self.mean_us + 4 * self.deviation_us)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/finish.rs
@@ -0,0 +1,240 @@
+//! Ends of calls: deadlines, hang-ups, whole and cut answers.
+
+use std::sync::Arc;
+
+use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
+use super::call::{Outcome, Refusal, RefusalCode};
+use super::state::{Attempt, Call, Stage};
+use super::table::RouteRule;
+use super::{CallEffect, Routing, TargetKey};
+use crate::context::Context;
+use crate::event::Effect;
+use crate::ids::CallId;
+use crate::slo::{CallResult, Slo};
+use crate::time::Instant;
+
+/// A call of this ingress that ended, for the burn report.
+pub(super) struct Finished {
+    pub rule: Arc<RouteRule>,
+    pub result: CallResult,
+}
+
+impl Routing {
+    /// Refuses a call with what is known of its attempts.
+    pub(super) fn give_up(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let call = &self.calls[&id];
+        let code = call.last_failure.map_or(RefusalCode::NoTarget, |failure| failure.code);
+        self.refuse(cx, id, code);
+    }
+
+    fn refuse(&mut self, cx: &mut Context<'_>, id: CallId, code: RefusalCode) {
+        let call = &self.calls[&id];
+        let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+        let refusal = Refusal { code, outcome };
+        let tried = usize::from(call.attempt).checked_sub(1).and_then(|i| call.tried.get(i));
+        let gate = tried.and_then(|key| self.targets.get(*key)).and_then(|t| t.gate.as_ref());
+        let load = gate.filter(|_| !call.is_ingress()).map(|gate| gate.load());
+        cx.emit(Effect::Call(CallEffect::Refuse { call: id, refusal, load }));
+        self.refusals.count(code);
+        self.remove(id, Some(outcome), CallResult::Refused);
+    }
+
+    /// The answer of a call was passed on, or cut.
+    pub(super) fn ended(&mut self, cx: &mut Context<'_>, id: CallId, attempt: u8, whole: bool) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let Stage::Relaying(relaying) = call.stage else { return };
+        if call.attempt != attempt {
+            return;
+        }
+        let is_good = whole && call.status < FIRST_SERVER_ERROR;
+        let took_us = cx.now.since_us(call.arrived_at);
+        let is_ingress = call.is_ingress();
+        self.release(cx, id, relaying, whole);
+        if is_ingress && !whole && self.targets.contains_key(relaying.target) {
+            self.note_failure(cx, relaying.target);
+        }
+        self.remove(id, Some(Outcome::Ran), CallResult::Answered { is_good, took_us });
+    }
+
+    /// The caller hung up: the edge has dropped the attempt.
+    pub(super) fn caller_gone(&mut self, cx: &mut Context<'_>, id: CallId) {
+        if self.calls.contains_key(&id) {
+            self.drop_attempt(cx, id);
+            self.remove(id, None, CallResult::Cancelled);
+        }
+    }
+
+    /// The caller broke a limit.
+    pub(super) fn caller_failed(&mut self, cx: &mut Context<'_>, id: CallId, code: RefusalCode) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let is_relaying = matches!(call.stage, Stage::Relaying(_));
+        call.may_have_run |= matches!(call.stage, Stage::Running(_) | Stage::Cancelling(_));
+        self.drop_attempt(cx, id);
+        if is_relaying {
+            cx.emit(Effect::Call(CallEffect::Abort { call: id }));
+            self.remove(id, None, CallResult::Cancelled);
+        } else {
+            self.refuse(cx, id, code);
+        }
+    }
+
+    fn drop_attempt(&mut self, cx: &mut Context<'_>, id: CallId) {
+        match self.calls[&id].stage {
+            Stage::Choosing => {}
+            Stage::Queued(target) => self.leave_queue(id, target),
+            Stage::Running(attempt) | Stage::Cancelling(attempt) | Stage::Relaying(attempt) => {
+                self.release(cx, id, attempt, false);
+            }
+        }
+    }
+
+    fn leave_queue(&mut self, id: CallId, target: TargetKey) {
+        if let Some(gate) = self.targets.get_mut(target).and_then(|t| t.gate.as_mut()) {
+            gate.forget(id);
+        }
+    }
+
+    /// The time came at which a call must be looked at again.
+    pub(super) fn look_again(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        match call.stage {
+            Stage::Choosing | Stage::Relaying(_) => {}
+            Stage::Queued(target) => {
+                self.leave_queue(id, target);
+                self.refuse(cx, id, RefusalCode::DeadlineExceeded);
+            }
+            Stage::Cancelling(attempt) => self.expire(cx, id, attempt),
+            Stage::Running(attempt) => {
+                if cx.now >= give_up_at(call, attempt.holds_slot) {
+                    self.note_overdue(cx, id, attempt);
+                    self.expire(cx, id, attempt);
+                } else {
+                    self.look_at_silence(cx, id, attempt);
+                }
+            }
+        }
+    }
+
+    fn expire(&mut self, cx: &mut Context<'_>, id: CallId, attempt: Attempt) {
+        self.call_mut(id).may_have_run = true;
+        self.release(cx, id, attempt, false);
+        self.refuse(cx, id, RefusalCode::DeadlineExceeded);
+    }
+
+    /// A target has been silent for long. Where others answer, the call is
+    /// tried elsewhere; where none does, a retry would only add load.
+    fn look_at_silence(&mut self, cx: &mut Context<'_>, id: CallId, attempt: Attempt) {
+        let patience_us = self.patience_us(id, attempt.target).unwrap_or(u64::MAX);
+        let is_outlier = self.note_overdue(cx, id, attempt);
+        let call = &self.calls[&id];
+        let may_retry = is_outlier && call.may_try_again() && self.has_spare_elsewhere(cx, id);
+        if may_retry && self.pay_for_retry(id) {
+            self.call_mut(id).is_retry_paid = true;
+            return self.cancel_attempt(cx, id);
+        }
+        let give_up_at = give_up_at(&self.calls[&id], attempt.holds_slot);
+        self.set_due(id, give_up_at.min(cx.now.plus_us(patience_us)));
+    }
+
+    /// Counts silence against a target once an attempt, where others answered
+    /// meanwhile. Returns whether they did.
+    fn note_overdue(&mut self, cx: &mut Context<'_>, id: CallId, attempt: Attempt) -> bool {
+        let call = &self.calls[&id];
+        if !call.is_ingress() {
+            return false;
+        }
+        let service = &self.services[call.service];
+        let is_outlier = service.others_answered(attempt.target, attempt.began_at)
+            && self.targets[attempt.target].last_answer_at() <= attempt.began_at;
+        if is_outlier && !attempt.is_overdue {
+            self.call_mut(id).stage = Stage::Running(Attempt { is_overdue: true, ..attempt });
+            self.note_failure(cx, attempt.target);
+        }
+        is_outlier
+    }
+
+    /// Moves a call's place among the deadlines.
+    pub(super) fn set_due(&mut self, id: CallId, due: Instant) {
+        let call = self.calls.get_mut(&id).expect("the call is in flight");
+        let before = std::mem::replace(&mut call.due, due);
+        self.deadlines.remove(&(before, id));
+        if due != Instant::NEVER {
+            self.deadlines.insert((due, id));
+        }
+    }
+
+    /// Forgets a call. `outcome` is absent where the caller cancelled it.
+    fn remove(&mut self, id: CallId, outcome: Option<Outcome>, result: CallResult) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        self.deadlines.remove(&(call.due, id));
+        let service = &mut self.services[call.service];
+        service.counts.in_flight -= 1;
+        self.busy_services -= u32::from(service.counts.in_flight == 0);
+        if !matches!(result, CallResult::Answered { .. }) {
+            self.orphans.extend(call.children);
+        }
+        let Some(rule) = call.rule else { return };
+        match outcome {
+            Some(outcome) => service.counts.count_ended(outcome),
+            None => service.counts.cancelled += 1,
+        }
+        self.finished.push(Finished { rule, result });
+    }
+
+    /// Tells the burn report of ended calls, and ends the calls that were made
+    /// for a call that ended without an answer.
+    pub(super) fn settle(&mut self, cx: &mut Context<'_>, slo: &mut Slo) {
+        while let Some(orphan) = self.orphans.pop() {
+            if self.calls.contains_key(&orphan) {
+                self.cancel_orphan(cx, orphan);
+            }
+        }
+        for finished in self.finished.drain(..) {
+            slo.count(cx.now, &finished.rule.service, &finished.rule.policy, finished.result);
+        }
+    }
+
+    fn cancel_orphan(&mut self, cx: &mut Context<'_>, id: CallId) {
+        self.caller_failed(cx, id, RefusalCode::ChainCancelled);
+    }
+
+    /// A target's call went well.
+    pub(super) fn note_success(&mut self, cx: &Context<'_>, key: TargetKey) {
+        let target = &mut self.targets[key];
+        if target.health.is_ejected() {
+            target.warm_up(cx.now);
+            self.services[target.service].ejected.retain(|other| *other != key);
+        }
+        self.targets[key].health.succeed();
+    }
+
+    /// A target's call failed: eject the target, unless too many are ejected.
+    pub(super) fn note_failure(&mut self, cx: &Context<'_>, key: TargetKey) {
+        let target = &mut self.targets[key];
+        if !target.health.fail() {
+            return;
+        }
+        if target.health.is_ejected() {
+            return target.health.eject(cx.now);
+        }
+        let service = &mut self.services[target.service];
+        let usable: usize = service.tiers.iter().map(Vec::len).sum();
+        let ejected = service.ejected.len() + 1;
+        let max_percent = usize::from(service.max_ejected_percent);
+        if ejected >= usable || ejected * 100 > max_percent * usable {
+            return;
+        }
+        service.ejected.push(key);
+        target.health.eject(cx.now);
+    }
+
+    /// Whether a target that the call has not tried has room, as far as is known.
+    pub(super) fn has_spare_elsewhere(&self, cx: &Context<'_>, id: CallId) -> bool {
+        let call: &Call = &self.calls[&id];
+        let tiers = &self.services[call.service].tiers;
+        tiers.iter().flatten().any(|key| {
+            let target = &self.targets[*key];
+            !call.was_tried(*key) && !target.health.is_ejected() && target.has_spare(cx.now)
+        })
+    }
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,57 +1,203 @@
 //! Calls: which target gets each, when, and what is said of the outcome.
+//!
+//! A caller's call arrives at any proxy, its ingress. The ingress chooses a
+//! target and passes the call to the proxy of the target's host, its owner,
+//! which alone admits calls to the target. [`CallEvent`]s tell what happened,
+//! [`CallEffect`]s what to do next. An attempt that ends before its answer's
+//! head ends in [`CallEvent::Failed`]; one whose answer is passed on ends in
+//! [`CallEvent::Ended`]. After [`CallEffect::Refuse`] or [`CallEffect::Abort`]
+//! nothing more is heard of a call.
 
+mod arrive;
+mod attempt;
+mod budget;
+mod call;
+mod chain;
+mod choose;
+mod estimate;
+mod finish;
+mod gate;
+mod health;
+mod metrics;
+mod state;
+mod table;
+mod target;
+mod view;
+
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use slotmap::SlotMap;
+
+pub use call::{
+    CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, GateLoad, Outcome, Refusal,
+    RefusalCode,
+};
+pub use chain::{Chain, ChainError};
+pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
+
+use crate::collections::HashMap;
 use crate::config::Configuration;
 use crate::context::Context;
-use crate::membership::MembershipChange;
+use crate::event::{Effect, LogLevel, LogPart};
+use crate::ids::{CallId, Name, NodeId, TargetId};
+use crate::membership::Member;
+use crate::slo::Slo;
 use crate::time::Instant;
 
-/// Something that happened to a call.
-#[derive(Clone, Debug)]
-pub enum CallEvent {}
+slotmap::new_key_type! {
+    /// Key of a service.
+    pub(crate) struct ServiceKey;
+    /// Key of a target.
+    pub(crate) struct TargetKey;
+}
 
-/// Something to do with a call.
+/// Settings of the call path.
 #[derive(Clone, Debug)]
-pub enum CallEffect {}
+pub struct RoutingSettings {
+    /// Most calls in flight at this proxy, forwarded ones included.
+    pub max_calls: u32,
+    /// Time for which a stopping proxy still takes calls, so that callers and
+    /// other proxies learn of the stop before it refuses, in milliseconds.
+    pub stop_notice_ms: u64,
+}
 
-/// Settings of the call path.
-#[derive(Clone, Debug, Default)]
-pub struct RoutingSettings {}
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self { max_calls: 4_096, stop_notice_ms: 1_000 }
+    }
+}
 
 /// Every call in flight at this process, and what is known of targets.
-pub struct Routing {}
+pub struct Routing {
+    settings: RoutingSettings,
+    configuration: Arc<Configuration>,
+    /// Absent until a version came into force.
+    table: Option<table::RouteTable>,
+    services: SlotMap<ServiceKey, state::ServiceState>,
+    service_keys: HashMap<Name, ServiceKey>,
+    targets: SlotMap<TargetKey, target::Target>,
+    target_keys: HashMap<TargetId, TargetKey>,
+    members: HashMap<NodeId, Member>,
+    calls: HashMap<CallId, state::Call>,
+    /// When each call must be looked at again.
+    deadlines: BTreeSet<(Instant, CallId)>,
+    /// Services with calls in flight.
+    busy_services: u32,
+    refusals: metrics::RefusalCounts,
+    /// Calls that ended during this event, for the burn report.
+    finished: Vec<finish::Finished>,
+    /// Calls whose parent ended during this event.
+    orphans: Vec<CallId>,
+    /// When a stopping process begins to refuse calls.
+    refuse_at: Option<Instant>,
+    is_refusing: bool,
+}
 
 impl Routing {
     /// Makes the state of a process with no call.
-    pub fn new(_settings: RoutingSettings) -> Self {
-        Self {}
+    pub fn new(settings: RoutingSettings) -> Self {
+        Self {
+            settings,
+            configuration: Arc::default(),
+            table: None,
+            services: SlotMap::with_key(),
+            service_keys: HashMap::default(),
+            targets: SlotMap::with_key(),
+            target_keys: HashMap::default(),
+            members: HashMap::default(),
+            calls: HashMap::default(),
+            deadlines: BTreeSet::new(),
+            busy_services: 0,
+            refusals: metrics::RefusalCounts::default(),
+            finished: Vec::new(),
+            orphans: Vec::new(),
+            refuse_at: None,
+            is_refusing: false,
+        }
     }
 
-    /// A version came into force at this process.
-    pub fn configure(&mut self, _cx: &mut Context<'_>, _configuration: Arc<Configuration>) {}
-
-    /// The view of hosts and targets changed.
-    pub fn membership_changed(&mut self, _cx: &mut Context<'_>, _change: &MembershipChange) {}
-
     /// Something happened to a call.
-    pub fn step(&mut self, _cx: &mut Context<'_>, _slo: &mut crate::slo::Slo, event: CallEvent) {
-        match event {}
+    pub fn step(&mut self, cx: &mut Context<'_>, slo: &mut Slo, event: CallEvent) {
+        match event {
+            CallEvent::Arrived { call, head } => self.arrived(cx, call, head),
+            CallEvent::Answered { call, attempt, status, load } => {
+                self.answered(cx, call, attempt, status, load);
+            }
+            CallEvent::Failed { call, attempt, refusal, replayable, load } => {
+                self.failed(cx, call, attempt, refusal, replayable, load);
+            }
+            CallEvent::Ended { call, attempt, whole } => self.ended(cx, call, attempt, whole),
+            CallEvent::CallerGone { call } => self.caller_gone(cx, call),
+            CallEvent::CallerFailed { call, code } => self.caller_failed(cx, call, code),
+        }
+        self.settle(cx, slo);
     }
 
     /// When [`Routing::tick`] is due.
     pub fn next_deadline(&self) -> Instant {
-        Instant::NEVER
+        let call = self.deadlines.first().map_or(Instant::NEVER, |(due, _)| *due);
+        let stop = self.refuse_at.filter(|_| !self.is_refusing).unwrap_or(Instant::NEVER);
+        call.min(stop)
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, _cx: &mut Context<'_>, _slo: &mut crate::slo::Slo) {}
+    pub fn tick(&mut self, cx: &mut Context<'_>, slo: &mut Slo) {
+        if !self.is_refusing && self.refuse_at.is_some_and(|at| at <= cx.now) {
+            self.is_refusing = true;
+            cx.emit(Effect::Call(CallEffect::CloseIdle));
+            let text = format!("Taking no more calls; {} in flight.", self.calls.len());
+            cx.log(LogLevel::Info, LogPart::Calls, text);
+        }
+        while let Some((due, call)) = self.deadlines.first().copied()
+            && due <= cx.now
+        {
+            self.deadlines.pop_first();
+            self.look_again(cx, call);
+        }
+        self.settle(cx, slo);
+    }
 
-    /// Takes no new call from here on.
-    pub fn stop(&mut self, _cx: &mut Context<'_>) {}
+    /// Begins a graceful stop: calls are still taken for a short notice, then
+    /// refused; those in flight are finished.
+    pub fn stop(&mut self, cx: &mut Context<'_>) {
+        if self.refuse_at.is_some() {
+            return;
+        }
+        self.refuse_at = Some(cx.now.plus_ms(self.settings.stop_notice_ms));
+        cx.emit(Effect::Call(CallEffect::CloseKeepAlive));
+    }
 
-    /// Whether no call is in flight.
+    /// Whether no call is in flight, and none will be taken if the process is stopping.
     pub fn is_idle(&self) -> bool {
-        true
+        let notice_over = self.refuse_at.is_none() || self.is_refusing;
+        notice_over && self.calls.is_empty()
+    }
+
+    /// Calls in flight, forwarded ones included.
+    pub fn in_flight(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Counters for the metrics endpoint. Costs time in proportion to targets.
+    pub fn metrics(&self) -> RoutingMetrics {
+        let mut services: Vec<_> =
+            self.services.values().map(|s| (s.name.clone(), s.counts)).collect();
+        services.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        let mut targets: Vec<_> = self.targets.values().map(target_metrics).collect();
+        targets.sort_unstable_by(|a, b| a.target.cmp(&b.target));
+        let in_flight = self.calls.len() as u32;
+        RoutingMetrics { in_flight, services, refusals: self.refusals.all(), targets }
+    }
+}
+
+fn target_metrics(target: &target::Target) -> TargetMetrics {
+    let gate = target.gate.as_ref().map(gate::Gate::load);
+    TargetMetrics {
+        target: target.record.target.clone(),
+        in_flight: gate.map_or(target.in_flight, |load| load.in_flight),
+        queued: gate.map_or(0, |load| load.queued),
+        latency_us: target.latency.mean_us(),
+        is_ejected: target.health.is_ejected(),
     }
 }
--- /dev/null
+++ b/crates/core/src/routing/target.rs
@@ -0,0 +1,158 @@
+//! What this proxy knows of one target.
+
+use super::call::GateLoad;
+use super::estimate::Estimate;
+use super::gate::Gate;
+use super::health::Health;
+use crate::membership::{TargetRecord, TargetState};
+use crate::routing::ServiceKey;
+use crate::time::Instant;
+
+/// Age at which what an owner told of its gate counts for nothing, in microseconds.
+const GATE_HINT_LIFE_US: u64 = 1_000_000;
+/// Age at which what a target reported of itself counts for nothing, in microseconds.
+const REPORT_LIFE_US: u64 = 2_000_000;
+/// Share of calls of a target that just became ready, in thousandths.
+const COLD_WEIGHT: u64 = 100;
+/// Share of calls of a warm target, in thousandths.
+const FULL_WEIGHT: u64 = 1_000;
+/// Latency of a target that has none observed yet, in microseconds.
+const UNKNOWN_LATENCY_US: u64 = 1_000;
+/// Time without an answer after which an observed latency counts for half, in microseconds.
+const LATENCY_HALF_LIFE_US: u64 = 5_000_000;
+
+/// A hint of a target's load, with the time at which it was heard.
+#[derive(Clone, Copy, Debug)]
+struct LoadHint {
+    others: u64,
+    heard_at: Instant,
+    life_us: u64,
+}
+
+/// One target as this proxy sees it.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub record: TargetRecord,
+    pub service: ServiceKey,
+    /// Calls of this proxy at the target, as ingress.
+    pub in_flight: u32,
+    /// Present where this proxy owns the target.
+    pub gate: Option<Gate>,
+    pub health: Health,
+    pub latency: Estimate,
+    last_answer_at: Instant,
+    ready_since: Instant,
+    hint: Option<LoadHint>,
+}
+
+impl Target {
+    pub fn new(record: TargetRecord, service: ServiceKey, now: Instant) -> Self {
+        let mut target = Self {
+            record,
+            service,
+            in_flight: 0,
+            gate: None,
+            health: Health::default(),
+            latency: Estimate::default(),
+            last_answer_at: now,
+            ready_since: now,
+            hint: None,
+        };
+        target.hear_report(now);
+        target
+    }
+
+    /// Takes a newer record of the target.
+    pub fn update(&mut self, record: TargetRecord, now: Instant) {
+        let was_ready = self.record.state == TargetState::Ready;
+        let moved = record.address != self.record.address || record.owner != self.record.owner;
+        self.record = record;
+        if !was_ready || moved {
+            self.ready_since = now;
+            self.health = Health::default();
+            self.latency = Estimate::default();
+        }
+        self.hear_report(now);
+    }
+
+    fn hear_report(&mut self, now: Instant) {
+        let Some(percent) = self.record.load_percent else { return };
+        let load = u64::from(self.record.slots) * u64::from(percent) / 100;
+        self.hear(load, now, REPORT_LIFE_US);
+    }
+
+    /// Takes what the owner told of its gate with an answer.
+    pub fn hear_gate(&mut self, load: GateLoad, now: Instant) {
+        self.hear(u64::from(load.in_flight + load.queued), now, GATE_HINT_LIFE_US);
+    }
+
+    fn hear(&mut self, load: u64, now: Instant, life_us: u64) {
+        let others = load.saturating_sub(u64::from(self.in_flight));
+        self.hint = Some(LoadHint { others, heard_at: now, life_us });
+    }
+
+    /// An answer arrived `us` after its attempt began.
+    pub fn observe(&mut self, us: u64, now: Instant) {
+        self.latency.observe(us);
+        self.last_answer_at = now;
+    }
+
+    /// Gives the target few calls at first, after an ejection.
+    pub fn warm_up(&mut self, now: Instant) {
+        self.ready_since = now;
+    }
+
+    pub fn last_answer_at(&self) -> Instant {
+        self.last_answer_at
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.record.state == TargetState::Ready
+    }
+
+    /// Calls that the target takes at once.
+    pub fn limit(&self) -> u64 {
+        u64::from(self.record.slots.min(self.record.connections))
+    }
+
+    /// Calls at the target as far as this proxy knows. Its own are certain;
+    /// those of others are a hint that fades with age.
+    pub fn expected_load(&self, now: Instant) -> u64 {
+        if let Some(gate) = &self.gate {
+            let load = gate.load();
+            return u64::from(load.in_flight + load.queued);
+        }
+        let others = self.hint.map_or(0, |hint| {
+            let left_us = hint.life_us.saturating_sub(now.since_us(hint.heard_at));
+            hint.others * left_us / hint.life_us
+        });
+        u64::from(self.in_flight) + others
+    }
+
+    pub fn has_spare(&self, now: Instant) -> bool {
+        self.expected_load(now) < self.limit()
+    }
+
+    /// Share of calls that the target is given, in thousandths: it grows while
+    /// the target is cold.
+    pub fn weight(&self, now: Instant, slow_start_ms: u32) -> u64 {
+        let start_us = u64::from(slow_start_ms) * 1_000;
+        let warm_us = now.since_us(self.ready_since);
+        if warm_us >= start_us {
+            return FULL_WEIGHT;
+        }
+        COLD_WEIGHT + (FULL_WEIGHT - COLD_WEIGHT) * warm_us / start_us
+    }
+
+    /// Expected cost of one more call: less is better. An old latency fades,
+    /// so that a target that was slow once is tried again.
+    pub fn score(&self, now: Instant, slow_start_ms: u32) -> u64 {
+        let age_us = now.since_us(self.last_answer_at);
+        let observed_us = self.latency.mean_us().max(UNKNOWN_LATENCY_US);
+        let excess_us = observed_us - UNKNOWN_LATENCY_US;
+        let halvings = (age_us / LATENCY_HALF_LIFE_US).min(32);
+        let latency_us = UNKNOWN_LATENCY_US + (excess_us >> halvings);
+        let weight = self.weight(now, slow_start_ms);
+        (self.expected_load(now) + 1) * latency_us * FULL_WEIGHT / weight
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/view.rs
@@ -0,0 +1,176 @@
+//! Keeps the call path's view of configuration, hosts and targets.
+
+use std::sync::Arc;
+
+use super::gate::Gate;
+use super::state::{ServiceState, Stage};
+use super::table::RouteTable;
+use super::target::Target;
+use super::{Routing, ServiceKey, TargetKey};
+use crate::config::Configuration;
+use crate::context::Context;
+use crate::ids::{CallId, Name, NodeId};
+use crate::membership::{Member, MemberStatus, MembershipChange, TargetRecord, TargetState};
+use crate::routing::call::{Outcome, Refusal, RefusalCode};
+
+impl Routing {
+    /// A version came into force at this process.
+    pub fn configure(&mut self, _cx: &mut Context<'_>, configuration: Arc<Configuration>) {
+        self.table = Some(RouteTable::new(&configuration));
+        for service in configuration.services() {
+            let key = self.service_key(&service.name);
+            let state = &mut self.services[key];
+            state.retry_budget_percent = service.retry_budget_percent;
+            state.max_ejected_percent = service.max_ejected_percent;
+            state.slow_start_ms = service.slow_start_ms;
+        }
+        self.configuration = configuration;
+        self.forget_services();
+    }
+
+    /// The view of hosts and targets changed.
+    pub fn membership_changed(&mut self, cx: &mut Context<'_>, change: &MembershipChange) {
+        match change {
+            MembershipChange::Member(member) => self.member_changed(cx, member),
+            MembershipChange::MemberForgotten(id) => {
+                self.members.remove(id);
+                self.mark_stale();
+                self.fail_forwards(cx, *id);
+            }
+            MembershipChange::Target(record) => self.target_changed(cx, record),
+        }
+    }
+
+    fn member_changed(&mut self, cx: &mut Context<'_>, member: &Member) {
+        let before = self.members.insert(member.id, member.clone());
+        let is_same = before.is_some_and(|before| {
+            before.status == member.status && before.locality == member.locality
+        });
+        if is_same {
+            return;
+        }
+        self.mark_stale();
+        if member.status == MemberStatus::Dead {
+            self.fail_forwards(cx, member.id);
+        }
+    }
+
+    fn mark_stale(&mut self) {
+        for service in self.services.values_mut() {
+            service.is_stale = true;
+        }
+    }
+
+    /// Gives up repeatable calls at an owner that is gone. Others wait for
+    /// their answer: it may still arrive.
+    fn fail_forwards(&mut self, cx: &mut Context<'_>, owner: NodeId) {
+        let mut waiting: Vec<CallId> = Vec::new();
+        for (id, call) in &self.calls {
+            if let Stage::Running(attempt) = call.stage
+                && call.is_repeatable
+                && call.is_replayable
+                && !attempt.holds_slot
+                && self.targets[attempt.target].record.owner == owner
+            {
+                waiting.push(*id);
+            }
+        }
+        waiting.sort_unstable();
+        for id in waiting {
+            self.cancel_attempt(cx, id);
+        }
+    }
+
+    fn target_changed(&mut self, cx: &mut Context<'_>, record: &TargetRecord) {
+        let service = self.service_key(&record.target.service);
+        let key = match self.target_keys.get(&record.target) {
+            Some(key) => {
+                self.targets[*key].update(record.clone(), cx.now);
+                *key
+            }
+            None if record.state == TargetState::Gone => return self.forget_services(),
+            None => self.insert_target(record, service, cx),
+        };
+        self.services[service].is_stale = true;
+        self.update_gate(cx, key);
+        if record.state == TargetState::Gone {
+            self.forget_target(key);
+        }
+    }
+
+    fn insert_target(
+        &mut self,
+        record: &TargetRecord,
+        service: ServiceKey,
+        cx: &Context<'_>,
+    ) -> TargetKey {
+        let key = self.targets.insert(Target::new(record.clone(), service, cx.now));
+        self.target_keys.insert(record.target.clone(), key);
+        let targets = &self.targets;
+        let list = &mut self.services[service].targets;
+        let id = |key: &TargetKey| targets[*key].record.target.id.clone();
+        let place = list.partition_point(|other| id(other) < record.target.id);
+        list.insert(place, key);
+        key
+    }
+
+    fn update_gate(&mut self, cx: &mut Context<'_>, key: TargetKey) {
+        let target = &mut self.targets[key];
+        if target.record.owner != cx.me.id {
+            target.gate = None;
+            return;
+        }
+        let (slots, connections) = (target.record.slots, target.record.connections);
+        let gate = target.gate.get_or_insert_with(Gate::default);
+        gate.set_limit(slots, connections);
+        if target.record.state == TargetState::Ready {
+            self.admit_waiting(cx, key);
+            return;
+        }
+        let refusal = Refusal { code: RefusalCode::TargetGone, outcome: Outcome::NotRun };
+        let queue = self.targets[key].gate.as_mut().map(Gate::take_queue).unwrap_or_default();
+        for call in queue {
+            self.attempt_failed(cx, call, refusal);
+        }
+    }
+
+    /// Forgets a target that is gone once no call is at it.
+    pub(super) fn forget_target(&mut self, key: TargetKey) {
+        let Some(target) = self.targets.get(key) else { return };
+        let at_gate = target.gate.as_ref().map_or(0, |gate| gate.load().in_flight);
+        if target.record.state != TargetState::Gone || target.in_flight > 0 || at_gate > 0 {
+            return;
+        }
+        let Some(target) = self.targets.remove(key) else { return };
+        self.target_keys.remove(&target.record.target);
+        let service = &mut self.services[target.service];
+        service.targets.retain(|other| *other != key);
+        service.ejected.retain(|other| *other != key);
+        service.is_stale = true;
+        self.forget_services();
+    }
+
+    fn service_key(&mut self, name: &Name) -> ServiceKey {
+        if let Some(key) = self.service_keys.get(name) {
+            return *key;
+        }
+        let key = self.services.insert(ServiceState::new(name.clone()));
+        self.service_keys.insert(name.clone(), key);
+        key
+    }
+
+    /// Forgets services that are neither declared nor have targets or calls.
+    fn forget_services(&mut self) {
+        let configuration = &self.configuration;
+        let keys = &mut self.service_keys;
+        self.services.retain(|_, service| {
+            let keep = !service.targets.is_empty()
+                || service.counts.in_flight > 0
+                || configuration.service(&service.name).is_some();
+            if !keep {
+                keys.remove(&service.name);
+            }
+            keep
+        });
+    }
+}
--- a/crates/core/src/slo/mod.rs
+++ b/crates/core/src/slo/mod.rs
@@ -6,8 +6,9 @@
 
 use crate::config::Configuration;
 use crate::context::Context;
-use crate::ids::NodeId;
+use crate::ids::{Name, NodeId};
 use crate::membership::Membership;
+use crate::resource::Policy;
 use crate::time::Instant;
 
 /// Messages that add counts up over proxies.
@@ -28,6 +29,22 @@
     pub service: crate::ids::Name,
 }
 
+/// How a call of this ingress ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallResult {
+    /// A target answered.
+    Answered {
+        /// Whether the answer was whole and no server error.
+        is_good: bool,
+        /// Time from the call's arrival to the end of the answer, in microseconds.
+        took_us: u64,
+    },
+    /// The mesh answered itself.
+    Refused,
+    /// The caller hung up.
+    Cancelled,
+}
+
 /// Counts at this process and what it heard of others.
 #[derive(Default)]
 pub struct Slo {}
@@ -41,6 +58,10 @@
     /// A version came into force at this process.
     pub fn configure(&mut self, _cx: &mut Context<'_>, _configuration: Arc<Configuration>) {}
 
+    /// Counts a call that ended.
+    pub fn count(&mut self, _now: Instant, _service: &Name, _policy: &Policy, _result: CallResult) {
+    }
+
     /// A message from another process.
     pub fn step(&mut self, _cx: &mut Context<'_>, _from: NodeId, message: SloMessage) {
         match message {}
--- /dev/null
+++ b/crates/daemon/src/calls/drive.rs
@@ -0,0 +1,289 @@
+//! Drives one call: tells the reducer what happened, does what it says.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use fireflylug_core::routing::{
+    CallEffect, CallEvent, CallHead, CallOrigin, GateLoad, Outcome, Refusal, RefusalCode,
+};
+use http::header::{self, HeaderMap};
+use http::request::Parts;
+use http::{Method, Request, Response, Uri, Version};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::sync::{Mutex, Notify};
+
+use super::answer::{self, Answer, AnswerBody, OpenCall};
+use super::body::BodySource;
+use super::headers;
+use super::pool::{Pool, Wanted};
+use super::proxy::{Proxy, Side};
+
+/// Longest unused time of a connection for a call that may not run twice. The
+/// other end may close a connection at the moment a call is sent, and then
+/// nobody knows whether it ran.
+const MAX_IDLE_UNREPEATABLE: Duration = Duration::from_millis(500);
+/// Largest body of an owner's refusal, in bytes.
+const MAX_REFUSAL_BYTES: usize = 4 * 1024;
+/// Times that a call is given another connection because it was provably not sent.
+const MAX_UNSENT: usize = 3;
+
+/// Serves one call.
+pub(super) async fn call(
+    proxy: Arc<Proxy>,
+    broken: Arc<Notify>,
+    side: Side,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let (parts, body) = request.into_parts();
+    let origin = match origin(&proxy, side, &parts.headers) {
+        Ok(origin) => origin,
+        Err(code) => return not_run(&proxy, code),
+    };
+    let Some(chain) = headers::chain(&parts.headers) else {
+        return not_run(&proxy, RefusalCode::BadRequest);
+    };
+    let body = match BodySource::read(body).await {
+        Ok(body) => body,
+        Err(code) => return not_run(&proxy, code),
+    };
+    let head = CallHead {
+        origin,
+        host: host(&parts),
+        path: parts.uri.path().into(),
+        is_safe_method: matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS),
+        body_bytes: body.length(),
+        is_replayable: body.is_replayable(),
+        chain,
+    };
+    let (call, slot) = proxy.handle.open(broken);
+    slot.pause_progress();
+    let open = OpenCall { proxy, call, slot, is_open: true };
+    open.submit(CallEvent::Arrived { call, head });
+    drive(open, Outgoing { parts: outgoing(parts), body: Mutex::new(body) }).await
+}
+
+fn not_run(proxy: &Proxy, code: RefusalCode) -> Response<AnswerBody> {
+    answer::refuse(proxy, Refusal { code, outcome: Outcome::NotRun }, None)
+}
+
+fn origin(proxy: &Proxy, side: Side, all: &HeaderMap) -> Result<CallOrigin, RefusalCode> {
+    match side {
+        Side::Callers => Ok(CallOrigin::Caller),
+        Side::Proxies if !headers::proves_key(all, proxy.key.as_ref()) => {
+            Err(RefusalCode::Unauthorized)
+        }
+        Side::Proxies => {
+            headers::forward_head(all).map(CallOrigin::Proxy).ok_or(RefusalCode::BadRequest)
+        }
+    }
+}
+
+/// Host that a call names, in lower case and without port.
+fn host(parts: &Parts) -> CompactString {
+    let of_header = || parts.headers.get(header::HOST)?.to_str().ok();
+    let authority = parts.uri.authority().map(|a| a.as_str()).or_else(of_header).unwrap_or("");
+    let host = match authority.rsplit_once(':') {
+        Some((host, port)) if port.bytes().all(|b| b.is_ascii_digit()) => host,
+        _ => authority,
+    };
+    let mut host = CompactString::from(host);
+    host.make_ascii_lowercase();
+    host
+}
+
+/// The head of a request as it is passed on: path and query, no header of a
+/// single connection or of the mesh.
+fn outgoing(mut parts: Parts) -> Parts {
+    headers::strip(&mut parts.headers);
+    parts.headers.remove(header::CONTENT_LENGTH);
+    parts.headers.remove(header::EXPECT);
+    if let Some(authority) = parts.uri.authority()
+        && let Ok(value) = authority.as_str().parse()
+    {
+        parts.headers.insert(header::HOST, value);
+    }
+    if let Some(path) = parts.uri.path_and_query() {
+        parts.uri = Uri::from(path.clone());
+    }
+    parts.version = Version::HTTP_11;
+    parts
+}
+
+/// A request, for one or more attempts.
+struct Outgoing {
+    parts: Parts,
+    body: Mutex<BodySource>,
+}
+
+impl Outgoing {
+    fn head(&self) -> Parts {
+        let mut parts = Request::new(()).into_parts().0;
+        parts.method = self.parts.method.clone();
+        parts.uri = self.parts.uri.clone();
+        parts.headers = self.parts.headers.clone();
+        parts
+    }
+}
+
+/// An attempt that ended without an answer of a target.
+struct Failure {
+    refusal: Refusal,
+    load: Option<GateLoad>,
+}
+
+impl Failure {
+    fn new(code: RefusalCode, outcome: Outcome) -> Self {
+        Self { refusal: Refusal { code, outcome }, load: None }
+    }
+}
+
+type Running<'a> = Pin<Box<dyn Future<Output = Result<Answer, Failure>> + Send + 'a>>;
+
+async fn drive(mut open: OpenCall, outgoing: Outgoing) -> Response<AnswerBody> {
+    let proxy = Arc::clone(&open.proxy);
+    let slot = Arc::clone(&open.slot);
+    let mut attempt = 0;
+    let mut running: Option<Running<'_>> = None;
+    let mut answered: Option<Answer> = None;
+    loop {
+        let effect = tokio::select! {
+            biased;
+            effect = slot.next() => effect,
+            result = wait(&mut running) => {
+                running = None;
+                match result {
+                    Ok(answer) => answered = Some(report_answer(&open, attempt, answer)),
+                    Err(failure) => report_failure(&open, &outgoing, attempt, failure).await,
+                }
+                continue;
+            }
+        };
+        match effect {
+            CallEffect::Forward { attempt: number, .. }
+            | CallEffect::Dispatch { attempt: number, .. } => {
+                attempt = number;
+                running = Some(Box::pin(start(&proxy, &outgoing, effect)));
+            }
+            CallEffect::Relay { load, .. } => {
+                if let Some(answer) = answered.take() {
+                    return answer::relay(open, attempt, answer, load);
+                }
+            }
+            CallEffect::Cancel { .. } => {
+                running = None;
+                answered = None;
+                let failure = Failure::new(RefusalCode::DeadlineExceeded, Outcome::Unknown);
+                report_failure(&open, &outgoing, attempt, failure).await;
+            }
+            CallEffect::Refuse { refusal, load, .. } => {
+                open.close();
+                return answer::refuse(&proxy, refusal, load);
+            }
+            CallEffect::Abort { .. } | CallEffect::CloseKeepAlive | CallEffect::CloseIdle => {}
+        }
+    }
+}
+
+async fn wait(running: &mut Option<Running<'_>>) -> Result<Answer, Failure> {
+    match running {
+        Some(running) => running.await,
+        None => std::future::pending().await,
+    }
+}
+
+fn report_answer(open: &OpenCall, attempt: u8, answer: Answer) -> Answer {
+    open.submit(CallEvent::Answered {
+        call: open.call,
+        attempt,
+        status: answer.response.status().as_u16(),
+        load: headers::load(answer.response.headers()),
+    });
+    answer
+}
+
+async fn report_failure(open: &OpenCall, outgoing: &Outgoing, attempt: u8, failure: Failure) {
+    let body = outgoing.body.lock().await;
+    if let Some(code) = body.caller_fault() {
+        open.submit(CallEvent::CallerFailed { call: open.call, code });
+        return;
+    }
+    open.submit(CallEvent::Failed {
+        call: open.call,
+        attempt,
+        refusal: failure.refusal,
+        replayable: body.is_replayable(),
+        load: failure.load,
+    });
+}
+
+/// Makes one attempt.
+async fn start(proxy: &Proxy, outgoing: &Outgoing, effect: CallEffect) -> Result<Answer, Failure> {
+    let mut head = outgoing.head();
+    match effect {
+        CallEffect::Dispatch {
+            address, connections, repeatable, chain, max_body_bytes, ..
+        } => {
+            headers::add_for_target(&mut head.headers, &chain);
+            let wanted = wanted(address, connections as usize, repeatable);
+            send(&proxy.targets, wanted, head, &outgoing.body, max_body_bytes).await
+        }
+        CallEffect::Forward { address, head: forward, chain, max_body_bytes, .. } => {
+            let key = proxy.key_value.as_ref();
+            headers::add_for_owner(&mut head.headers, &chain, &forward, key);
+            let address = proxy.settings.translation.apply(address);
+            let wanted = wanted(address, usize::MAX, forward.repeatable);
+            let sent = send(&proxy.owners, wanted, head, &outgoing.body, max_body_bytes).await;
+            from_owner(sent?).await
+        }
+        _ => unreachable!("only these effects begin an attempt"),
+    }
+}
+
+fn wanted(address: std::net::SocketAddr, max_open: usize, repeatable: bool) -> Wanted {
+    let max_idle = if repeatable { Duration::MAX } else { MAX_IDLE_UNREPEATABLE };
+    Wanted { address, max_open, max_idle }
+}
+
+/// Tells an owner's refusal from a target's answer.
+async fn from_owner(answer: Answer) -> Result<Answer, Failure> {
+    let all = answer.response.headers();
+    let Some((code, outcome)) = headers::refusal(all) else { return Ok(answer) };
+    let load = headers::load(all);
+    let Answer { response, connection, request_body } = answer;
+    let rest = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect().await;
+    if rest.is_ok() && request_body.is_done() {
+        connection.give_back();
+    }
+    Err(Failure { refusal: Refusal { code, outcome }, load })
+}
+
+/// Sends a request on a connection of its own. An error says `not-run` only
+/// where no byte of the request was written.
+async fn send(
+    pool: &Pool,
+    wanted: Wanted,
+    head: Parts,
+    body: &Mutex<BodySource>,
+    max_body_bytes: u64,
+) -> Result<Answer, Failure> {
+    let unreachable = |_| Failure::new(RefusalCode::Unreachable, Outcome::NotRun);
+    let mut connection = pool.take(wanted).await.map_err(unreachable)?;
+    let (body, request_body) = body.lock().await.open(max_body_bytes);
+    let mut request = Request::from_parts(head, body);
+    for _ in 0..MAX_UNSENT {
+        let mut failed = match connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok(Answer { response, connection, request_body }),
+            Err(failed) => failed,
+        };
+        // The connection hands the request back only if it has not begun to write it.
+        let Some(unsent) = failed.take_message() else {
+            return Err(Failure::new(RefusalCode::ConnectionLost, Outcome::Unknown));
+        };
+        request = unsent;
+        connection = pool.take(wanted).await.map_err(unreachable)?;
+    }
+    Err(Failure::new(RefusalCode::Unreachable, Outcome::NotRun))
+}
--- /dev/null
+++ b/crates/daemon/src/calls/headers.rs
@@ -0,0 +1,164 @@
+//! Headers that the mesh adds to calls and answers, and those that it removes.
+//!
+//! | header | from, to | value |
+//! |---|---|---|
+//! | `fireflylug-outcome` | mesh to caller | `ran`, `not-run` or `unknown` |
+//! | `fireflylug-error` | mesh to caller | code of an answer that the mesh gave itself |
+//! | `fireflylug-chain` | mesh to target, target to mesh | opaque: copied by targets to calls that they make for this one |
+//! | `fireflylug-deadline-ms` | mesh to target | time left, in milliseconds |
+//! | `fireflylug-forward` | ingress to owner | what the owner must know |
+//! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
+//! | `fireflylug-load` | owner to ingress | `in_flight.queued` of the target |
+
+use fireflylug_core::ids::{Name, TargetId};
+use fireflylug_core::routing::{Chain, ForwardHead, GateLoad, Outcome, RefusalCode};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+
+use crate::SharedKey;
+
+/// What became of a call.
+pub(super) const OUTCOME: HeaderName = HeaderName::from_static("fireflylug-outcome");
+/// Code of an answer that the mesh gave itself.
+pub(super) const ERROR: HeaderName = HeaderName::from_static("fireflylug-error");
+/// Calls that led to this one.
+pub(super) const CHAIN: HeaderName = HeaderName::from_static("fireflylug-chain");
+const DEADLINE_MS: HeaderName = HeaderName::from_static("fireflylug-deadline-ms");
+const FORWARD: HeaderName = HeaderName::from_static("fireflylug-forward");
+const KEY: HeaderName = HeaderName::from_static("fireflylug-key");
+const LOAD: HeaderName = HeaderName::from_static("fireflylug-load");
+const PREFIX: &str = "fireflylug-";
+
+/// Headers that are for one connection only.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes what is for one connection only, and every header of the mesh.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    strip_named_by_connection(headers);
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    let is_ours = |name: &&HeaderName| name.as_str().starts_with(PREFIX);
+    let ours: Vec<HeaderName> = headers.keys().filter(is_ours).cloned().collect();
+    for name in ours {
+        headers.remove(name);
+    }
+}
+
+fn strip_named_by_connection(headers: &mut HeaderMap) {
+    if !headers.contains_key(header::CONNECTION) {
+        return;
+    }
+    let values = headers.get_all(header::CONNECTION).iter();
+    let names: Vec<HeaderName> = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// Adds what a target is told.
+pub(super) fn add_for_target(headers: &mut HeaderMap, chain: &Chain) {
+    headers.insert(CHAIN, value(chain));
+    if let Some(remaining_ms) = chain.remaining_ms {
+        headers.insert(DEADLINE_MS, HeaderValue::from(remaining_ms));
+    }
+}
+
+/// Adds what the owner of a target is told.
+pub(super) fn add_for_owner(
+    headers: &mut HeaderMap,
+    chain: &Chain,
+    head: &ForwardHead,
+    key: Option<&HeaderValue>,
+) {
+    headers.insert(CHAIN, value(chain));
+    let ForwardHead { target, remaining_ms, max_queued, repeatable } = head;
+    let repeatable = u8::from(*repeatable);
+    headers
+        .insert(FORWARD, value(format_args!("{target} {remaining_ms} {max_queued} {repeatable}")));
+    if let Some(key) = key {
+        headers.insert(KEY, key.clone());
+    }
+}
+
+/// The shared key as a header's value.
+pub(super) fn key_value(key: &SharedKey) -> HeaderValue {
+    let hex: String = key.as_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
+    let mut value = HeaderValue::from_str(&hex).expect("hexadecimal digits are visible ASCII");
+    value.set_sensitive(true);
+    value
+}
+
+/// Whether the request proves the shared key, where there is one.
+pub(super) fn proves_key(headers: &HeaderMap, key: Option<&SharedKey>) -> bool {
+    let Some(key) = key else { return true };
+    headers.get(KEY).and_then(|value| unhex(value.as_bytes())).is_some_and(|k| key.matches(&k))
+}
+
+fn unhex(text: &[u8]) -> Option<Vec<u8>> {
+    let digit = |byte: u8| (byte as char).to_digit(16).map(|d| d as u8);
+    if !text.len().is_multiple_of(2) {
+        return None;
+    }
+    text.chunks(2).map(|pair| Some(digit(pair[0])? << 4 | digit(pair[1])?)).collect()
+}
+
+/// What a forwarded call asks of this owner.
+pub(super) fn forward_head(headers: &HeaderMap) -> Option<ForwardHead> {
+    let text = headers.get(FORWARD)?.to_str().ok()?;
+    let mut fields = text.split(' ');
+    let (service, id) = fields.next()?.split_once('/')?;
+    Some(ForwardHead {
+        target: TargetId { service: Name::new(service).ok()?, id: Name::new(id).ok()? },
+        remaining_ms: fields.next()?.parse().ok()?,
+        max_queued: fields.next()?.parse().ok()?,
+        repeatable: fields.next()? == "1",
+    })
+}
+
+/// The calls that led to this one; none where the header is absent or not ours.
+pub(super) fn chain(headers: &HeaderMap) -> Option<Chain> {
+    match headers.get(CHAIN) {
+        None => Some(Chain::default()),
+        Some(value) => value.to_str().ok()?.parse().ok(),
+    }
+}
+
+/// Adds the load of a target to an owner's answer.
+pub(super) fn add_load(headers: &mut HeaderMap, load: GateLoad) {
+    headers.insert(LOAD, value(format_args!("{}.{}", load.in_flight, load.queued)));
+}
+
+/// The load of a target as its owner told it.
+pub(super) fn load(headers: &HeaderMap) -> Option<GateLoad> {
+    let (in_flight, queued) = headers.get(LOAD)?.to_str().ok()?.split_once('.')?;
+    Some(GateLoad { in_flight: in_flight.parse().ok()?, queued: queued.parse().ok()? })
+}
+
+/// The refusal that an owner answered with.
+pub(super) fn refusal(headers: &HeaderMap) -> Option<(RefusalCode, Outcome)> {
+    let code = headers.get(ERROR)?.to_str().ok()?.parse().ok()?;
+    let outcome = headers.get(OUTCOME)?.to_str().ok()?.parse().ok()?;
+    Some((code, outcome))
+}
+
+/// The outcome as a header's value.
+pub(super) fn outcome_value(outcome: Outcome) -> HeaderValue {
+    HeaderValue::from_static(outcome.into())
+}
+
+fn value(text: impl std::fmt::Display) -> HeaderValue {
+    HeaderValue::from_str(&text.to_string()).expect("the text is visible ASCII")
+}
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -1,28 +1,26 @@
-//! The call path: callers, other proxies and targets over HTTP.
+//! The call path: callers, other proxies and targets over HTTP/1.1.
+//!
+//! Each call has one task (its caller's connection). The task submits
+//! [`fireflylug_core::routing::CallEvent`]s and carries out the effects that
+//! [`CallHandle`] brings to it. Dropping an attempt closes its connection, so a
+//! caller that hangs up cancels its call all the way to the target.
+
+mod answer;
+mod body;
+mod drive;
+mod handle;
+mod headers;
+mod pool;
+mod proxy;
 
 use std::sync::Arc;
 
-use fireflylug_core::routing::CallEffect;
+pub use handle::CallHandle;
 use tokio::net::TcpListener;
 
+use self::proxy::{Proxy, Side};
 use crate::{Runtime, SharedKey, Translation};
 
-/// Takes effects on calls without blocking.
-#[derive(Clone, Debug, Default)]
-pub struct CallHandle {}
-
-impl CallHandle {
-    /// Makes a handle with no call.
-    pub fn new() -> Self {
-        Self::default()
-    }
-
-    /// Does something with a call.
-    pub fn run(&self, effect: CallEffect) {
-        match effect {}
-    }
-}
-
 /// Settings of the call path.
 #[derive(Clone, Debug)]
 pub struct CallSettings {
@@ -32,13 +30,28 @@
     pub translation: Translation,
 }
 
-/// Serves callers and other proxies until the process ends.
+/// Serves callers and other proxies until the process takes no more calls and
+/// every connection is closed.
+///
+/// After a graceful stop, wait for [`CallHandle::drained`] before the process
+/// ends: the last answers may still be on their way out.
 pub async fn run(
-    _runtime: Arc<Runtime>,
-    _handle: CallHandle,
-    _callers: TcpListener,
-    _forward: TcpListener,
-    _settings: CallSettings,
+    runtime: Arc<Runtime>,
+    handle: CallHandle,
+    callers: TcpListener,
+    forward: TcpListener,
+    settings: CallSettings,
 ) {
-    std::future::pending().await
+    let proxy = Proxy::new(runtime, handle, settings);
+    let accept_callers = Arc::clone(&proxy).accept(callers, Side::Callers);
+    let accept_proxies = Arc::clone(&proxy).accept(forward, Side::Proxies);
+    let handle = proxy.handle.clone();
+    let serve = async {
+        tokio::join!(accept_callers, accept_proxies);
+        handle.drained().await;
+    };
+    tokio::select! {
+        () = serve => {}
+        () = proxy.sweep() => {}
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/calls/pool.rs
@@ -0,0 +1,162 @@
+//! Connections to targets and to other proxies, each used by one call at a time.
+//!
+//! A library's pool is not used: it may send a call again on its own, and it
+//! does not say whether a call that failed had been sent.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use fireflylug_core::collections::HashMap;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::body::CallBody;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a connection whose answer has just ended to be ready again.
+const READY_TIMEOUT: Duration = Duration::from_millis(5);
+/// Time after which an unused connection is closed.
+const MAX_IDLE: Duration = Duration::from_secs(30);
+/// Largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Connections by address.
+#[derive(Clone, Default)]
+pub(super) struct Pool {
+    hosts: Arc<Mutex<HashMap<SocketAddr, Arc<Host>>>>,
+}
+
+/// Connections to one address.
+#[derive(Default)]
+struct Host {
+    state: Mutex<HostState>,
+    closed: Notify,
+}
+
+#[derive(Default)]
+struct HostState {
+    open: usize,
+    idle: Vec<Idle>,
+}
+
+struct Idle {
+    sender: SendRequest<CallBody>,
+    since: Instant,
+}
+
+/// What a call asks of its connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wanted {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Most connections to the address.
+    pub max_open: usize,
+    /// Longest time for which the connection may have been unused. The other
+    /// end may close an unused connection at the moment a call is sent.
+    pub max_idle: Duration,
+}
+
+/// A connection in use by one call. Closed when dropped.
+pub(super) struct Connection {
+    pub sender: SendRequest<CallBody>,
+    host: Arc<Host>,
+}
+
+impl Connection {
+    /// Gives the connection back for other calls. Only where the whole answer
+    /// was read and the whole request written.
+    pub fn give_back(self) {
+        let idle = Idle { sender: self.sender, since: Instant::now() };
+        lock(&self.host.state).idle.push(idle);
+    }
+}
+
+impl Pool {
+    /// A connection that is ready to send, or an error with nothing sent.
+    pub async fn take(&self, wanted: Wanted) -> std::io::Result<Connection> {
+        let host = self.host(wanted.address);
+        loop {
+            while let Some(mut sender) = host.pop_idle(wanted.max_idle) {
+                if matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
+                    return Ok(Connection { sender, host });
+                }
+            }
+            if let Some(place) = Place::take(&host, wanted.max_open) {
+                let connecting = timeout(CONNECT_TIMEOUT, connect(wanted.address, place));
+                let sender = connecting.await??;
+                return Ok(Connection { sender, host: Arc::clone(&host) });
+            }
+            timeout(CONNECT_TIMEOUT, host.closed.notified()).await?;
+        }
+    }
+
+    /// Closes connections that were unused for long.
+    pub fn sweep(&self) {
+        let mut hosts = lock(&self.hosts);
+        hosts.retain(|_, host| {
+            let mut state = lock(&host.state);
+            state.idle.retain(|idle| idle.since.elapsed() < MAX_IDLE && !idle.sender.is_closed());
+            state.open > 0 || Arc::strong_count(host) > 1
+        });
+    }
+
+    fn host(&self, address: SocketAddr) -> Arc<Host> {
+        Arc::clone(lock(&self.hosts).entry(address).or_default())
+    }
+}
+
+impl Host {
+    /// The connection that was used last. Older ones than `max_idle` are closed.
+    fn pop_idle(&self, max_idle: Duration) -> Option<SendRequest<CallBody>> {
+        let mut state = lock(&self.state);
+        while let Some(idle) = state.idle.pop() {
+            if !idle.sender.is_closed() && idle.since.elapsed() <= max_idle {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+}
+
+/// One of the connections that an address may have open; given back when dropped.
+struct Place(Arc<Host>);
+
+impl Place {
+    fn take(host: &Arc<Host>, max_open: usize) -> Option<Self> {
+        let mut state = lock(&host.state);
+        (state.open < max_open).then(|| {
+            state.open += 1;
+            Self(Arc::clone(host))
+        })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        lock(&self.0.state).open -= 1;
+        self.0.closed.notify_one();
+    }
+}
+
+async fn connect(address: SocketAddr, place: Place) -> std::io::Result<SendRequest<CallBody>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
+    tokio::spawn(async move {
+        // The call that uses the connection reports its error.
+        let _ = connection.await;
+        drop(place);
+    });
+    Ok(sender)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/calls/proxy.rs
@@ -0,0 +1,122 @@
+//! Connections of callers and of other proxies.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use super::handle::{CallHandle, Phase};
+use super::pool::Pool;
+use super::{CallSettings, drive, headers};
+use crate::{Runtime, SharedKey};
+
+/// Time to send the head of a request, and for which a connection may be unused.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most headers of a request.
+const MAX_HEADERS: usize = 128;
+/// Time for which an answer may make no progress, in milliseconds.
+const MAX_STALL_MS: u64 = 30_000;
+/// Time between looks at stalled answers and unused connections.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Wait after a failed accept: the process may be out of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Who opened a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Side {
+    /// Callers.
+    Callers,
+    /// Other proxies.
+    Proxies,
+}
+
+/// What every call needs.
+pub(super) struct Proxy {
+    pub runtime: Arc<Runtime>,
+    pub handle: CallHandle,
+    pub settings: CallSettings,
+    pub key: Option<SharedKey>,
+    pub key_value: Option<HeaderValue>,
+    pub targets: Pool,
+    pub owners: Pool,
+}
+
+impl Proxy {
+    pub fn new(runtime: Arc<Runtime>, handle: CallHandle, settings: CallSettings) -> Arc<Self> {
+        let key = settings.key.clone();
+        let key_value = key.as_ref().map(headers::key_value);
+        let (targets, owners) = Default::default();
+        Arc::new(Self { runtime, handle, settings, key, key_value, targets, owners })
+    }
+
+    /// Accepts connections until the process takes no more calls.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener, side: Side) {
+        let mut phase = self.handle.phase();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => self.spawn(stream, side),
+                    Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+                },
+                _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+            }
+        }
+    }
+
+    fn spawn(self: &Arc<Self>, stream: TcpStream, side: Side) {
+        let proxy = Arc::clone(self);
+        self.handle.connections().spawn(async move { proxy.serve(stream, side).await });
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream, side: Side) {
+        // A connection that fails here is already gone.
+        let _ = stream.set_nodelay(true);
+        let broken = Arc::new(Notify::new());
+        let service = {
+            let broken = Arc::clone(&broken);
+            let proxy = Arc::clone(&self);
+            service_fn(move |request| {
+                let (proxy, broken) = (Arc::clone(&proxy), Arc::clone(&broken));
+                async move { Ok::<_, Infallible>(drive::call(proxy, broken, side, request).await) }
+            })
+        };
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let mut phase = self.handle.phase();
+        tokio::select! {
+            // The peer of a failed connection knows it; nothing is left to do.
+            _ = connection.as_mut() => return,
+            () = broken.notified() => return,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = broken.notified() => {}
+        }
+    }
+
+    /// Breaks stalled answers and closes unused connections, for ever.
+    pub async fn sweep(self: Arc<Self>) {
+        let mut interval = tokio::time::interval(SWEEP_INTERVAL);
+        loop {
+            interval.tick().await;
+            self.handle.break_stalled(MAX_STALL_MS);
+            self.targets.sweep();
+            self.owners.sweep();
+        }
+    }
+}
