Runtime: exit after a panic in the reducer, and never spin on a past deadline

Cause: a poisoned lock was taken over, so that half a change could be served; a deadline left in the past by any part made the timer loop spin. Change: exit with status 70, at most one tick a millisecond. Conclusion: a fault in one part costs a restart, not a promise or a core.

--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -1,7 +1,8 @@
 //! Passes events to the reducer and its effects to the edges.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
+use fireflylug_core::event::{LogLevel, LogPart};
 use fireflylug_core::{Effect, Event, Instant, State, reduce};
 use tokio::sync::Notify;
 
@@ -78,11 +79,14 @@
 
     /// Submits a tick whenever a deadline has passed, for ever.
     pub async fn run_timer(&self) {
+        let mut ticked = Instant::ZERO;
         loop {
-            let due = self.rearm_timer();
+            // A deadline that stays in the past must not make this loop spin.
+            let due = self.rearm_timer().max(ticked.plus_ms(MIN_TICK_INTERVAL_MS));
             let wait_us = due.since_us(self.now());
             tokio::select! {
                 () = tokio::time::sleep(std::time::Duration::from_micros(wait_us)) => {
+                    ticked = self.now();
                     self.submit(Event::Tick);
                 }
                 () = self.rearm.notified() => {}
@@ -121,10 +125,20 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Guarded> {
-        // A panic inside the reducer is a bug; the next event may still be taken.
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(|_| {
+            // A panic inside the reducer may have left half a change in the state.
+            // Going on could break a promise; a restart recovers what was synced.
+            crate::log::write(LogLevel::Error, LogPart::Daemon, "The reducer panicked; exiting.");
+            std::process::exit(EXIT_STATUS_PANIC)
+        })
     }
 }
 
+/// Least time between two ticks, in milliseconds.
+const MIN_TICK_INTERVAL_MS: u64 = 1;
+
+/// Exit status after a panic inside the reducer.
+const EXIT_STATUS_PANIC: i32 = 70;
+
 /// Longest sleep of the timer, in milliseconds.
 const MAX_SLEEP_MS: u64 = 1_000;
