Daemon::start wires the edges; resource API over xitca-web

Several daemons run in one program: xitca-web gets one worker and is stopped by force once the reducer says that nothing is in flight, because its graceful stop waits for idle connections.

--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use error::{ApiError, ErrorCode};
-pub use request::{ApiRequest, ApiResponse, StatusReport, WatchEvent};
+pub use request::{ApiRequest, ApiResponse, Freshness, StatusReport, WatchEvent};
 
 use crate::config::{ChangeRequest, Configuration};
 use crate::consensus::{ChangeOutcome, ControlReplica, Origin};
--- a/crates/core/src/api/request.rs
+++ b/crates/core/src/api/request.rs
@@ -17,10 +17,10 @@
 pub enum ApiRequest {
     /// Accept a change set.
     Change(ChangeRequest),
-    /// One resource, as it is now.
-    Get(ResourceKey),
-    /// Every resource of a kind, as they are now.
-    List(ResourceKind),
+    /// One resource.
+    Get(ResourceKey, Freshness),
+    /// Every resource of a kind.
+    List(ResourceKind, Freshness),
     /// Events after a version, until the client hangs up.
     Watch {
         /// The last version that the client has seen; the present one when absent.
@@ -36,6 +36,15 @@
     Leave(TargetId),
 }
 
+/// How fresh the answer to a read must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// As it is now, confirmed by a quorum.
+    Current,
+    /// As this process holds it, which may be older.
+    Held,
+}
+
 /// An answer.
 #[derive(Clone, Debug)]
 pub enum ApiResponse {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,17 +1,104 @@
 //! One daemon: binds, recovers, wires the edges and stops gracefully.
 
-use fireflylug_core::context::Addresses;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use eyre::{WrapErr, eyre};
+use fireflylug_core::consensus::{ControlSettings, RecoveredDisk};
+use fireflylug_core::context::{Addresses, Identity};
+use fireflylug_core::ids::NodeId;
+use fireflylug_core::membership::MembershipSettings;
+use fireflylug_core::state::CoreSettings;
+use fireflylug_core::{Event, State};
 use fireflylug_settings::Settings;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use crate::api::{Answers, ApiServer};
+use crate::calls::{CallHandle, CallSettings};
+use crate::disk::Disk;
+use crate::peers::{PeerHandle, PeerSettings};
+use crate::runtime::Edges;
+use crate::{Runtime, SharedKey, Translation, calls, disk, peers};
 
 /// A running daemon. Several may run in one program.
+///
+/// Dropping it is the same as [`Daemon::kill`].
 pub struct Daemon {
     addresses: Addresses,
+    runtime: Arc<Runtime>,
+    tasks: JoinSet<()>,
+    api: ApiServer,
+    stop_limit: Duration,
+}
+
+/// The four listeners of a daemon.
+struct Listeners {
+    peers: TcpListener,
+    forward: TcpListener,
+    api: TcpListener,
+    calls: TcpListener,
 }
 
 impl Daemon {
     /// Binds the listeners, reads the data folder and starts every edge.
+    ///
+    /// Must be called within a tokio runtime. Fails where an address cannot be
+    /// bound, the key file or the data folder cannot be read, or the addresses
+    /// file cannot be written; the error names it.
     pub async fn start(settings: Settings) -> eyre::Result<Self> {
-        Ok(Self { addresses: settings.listen })
+        let key = settings.key_file.as_deref().map(SharedKey::from_file).transpose()?;
+        let listeners = Listeners::bind(&settings.listen).await?;
+        let listening = listeners.addresses()?;
+        let me = identity(&settings, listening)?;
+        let (disk_handle, opened, recovered) = open_disk(&settings)?;
+        let seed = rand::random();
+        let state = State::new(me.clone(), core_settings(&settings), recovered, seed);
+
+        let (peer_handle, peer_commands) = PeerHandle::new();
+        let call_handle = CallHandle::new();
+        let answers = Answers::new();
+        let edges = Edges {
+            peers: peer_handle,
+            disk: disk_handle,
+            answers: answers.clone(),
+            calls: call_handle.clone(),
+        };
+        let runtime = Runtime::new(state, edges);
+        let translation = translation(&settings);
+
+        let mut tasks = JoinSet::new();
+        if let Some(disk) = opened {
+            disk.start(Arc::clone(&runtime));
+        }
+        let peer_settings = PeerSettings { me, key: key.clone(), translation: translation.clone() };
+        tasks.spawn(peers::run(
+            Arc::clone(&runtime),
+            peer_commands,
+            listeners.peers,
+            peer_settings,
+        ));
+        let call_settings = CallSettings { key: key.clone(), translation };
+        tasks.spawn(calls::run(
+            Arc::clone(&runtime),
+            call_handle,
+            listeners.calls,
+            listeners.forward,
+            call_settings,
+        ));
+        let api = ApiServer::start(Arc::clone(&runtime), answers, listeners.api, key)?;
+        tasks.spawn({
+            let runtime = Arc::clone(&runtime);
+            async move { runtime.run_timer().await }
+        });
+
+        if let Some(file) = &settings.addresses_file {
+            write_addresses(file, listening)?;
+        }
+        let stop_limit = Duration::from_millis(settings.stop_limit_ms);
+        Ok(Self { addresses: listening, runtime, tasks, api, stop_limit })
     }
 
     /// Where the daemon listens, with the ports that the system chose.
@@ -19,10 +106,131 @@
         self.addresses
     }
 
+    /// The daemon's reducer, to inspect its state.
+    pub fn runtime(&self) -> &Arc<Runtime> {
+        &self.runtime
+    }
+
+    /// Waits until the reducer ends the process without having been asked to
+    /// stop here, as after a failed disk.
+    pub async fn exited(&self) {
+        self.runtime.exited().await;
+    }
+
     /// Stops gracefully: takes no new work, finishes what is in flight.
-    pub async fn stop(self) {}
+    ///
+    /// Returns false where the limit of the settings passed before everything
+    /// in flight was finished; what was left is then cut off.
+    pub async fn stop(mut self) -> bool {
+        self.runtime.submit(Event::Stop);
+        let finished = tokio::time::timeout(self.stop_limit, self.runtime.exited()).await.is_ok();
+        if finished {
+            // The farewell messages and last answers are still on their way out.
+            tokio::time::sleep(FAREWELL).await;
+        }
+        self.end();
+        while self.tasks.join_next().await.is_some() {}
+        finished
+    }
 
     /// Ends at once as a crash would: closes every connection, finishes nothing.
     /// What was synced stays on disk.
-    pub fn kill(self) {}
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.api.stop();
+        self.tasks.abort_all();
+    }
+}
+
+/// Time in which the last messages leave after a graceful stop.
+const FAREWELL: Duration = Duration::from_millis(50);
+
+impl Listeners {
+    async fn bind(listen: &Addresses) -> eyre::Result<Self> {
+        Ok(Self {
+            peers: bind("peers", listen.peers).await?,
+            forward: bind("forward", listen.forward).await?,
+            api: bind("api", listen.api).await?,
+            calls: bind("calls", listen.calls).await?,
+        })
+    }
+
+    fn addresses(&self) -> eyre::Result<Addresses> {
+        Ok(Addresses {
+            peers: self.peers.local_addr()?,
+            forward: self.forward.local_addr()?,
+            api: self.api.local_addr()?,
+            calls: self.calls.local_addr()?,
+        })
+    }
+}
+
+async fn bind(name: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|error| {
+        eyre!(
+            "cannot listen at {address} for {name}: {error}; \
+             set [listen] {name} to a free address of this host"
+        )
+    })
+}
+
+fn identity(settings: &Settings, listening: Addresses) -> eyre::Result<Identity> {
+    let since_epoch =
+        SystemTime::now().duration_since(UNIX_EPOCH).wrap_err("the clock is before 1970")?;
+    let started_unix_ms = since_epoch.as_millis() as u64;
+    Ok(Identity {
+        id: NodeId::of_host(&settings.host),
+        host: settings.host.clone(),
+        locality: settings.locality.clone(),
+        incarnation: started_unix_ms,
+        started_unix_ms,
+        addresses: settings.advertised(listening),
+        control: settings.control.is_some(),
+    })
+}
+
+type OpenedDisk = (Option<disk::DiskHandle>, Option<Disk>, RecoveredDisk);
+
+fn open_disk(settings: &Settings) -> eyre::Result<OpenedDisk> {
+    let Some(control) = &settings.control else {
+        return Ok((None, None, RecoveredDisk::default()));
+    };
+    let (handle, disk, recovered) = disk::open(&control.data_dir)
+        .wrap_err_with(|| format!("data folder {}", control.data_dir.display()))?;
+    Ok((Some(handle), Some(disk), recovered))
+}
+
+// The other fields of these settings are for tests; a daemon keeps the defaults.
+#[allow(clippy::needless_update)]
+fn core_settings(settings: &Settings) -> CoreSettings {
+    let control = settings.control.as_ref().map(|control| ControlSettings {
+        initial_voters: control.initial_voters.iter().map(NodeId::of_host).collect(),
+        ..ControlSettings::default()
+    });
+    CoreSettings {
+        membership: MembershipSettings {
+            seeds: settings.seeds.clone(),
+            ..MembershipSettings::default()
+        },
+        control,
+        ..CoreSettings::default()
+    }
+}
+
+fn translation(settings: &Settings) -> Translation {
+    settings.translate.iter().fold(Translation::new(), |translation, (announced, replacement)| {
+        translation.with(*announced, *replacement)
+    })
+}
+
+/// Writes the addresses as one JSON object, complete or not at all.
+fn write_addresses(file: &Path, addresses: Addresses) -> eyre::Result<()> {
+    let json = serde_json::to_vec_pretty(&addresses)?;
+    let partial = file.with_extension("partial");
+    std::fs::write(&partial, json)
+        .and_then(|()| std::fs::rename(&partial, file))
+        .wrap_err_with(|| format!("cannot write the addresses file {}", file.display()))
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,6 +28,26 @@
     pub translate: Vec<(SocketAddr, SocketAddr)>,
     /// Least level of log lines: debug, info, warn or error.
     pub log_level: LogLevel,
+    /// Addresses announced to others where they differ from `listen`.
+    pub advertise: Advertise,
+    /// Longest time that a graceful stop waits for what is in flight, in milliseconds.
+    pub stop_limit_ms: u64,
+}
+
+/// Longest time that a graceful stop waits, in milliseconds, where the settings say nothing.
+pub const DEFAULT_STOP_LIMIT_MS: u64 = 30_000;
+
+/// Addresses announced to others, each where it differs from the one listened at.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Advertise {
+    /// Messages between processes.
+    pub peers: Option<SocketAddr>,
+    /// Calls forwarded by other proxies.
+    pub forward: Option<SocketAddr>,
+    /// Resource API.
+    pub api: Option<SocketAddr>,
+    /// Calls from callers.
+    pub calls: Option<SocketAddr>,
 }
 
 /// Settings of a control replica.
@@ -69,6 +89,8 @@
             addresses_file: None,
             translate: Vec::new(),
             log_level: LogLevel::Info,
+            advertise: Advertise::default(),
+            stop_limit_ms: DEFAULT_STOP_LIMIT_MS,
         }
     }
 
@@ -83,4 +105,14 @@
         self.control = Some(control);
         self
     }
+
+    /// The addresses to announce, where the process listens at `listening`.
+    pub fn advertised(&self, listening: Addresses) -> Addresses {
+        Addresses {
+            peers: self.advertise.peers.unwrap_or(listening.peers),
+            forward: self.advertise.forward.unwrap_or(listening.forward),
+            api: self.advertise.api.unwrap_or(listening.api),
+            calls: self.advertise.calls.unwrap_or(listening.calls),
+        }
+    }
 }
