Add the fault-injecting proxy, the target stand-in and the measuring tool's frame

Tests and measurements need a link with latency, rate, cuts, stalls, resets and corruption, and a target that counts its runs. The measuring tool knows its twelve names; each says that it is not built yet until its module is filled in.

--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -1,1 +1,16 @@
 //! A fault-injecting TCP proxy and a target stand-in for tests and measurements.
+//!
+//! Put a [`FaultProxy`] between two processes and change the [`Link`] that it
+//! stands for while they run. Several proxies may share one link, such as the
+//! link between two regions. A [`TargetStandIn`] answers calls over plain
+//! HTTP/1.1 and counts how often each one ran.
+
+mod link;
+mod proxy;
+mod target;
+mod target_options;
+
+pub use link::{Direction, Faults, Link, Mode};
+pub use proxy::FaultProxy;
+pub use target::TargetStandIn;
+pub use target_options::{ResetStage, TargetOptions};
--- /dev/null
+++ b/crates/measure/src/calls/added_latency.rs
@@ -0,0 +1,8 @@
+//! Time added to a call.
+
+use crate::{Options, Report};
+
+/// Runs the measurement.
+pub async fn run(options: &Options) -> eyre::Result<Report> {
+    eyre::bail!("{} is not built yet", options.measurement)
+}
--- /dev/null
+++ b/crates/measure/src/calls/mod.rs
@@ -0,0 +1,8 @@
+//! Measurements of the call path.
+
+pub mod added_latency;
+pub mod chain;
+pub mod overload;
+pub mod payments;
+pub mod rolling;
+pub mod stall;
--- /dev/null
+++ b/crates/measure/src/calls/rolling.rs
@@ -0,0 +1,8 @@
+//! Calls while every process and target is restarted in turn.
+
+use crate::{Options, Report};
+
+/// Runs the measurement.
+pub async fn run(options: &Options) -> eyre::Result<Report> {
+    eyre::bail!("{} is not built yet", options.measurement)
+}
--- /dev/null
+++ b/crates/measure/src/calls/stall.rs
@@ -0,0 +1,8 @@
+//! Calls beside a stalled target.
+
+use crate::{Options, Report};
+
+/// Runs the measurement.
+pub async fn run(options: &Options) -> eyre::Result<Report> {
+    eyre::bail!("{} is not built yet", options.measurement)
+}
--- /dev/null
+++ b/crates/measure/src/control/idle.rs
@@ -0,0 +1,8 @@
+//! Traffic, memory and processor time of a mesh at rest.
+
+use crate::{Options, Report};
+
+/// Runs the measurement.
+pub async fn run(options: &Options) -> eyre::Result<Report> {
+    eyre::bail!("{} is not built yet", options.measurement)
+}
--- /dev/null
+++ b/crates/measure/src/control/storm.rs
@@ -0,0 +1,8 @@
+//! Half of the proxies killed and restarted at once.
+
+use crate::{Options, Report};
+
+/// Runs the measurement.
+pub async fn run(options: &Options) -> eyre::Result<Report> {
+    eyre::bail!("{} is not built yet", options.measurement)
+}
--- a/src/bin/fireflylug-measure.rs
+++ b/src/bin/fireflylug-measure.rs
@@ -1,2 +1,5 @@
-//! Thin binary.
-fn main() {}
+//! Measures the bars that the project sets itself. See [`fireflylug_measure`].
+
+fn main() -> std::process::ExitCode {
+    fireflylug_measure::main()
+}
