--- a/crates/fault/src/lib.rs
+++ b/crates/fault/src/lib.rs
@@ -5,11 +5,13 @@
 //! link between two regions. A [`TargetStandIn`] answers calls over plain
 //! HTTP/1.1 and counts how often each one ran.
 
+mod client;
 mod link;
 mod proxy;
 mod target;
 mod target_options;
 
+pub use client::{Answer, HttpClient, Lines};
 pub use link::{Direction, Faults, Link, Mode};
 pub use proxy::FaultProxy;
 pub use target::TargetStandIn;
--- a/crates/fault/src/proxy.rs
+++ b/crates/fault/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -24,25 +24,35 @@
 pub struct FaultProxy {
     address: SocketAddr,
     link: Arc<Link>,
+    upstream: Upstream,
     accepting: JoinHandle<()>,
 }
 
+/// Where new connections go; none while the upstream is not up.
+type Upstream = Arc<Mutex<Option<SocketAddr>>>;
+
 impl FaultProxy {
     /// Starts a proxy with a link of its own on a port that the system chooses.
     pub async fn start(upstream: SocketAddr) -> io::Result<Self> {
-        Self::start_over(Link::new(), Direction::Forward, upstream).await
+        let proxy = Self::start_over(Link::new(), Direction::Forward).await?;
+        proxy.set_upstream(Some(upstream));
+        Ok(proxy)
     }
 
-    /// Starts a proxy over a shared link. Bytes to the upstream go in `direction`.
-    pub async fn start_over(
-        link: Arc<Link>,
-        direction: Direction,
-        upstream: SocketAddr,
-    ) -> io::Result<Self> {
+    /// Starts a proxy over a shared link, whose upstream is not up yet. Bytes to
+    /// the upstream go in `direction`.
+    pub async fn start_over(link: Arc<Link>, direction: Direction) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
-        let accepting = tokio::spawn(accept(listener, Arc::clone(&link), direction, upstream));
-        Ok(Self { address, link, accepting })
+        let upstream = Upstream::default();
+        let accepting =
+            tokio::spawn(accept(listener, Arc::clone(&link), direction, Arc::clone(&upstream)));
+        Ok(Self { address, link, upstream, accepting })
+    }
+
+    /// Sets where new connections go; they are closed while that is nowhere.
+    pub fn set_upstream(&self, upstream: Option<SocketAddr>) {
+        *self.upstream.lock().unwrap_or_else(PoisonError::into_inner) = upstream;
     }
 
     /// Where the proxy listens.
@@ -63,17 +73,15 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    link: Arc<Link>,
-    direction: Direction,
-    upstream: SocketAddr,
-) {
+async fn accept(listener: TcpListener, link: Arc<Link>, direction: Direction, upstream: Upstream) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
         let Ok((client, _)) = listener.accept().await else { continue };
         while connections.try_join_next().is_some() {}
-        connections.spawn(carry(client, Arc::clone(&link), direction, upstream));
+        let upstream = *upstream.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(upstream) = upstream {
+            connections.spawn(carry(client, Arc::clone(&link), direction, upstream));
+        }
     }
 }
 
