Resource API in the reducer: changes and reads to the leader, watches, status

A change without an idempotency key is given one, so that an attempt whose answer was lost can be followed by another. Refused is said only while no attempt is open; otherwise the outcome is unknown. Watches read one bounded history; a control replica serves them, others answer 421 with the addresses.

--- a/crates/core/src/api/error.rs
+++ b/crates/core/src/api/error.rs
@@ -1,5 +1,7 @@
 //! The one form of an error at the resource API.
 
+use std::net::SocketAddr;
+
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +28,8 @@
     Compacted,
     /// The body is too long (413).
     TooLarge,
+    /// Only other processes serve the request (421).
+    Misdirected,
     /// The change set has findings (422).
     Invalid,
     /// Not done, and it will not be: no quorum, or not ready (503).
@@ -45,6 +49,7 @@
             Self::Conflict => 409,
             Self::Compacted => 410,
             Self::TooLarge => 413,
+            Self::Misdirected => 421,
             Self::Invalid => 422,
             Self::Unavailable | Self::OutcomeUnknown => 503,
         }
@@ -62,12 +67,15 @@
     /// Each mistake with its place.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub findings: Vec<Finding>,
+    /// Resource APIs to ask instead.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub addresses: Vec<SocketAddr>,
 }
 
 impl ApiError {
     /// Makes an error without findings.
     pub fn new(code: ErrorCode, message: impl Into<CompactString>) -> Self {
-        Self { code, message: message.into(), findings: Vec::new() }
+        Self { code, message: message.into(), findings: Vec::new(), addresses: Vec::new() }
     }
 
     /// Adds findings.
@@ -75,4 +83,10 @@
         self.findings = findings;
         self
     }
+
+    /// Adds resource APIs to ask instead.
+    pub fn with_addresses(mut self, addresses: Vec<SocketAddr>) -> Self {
+        self.addresses = addresses;
+        self
+    }
 }
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -1,16 +1,27 @@
-//! Operators' requests: validation, answers and watches.
+//! Operators' requests: changes, reads, watches and status.
+//!
+//! A request may arrive at any process. Changes and current reads are passed
+//! on to the leader ([`forward`]); watches are served by control replicas from
+//! a bounded history ([`watch`]), without load on the log.
 
 mod error;
+mod forward;
+mod message;
 mod request;
+mod status;
+mod watch;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
 pub use error::{ApiError, ErrorCode};
-pub use request::{ApiRequest, ApiResponse, Freshness, StatusReport, WatchEvent};
+pub use message::{ApiMessage, ReadAnswer, ReadQuery};
+pub use request::{ApiRequest, ApiResponse, Freshness, WatchEvent};
+pub use status::{ControlStatus, ReplicaStatus, StatusReport, TargetCounts, ZoneMembers};
+pub use watch::{MAX_HISTORY_EVENTS, MAX_WATCHES};
 
-use crate::config::{ChangeRequest, Configuration};
+use crate::Effect;
+use crate::config::Configuration;
 use crate::consensus::{ChangeOutcome, ControlReplica, Origin};
 use crate::context::Context;
 use crate::distribution::{Distribution, Progress};
@@ -19,24 +30,8 @@
 use crate::slo::Slo;
 use crate::time::Instant;
 
-/// Requests passed on to the leader, and their answers.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum ApiMessage {
-    /// Please propose this change.
-    Propose {
-        /// Who asked.
-        origin: Origin,
-        /// The change.
-        change: ChangeRequest,
-    },
-    /// What became of a proposed change.
-    Outcome {
-        /// The request's key at the receiver.
-        request: RequestId,
-        /// The outcome.
-        outcome: ChangeOutcome,
-    },
-}
+use forward::{Forwarded, Work};
+use watch::Watches;
 
 /// The other parts of the state, as the API needs them.
 pub struct ApiParts<'a> {
@@ -52,7 +47,15 @@
 
 /// Requests that wait for an answer, and watches.
 #[derive(Default)]
-pub struct Api {}
+pub struct Api {
+    forwarded: Forwarded,
+    /// Reads that this replica confirms, for itself and for other processes.
+    reads: BTreeMap<Origin, ReadQuery>,
+    watches: Watches,
+}
+
+/// Most reads that wait for confirmation at one replica.
+const MAX_WAITING_READS: usize = 1_024;
 
 impl Api {
     /// Makes a state with no request.
@@ -64,53 +67,218 @@
     pub fn request(
         &mut self,
         cx: &mut Context<'_>,
-        _parts: ApiParts<'_>,
+        mut parts: ApiParts<'_>,
         request: RequestId,
-        _body: ApiRequest,
+        body: ApiRequest,
     ) {
-        let error = ApiError::new(ErrorCode::Unavailable, "the resource API is not ready");
-        cx.emit(crate::Effect::Answer { request, response: ApiResponse::Error(error) });
+        let held = parts.distribution.current();
+        let response = match body {
+            ApiRequest::Change(change) => {
+                return self.forward(cx, parts, request, Work::change(cx.me, request, change));
+            }
+            ApiRequest::Get(key, Freshness::Held) => ReadQuery::Get(key).answer(held).into(),
+            ApiRequest::List(kind, Freshness::Held) => ReadQuery::List(kind).answer(held).into(),
+            ApiRequest::Get(key, Freshness::Current) => {
+                return self.forward(cx, parts, request, Work::Read(ReadQuery::Get(key)));
+            }
+            ApiRequest::List(kind, Freshness::Current) => {
+                return self.forward(cx, parts, request, Work::Read(ReadQuery::List(kind)));
+            }
+            ApiRequest::Watch { from } if cx.me.control => {
+                return self.watches.open(cx, request, from);
+            }
+            ApiRequest::Watch { .. } => ApiResponse::Error(status::misdirected(&parts)),
+            ApiRequest::Status => ApiResponse::Status(Arc::new(status::report(cx, &parts))),
+            ApiRequest::Burn => ApiResponse::Burn(parts.slo.report(cx.now)),
+            ApiRequest::Announce(announcement) => {
+                parts.membership.announce(cx, announcement);
+                ApiResponse::Done
+            }
+            ApiRequest::Leave(target) => leave(cx, &mut parts, &target),
+        };
+        cx.emit(Effect::Answer { request, response });
     }
 
     /// The client of a request hung up.
-    pub fn closed(&mut self, _cx: &mut Context<'_>, _request: RequestId) {}
+    pub fn closed(&mut self, _cx: &mut Context<'_>, request: RequestId) {
+        self.forwarded.remove(request);
+        self.watches.close(request);
+    }
 
     /// A message from another process.
     pub fn step(
         &mut self,
-        _cx: &mut Context<'_>,
-        _parts: ApiParts<'_>,
-        _from: NodeId,
-        _message: ApiMessage,
+        cx: &mut Context<'_>,
+        parts: ApiParts<'_>,
+        from: NodeId,
+        message: ApiMessage,
     ) {
+        match message {
+            ApiMessage::Propose { request, change } => {
+                let origin = Origin { node: from, request };
+                match leading(cx, parts) {
+                    Ok(control) => control.propose(cx, origin, change),
+                    Err(redirect) => cx.send(from, redirect.answering(request)),
+                }
+            }
+            ApiMessage::Read { request, query } => {
+                let origin = Origin { node: from, request };
+                match leading(cx, parts) {
+                    Ok(control) => self.confirm_read(cx, control, origin, query),
+                    Err(redirect) => cx.send(from, redirect.answering(request)),
+                }
+            }
+            ApiMessage::Outcome { request, outcome } => {
+                self.forwarded.outcome(cx, from, request, outcome);
+            }
+            ApiMessage::ReadAnswer { request, answer } => {
+                self.forwarded.read_answer(cx, from, request, answer);
+            }
+            ApiMessage::NotLeader { request, leader } => {
+                self.forwarded.redirected(cx, from, request, leader);
+            }
+        }
     }
 
     /// A change proposed at this replica has its outcome.
-    pub fn outcome(&mut self, _cx: &mut Context<'_>, _origin: Origin, _outcome: ChangeOutcome) {}
+    pub fn outcome(&mut self, cx: &mut Context<'_>, origin: Origin, outcome: ChangeOutcome) {
+        if origin.node == cx.me.id {
+            self.forwarded.outcome(cx, origin.node, origin.request, outcome);
+        } else {
+            cx.send(origin.node, ApiMessage::Outcome { request: origin.request, outcome });
+        }
+    }
 
     /// A read asked for at this replica may be answered, or not.
     pub fn read_ready(
         &mut self,
-        _cx: &mut Context<'_>,
-        _origin: Origin,
-        _read: Result<Arc<Configuration>, ApiError>,
+        cx: &mut Context<'_>,
+        origin: Origin,
+        read: Result<Arc<Configuration>, ApiError>,
     ) {
+        let Some(query) = self.reads.remove(&origin) else {
+            return;
+        };
+        let answer = read.and_then(|configuration| query.answer(&configuration));
+        if origin.node == cx.me.id {
+            self.forwarded.read_answer(cx, origin.node, origin.request, answer);
+        } else {
+            cx.send(origin.node, ApiMessage::ReadAnswer { request: origin.request, answer });
+        }
     }
 
     /// A version is committed at this control replica.
-    pub fn committed(&mut self, _cx: &mut Context<'_>, _configuration: &Arc<Configuration>) {}
+    pub fn committed(&mut self, cx: &mut Context<'_>, configuration: &Arc<Configuration>) {
+        self.watches.committed(cx, configuration);
+    }
 
     /// The newest version came further.
-    pub fn progress(&mut self, _cx: &mut Context<'_>, _progress: Progress) {}
+    pub fn progress(&mut self, cx: &mut Context<'_>, progress: Progress) {
+        self.watches.progress(cx, progress);
+    }
 
     /// The last connection to another process closed.
-    pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, _peer: NodeId) {}
+    pub fn peer_disconnected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        self.forwarded.peer_disconnected(cx, peer);
+        self.reads.retain(|origin, _| origin.node != peer);
+    }
 
     /// When [`Api::tick`] is due.
     pub fn next_deadline(&self) -> Instant {
-        Instant::NEVER
+        self.forwarded.next_deadline().min(self.watches.next_deadline())
     }
 
     /// Does what is due.
-    pub fn tick(&mut self, _cx: &mut Context<'_>, _parts: ApiParts<'_>) {}
+    pub fn tick(&mut self, cx: &mut Context<'_>, mut parts: ApiParts<'_>) {
+        self.watches.tick(cx);
+        for request in self.forwarded.due(cx) {
+            self.attempt(cx, &mut parts, request);
+        }
+    }
+
+    fn forward(
+        &mut self,
+        cx: &mut Context<'_>,
+        mut parts: ApiParts<'_>,
+        request: RequestId,
+        work: Work,
+    ) {
+        if self.forwarded.add(cx, request, work) {
+            self.attempt(cx, &mut parts, request);
+        }
+    }
+
+    /// Passes a request to the leader, or to a control replica that may know it.
+    fn attempt(&mut self, cx: &mut Context<'_>, parts: &mut ApiParts<'_>, request: RequestId) {
+        let leader = parts.control.as_ref().map(|control| control.leader());
+        let Some(work) = self.forwarded.attempt(cx, parts.membership, leader, request) else {
+            return;
+        };
+        let Some(control) = parts.control.as_deref_mut() else {
+            return;
+        };
+        let origin = Origin { node: cx.me.id, request };
+        match work {
+            Work::Change(change) => control.propose(cx, origin, change),
+            Work::Read(query) => self.confirm_read(cx, control, origin, query),
+        }
+    }
+
+    fn confirm_read(
+        &mut self,
+        cx: &mut Context<'_>,
+        control: &mut ControlReplica,
+        origin: Origin,
+        query: ReadQuery,
+    ) {
+        if self.reads.len() < MAX_WAITING_READS {
+            self.reads.insert(origin, query);
+            control.read(cx, origin);
+        }
+    }
+}
+
+/// The control replica of this process where it leads, or whom to ask instead.
+fn leading<'a>(
+    cx: &Context<'_>,
+    parts: ApiParts<'a>,
+) -> Result<&'a mut ControlReplica, message::Redirect> {
+    let membership = parts.membership;
+    let Some(control) = parts.control else {
+        return Err(message::Redirect::default());
+    };
+    match control.leader() {
+        Some(leader) if leader == cx.me.id => Ok(control),
+        Some(leader) => Err(message::Redirect::to(membership.member(leader))),
+        None => Err(message::Redirect::default()),
+    }
+}
+
+fn leave(
+    cx: &mut Context<'_>,
+    parts: &mut ApiParts<'_>,
+    target: &crate::ids::TargetId,
+) -> ApiResponse {
+    if parts.membership.leave(cx, target) {
+        return ApiResponse::Done;
+    }
+    ApiResponse::Error(ApiError::new(
+        ErrorCode::NotFound,
+        format!("target {target} is not announced at this host; ask the process of its own host"),
+    ))
+}
+
+impl From<ReadAnswer> for ApiResponse {
+    fn from(answer: ReadAnswer) -> Self {
+        match answer {
+            ReadAnswer::Resource(stored) => Self::Resource(stored),
+            ReadAnswer::List { version, resources } => Self::List { version, resources },
+        }
+    }
+}
+
+impl From<Result<ReadAnswer, ApiError>> for ApiResponse {
+    fn from(answer: Result<ReadAnswer, ApiError>) -> Self {
+        answer.map_or_else(Self::Error, Self::from)
+    }
 }
--- a/crates/core/src/api/request.rs
+++ b/crates/core/src/api/request.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ApiError;
+use super::{ApiError, StatusReport};
 use crate::config::{ChangeRequest, StoredResource};
 use crate::distribution::Progress;
 use crate::ids::{TargetId, Version};
@@ -78,6 +78,13 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
 pub enum WatchEvent {
+    /// Where the watch begins. Always the first event.
+    Started {
+        /// Newest version that is accepted.
+        version: Version,
+        /// Newest version that was in force on every proxy since this replica started.
+        in_force: Version,
+    },
     /// A version was accepted.
     Accepted {
         /// The version.
@@ -87,7 +94,7 @@
     },
     /// The newest version came further.
     Progress(Progress),
-    /// A version is in force on every proxy.
+    /// A version is in force on every proxy, and with it every earlier one.
     InForce {
         /// The version.
         version: Version,
@@ -95,7 +102,3 @@
         proxies: u32,
     },
 }
-
-/// Status of the mesh as one process knows it.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct StatusReport {}
