--- a/crates/core/src/api/request.rs
+++ b/crates/core/src/api/request.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ApiError;
+use super::{ApiError, StatusReport};
 use crate::config::{ChangeRequest, StoredResource};
 use crate::distribution::Progress;
 use crate::ids::{TargetId, Version};
@@ -17,10 +17,10 @@
 pub enum ApiRequest {
     /// Accept a change set.
     Change(ChangeRequest),
-    /// One resource, as it is now.
-    Get(ResourceKey),
-    /// Every resource of a kind, as they are now.
-    List(ResourceKind),
+    /// One resource.
+    Get(ResourceKey, Freshness),
+    /// Every resource of a kind.
+    List(ResourceKind, Freshness),
     /// Events after a version, until the client hangs up.
     Watch {
         /// The last version that the client has seen; the present one when absent.
@@ -36,6 +36,15 @@
     Leave(TargetId),
 }
 
+/// How fresh the answer to a read must be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// As it is now, confirmed by a quorum.
+    Current,
+    /// As this process holds it, which may be older.
+    Held,
+}
+
 /// An answer.
 #[derive(Clone, Debug)]
 pub enum ApiResponse {
@@ -69,6 +78,13 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
 pub enum WatchEvent {
+    /// Where the watch begins. Always the first event.
+    Started {
+        /// Newest version that is accepted.
+        version: Version,
+        /// Newest version that was in force on every proxy since this replica started.
+        in_force: Version,
+    },
     /// A version was accepted.
     Accepted {
         /// The version.
@@ -78,7 +94,7 @@
     },
     /// The newest version came further.
     Progress(Progress),
-    /// A version is in force on every proxy.
+    /// A version is in force on every proxy, and with it every earlier one.
     InForce {
         /// The version.
         version: Version,
@@ -86,7 +102,3 @@
         proxies: u32,
     },
 }
-
-/// Status of the mesh as one process knows it.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct StatusReport {}
