--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -9,6 +9,7 @@
 use fireflylug_core::ids::CallId;
 use fireflylug_core::routing::CallEffect;
 use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Takes effects on calls without blocking.
@@ -23,6 +24,7 @@
     slots: Mutex<HashMap<CallId, Arc<Slot>>>,
     phase: watch::Sender<Phase>,
     connections: TaskTracker,
+    killed: CancellationToken,
     started: Instant,
 }
 
@@ -33,6 +35,7 @@
             slots: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             connections: TaskTracker::new(),
+            killed: CancellationToken::new(),
             started: Instant::now(),
         }
     }
@@ -84,6 +87,11 @@
         &self.shared.connections
     }
 
+    /// Cancelled when every connection must be closed at once.
+    pub(super) fn killed(&self) -> CancellationToken {
+        self.shared.killed.clone()
+    }
+
     pub(super) fn phase(&self) -> watch::Receiver<Phase> {
         self.shared.phase.subscribe()
     }
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// Serves callers and other proxies until the process takes no more calls and
-/// every connection is closed.
+/// every connection is closed. Dropped early, it closes every connection at once.
 ///
 /// After a graceful stop, wait for [`CallHandle::drained`] before the process
 /// ends: the last answers may still be on their way out.
@@ -46,6 +46,8 @@
     let accept_callers = Arc::clone(&proxy).accept(callers, Side::Callers);
     let accept_proxies = Arc::clone(&proxy).accept(forward, Side::Proxies);
     let handle = proxy.handle.clone();
+    // Connections do not outlive this future.
+    let _killed = handle.killed().drop_guard();
     let serve = async {
         tokio::join!(accept_callers, accept_proxies);
         handle.drained().await;
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use super::handle::{CallHandle, Phase};
 use super::pool::Pool;
@@ -50,6 +50,7 @@
 }
 
 impl Proxy {
+    /// Makes the state of a call path with no call.
     pub fn new(runtime: Arc<Runtime>, handle: CallHandle, settings: CallSettings) -> Arc<Self> {
         let key = settings.key.clone();
         let key_value = key.as_ref().map(headers::key_value);
@@ -66,14 +67,17 @@
                     Ok((stream, _)) => self.spawn(stream, side),
                     Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
                 },
-                _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+                () = closing(&mut phase) => return,
             }
         }
     }
 
     fn spawn(self: &Arc<Self>, stream: TcpStream, side: Side) {
         let proxy = Arc::clone(self);
-        self.handle.connections().spawn(async move { proxy.serve(stream, side).await });
+        let killed = self.handle.killed();
+        self.handle.connections().spawn(killed.run_until_cancelled_owned(async move {
+            proxy.serve(stream, side).await;
+        }));
     }
 
     async fn serve(self: Arc<Self>, stream: TcpStream, side: Side) {
@@ -100,7 +104,7 @@
             // The peer of a failed connection knows it; nothing is left to do.
             _ = connection.as_mut() => return,
             () = broken.notified() => return,
-            _ = phase.wait_for(|phase| *phase == Phase::Closing) => {}
+            () = closing(&mut phase) => {}
         }
         connection.as_mut().graceful_shutdown();
         tokio::select! {
@@ -120,3 +124,8 @@
         }
     }
 }
+
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // The sender lives as long as the proxy.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
