--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -31,6 +31,7 @@
     runtime: Arc<Runtime>,
     tasks: JoinSet<()>,
     api: ApiServer,
+    calls: CallHandle,
     stop_limit: Duration,
 }
 
@@ -83,7 +84,7 @@
         let call_settings = CallSettings { key: key.clone(), translation };
         tasks.spawn(calls::run(
             Arc::clone(&runtime),
-            call_handle,
+            call_handle.clone(),
             listeners.calls,
             listeners.forward,
             call_settings,
@@ -98,7 +99,7 @@
             write_addresses(file, listening)?;
         }
         let stop_limit = Duration::from_millis(settings.stop_limit_ms);
-        Ok(Self { addresses: listening, runtime, tasks, api, stop_limit })
+        Ok(Self { addresses: listening, runtime, tasks, api, calls: call_handle, stop_limit })
     }
 
     /// Where the daemon listens, with the ports that the system chose.
@@ -123,7 +124,11 @@
     /// in flight was finished; what was left is then cut off.
     pub async fn stop(mut self) -> bool {
         self.runtime.submit(Event::Stop);
-        let finished = tokio::time::timeout(self.stop_limit, self.runtime.exited()).await.is_ok();
+        let finish = async {
+            self.runtime.exited().await;
+            self.calls.drained().await;
+        };
+        let finished = tokio::time::timeout(self.stop_limit, finish).await.is_ok();
         if finished {
             // The farewell messages and last answers are still on their way out.
             tokio::time::sleep(FAREWELL).await;
