--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -6,6 +6,7 @@
 
 mod progress;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,13 @@
         /// Hash of its content.
         hash: ContentHash,
     },
+    /// A whole version.
+    Snapshot {
+        /// The version.
+        version: Version,
+        /// Its resources.
+        resources: Vec<crate::config::StoredResource>,
+    },
 }
 
 /// Settings of distribution.
@@ -38,12 +46,13 @@
 pub struct Distribution {
     current: Arc<Configuration>,
     applied: bool,
+    peers: BTreeSet<NodeId>,
 }
 
 impl Distribution {
     /// Makes the state of a process that holds nothing.
     pub fn new(_settings: DistributionSettings) -> Self {
-        Self { current: Arc::default(), applied: false }
+        Self { current: Arc::default(), applied: false, peers: BTreeSet::new() }
     }
 
     /// The version in force at this process. Version 0 holds nothing.
@@ -58,13 +67,25 @@
     }
 
     /// A control replica learned that a version is committed.
-    pub fn publish(&mut self, _cx: &mut Context<'_>, committed: Arc<Configuration>) {
+    pub fn publish(&mut self, cx: &mut Context<'_>, committed: Arc<Configuration>) {
         if committed.version() > self.current.version() {
-            self.current = committed;
-            self.applied = true;
+            self.apply(cx, committed);
         }
     }
 
+    fn apply(&mut self, cx: &mut Context<'_>, next: Arc<Configuration>) {
+        self.current = next;
+        self.applied = true;
+        for peer in &self.peers {
+            cx.send(*peer, self.snapshot());
+        }
+    }
+
+    fn snapshot(&self) -> DistributionMessage {
+        let resources = self.current.resources().values().cloned().collect();
+        DistributionMessage::Snapshot { version: self.current.version(), resources }
+    }
+
     /// Takes the version that came into force at this process since the last call.
     pub fn take_applied(&mut self) -> Option<Arc<Configuration>> {
         std::mem::take(&mut self.applied).then(|| Arc::clone(&self.current))
@@ -94,18 +115,31 @@
     }
 
     /// A connection to another process is ready.
-    pub fn peer_connected(&mut self, _cx: &mut Context<'_>, _m: &Membership, _peer: NodeId) {}
+    pub fn peer_connected(&mut self, cx: &mut Context<'_>, _m: &Membership, peer: NodeId) {
+        self.peers.insert(peer);
+        if self.current.version() > Version(0) {
+            cx.send(peer, self.snapshot());
+        }
+    }
 
     /// The last connection to another process closed.
-    pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, _m: &Membership, _peer: NodeId) {}
+    pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, _m: &Membership, peer: NodeId) {
+        self.peers.remove(&peer);
+    }
 
     /// A message from another process.
     pub fn step(
         &mut self,
-        _cx: &mut Context<'_>,
+        cx: &mut Context<'_>,
         _membership: &Membership,
         _from: NodeId,
-        _message: DistributionMessage,
+        message: DistributionMessage,
     ) {
+        let DistributionMessage::Snapshot { version, resources } = message else { return };
+        if version > self.current.version() {
+            let keyed = resources.into_iter().map(|stored| (stored.resource.key(), stored));
+            let next = Configuration::new(version, keyed.collect());
+            self.apply(cx, Arc::new(next));
+        }
     }
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 pub use record::{Member, MemberStatus, TargetAnnouncement, TargetRecord, TargetState};
@@ -19,11 +20,11 @@
 /// Messages about hosts and targets.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum MembershipMessage {
-    /// The sender's own record and those of its targets, sent on connecting.
-    Hello {
-        /// The sender.
-        member: Member,
-        /// The sender's targets.
+    /// Records that the sender holds.
+    Records {
+        /// Members.
+        members: Vec<Member>,
+        /// Targets.
         targets: Vec<TargetRecord>,
     },
 }
@@ -104,29 +105,111 @@
         if cx.now < self.next_dial_at {
             return;
         }
-        self.next_dial_at = Instant::NEVER;
+        self.next_dial_at = if self.members.len() > 1 {
+            Instant::NEVER
+        } else {
+            cx.now.plus_ms(cx.rng.random_range(0..SEED_DIAL_EVERY_MS))
+        };
         for address in &self.settings.seeds {
             cx.emit(crate::Effect::Dial { address: *address });
         }
     }
 
     /// A connection to another process is ready.
-    pub fn peer_connected(&mut self, _cx: &mut Context<'_>, _peer: NodeId) {}
+    pub fn peer_connected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        let members = self.members.values().cloned().collect();
+        let targets = self.targets.values().cloned().collect();
+        cx.send(peer, MembershipMessage::Records { members, targets });
+    }
 
     /// The last connection to another process closed.
     pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, _peer: NodeId) {}
 
     /// A message from another process.
-    pub fn step(&mut self, _cx: &mut Context<'_>, _from: NodeId, _message: MembershipMessage) {}
+    pub fn step(&mut self, cx: &mut Context<'_>, _from: NodeId, message: MembershipMessage) {
+        let MembershipMessage::Records { members, targets } = message;
+        for member in members {
+            self.merge_member(cx, member);
+        }
+        for target in targets {
+            self.merge_target(cx, target);
+        }
+    }
 
     /// A target announced itself to this process.
-    pub fn announce(&mut self, _cx: &mut Context<'_>, _announcement: TargetAnnouncement) {}
+    pub fn announce(&mut self, cx: &mut Context<'_>, announcement: TargetAnnouncement) {
+        let state = if announcement.draining { TargetState::Draining } else { TargetState::Ready };
+        self.write(cx, announcement, state);
+    }
 
     /// A target of this process leaves. Returns false where it is not known.
-    pub fn leave(&mut self, _cx: &mut Context<'_>, _target: &TargetId) -> bool {
-        false
+    pub fn leave(&mut self, cx: &mut Context<'_>, target: &TargetId) -> bool {
+        let Some(mut record) = self.targets.get(target).cloned() else { return false };
+        record.state = TargetState::Gone;
+        record.sequence += 1;
+        self.merge_target(cx, record);
+        true
     }
 
     /// This process leaves: tell the others and announce its targets as gone.
-    pub fn stop(&mut self, _cx: &mut Context<'_>) {}
+    pub fn stop(&mut self, cx: &mut Context<'_>) {
+        let mut member = self.members[&cx.me.id].clone();
+        member.status = MemberStatus::Left;
+        self.merge_member(cx, member);
+    }
+
+    fn write(&mut self, cx: &mut Context<'_>, given: TargetAnnouncement, state: TargetState) {
+        let sequence = self.targets.get(&given.target).map_or(1, |old| old.sequence + 1);
+        let record = TargetRecord {
+            target: given.target,
+            owner: cx.me.id,
+            incarnation: cx.me.incarnation,
+            sequence,
+            address: given.address,
+            slots: given.slots,
+            connections: given.connections,
+            state,
+            load_percent: given.load_percent,
+        };
+        let same = self
+            .targets
+            .get(&record.target)
+            .is_some_and(|old| TargetRecord { sequence, ..old.clone() } == record);
+        if !same {
+            self.merge_target(cx, record);
+        }
+    }
+
+    fn merge_member(&mut self, cx: &mut Context<'_>, member: Member) {
+        let old = self.members.get(&member.id);
+        if old.is_some_and(|old| !member.supersedes(old)) {
+            return;
+        }
+        if member.id != cx.me.id {
+            let address = member.addresses.peers;
+            cx.emit(crate::Effect::LearnAddress { peer: member.id, address });
+        }
+        self.members.insert(member.id, member.clone());
+        self.changes.push(MembershipChange::Member(member.clone()));
+        self.tell_all(cx, MembershipMessage::Records { members: vec![member], targets: vec![] });
+    }
+
+    fn merge_target(&mut self, cx: &mut Context<'_>, target: TargetRecord) {
+        let old = self.targets.get(&target.target);
+        if old.is_some_and(|old| !target.supersedes(old)) {
+            return;
+        }
+        self.targets.insert(target.target.clone(), target.clone());
+        self.changes.push(MembershipChange::Target(target.clone()));
+        self.tell_all(cx, MembershipMessage::Records { members: vec![], targets: vec![target] });
+    }
+
+    fn tell_all(&self, cx: &mut Context<'_>, message: MembershipMessage) {
+        for id in self.members.keys().filter(|id| **id != cx.me.id) {
+            cx.send(*id, message.clone());
+        }
+    }
 }
+
+/// Longest time between two dials of the seeds while nobody is known, in milliseconds.
+const SEED_DIAL_EVERY_MS: u64 = 500;
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -20,8 +20,10 @@
     Suspect,
     /// Stopping gracefully: takes no new work.
     Leaving,
-    /// Given up, or stopped.
+    /// Given up: nothing was heard of it for too long.
     Dead,
+    /// Stopped gracefully: serves nothing any more and is waited for by nobody.
+    Left,
 }
 
 impl MemberStatus {
@@ -31,6 +33,13 @@
     }
 }
 
+impl Member {
+    /// Whether this record replaces `other`, which is of the same process.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.status) > (other.incarnation, other.status)
+    }
+}
+
 /// A process as others know it. Written by the process itself, but for the status.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Member {
@@ -121,3 +130,10 @@
     /// Load that it last reported, in percent of its slots.
     pub load_percent: Option<u8>,
 }
+
+impl TargetRecord {
+    /// Whether this record replaces `other`, which is of the same target.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
+    }
+}
