--- a/crates/core/src/api/status.rs
+++ b/crates/core/src/api/status.rs
@@ -167,6 +167,7 @@
             MemberStatus::Suspect => self.suspect += 1,
             MemberStatus::Leaving => self.leaving += 1,
             MemberStatus::Dead => self.dead += 1,
+            MemberStatus::Left => return,
         }
         if !member.status.is_reachable() && self.unreachable.len() < MAX_NAMED_HOSTS {
             self.unreachable.push(member.host.clone());
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -9,7 +9,7 @@
 use crate::api::Answers;
 use crate::calls::CallHandle;
 use crate::disk::DiskHandle;
-use crate::peers::PeerHandle;
+use crate::peers::{PeerHandle, PeerStats};
 
 /// Where effects go. Each handle takes an effect without blocking.
 pub struct Edges {
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Counters of the traffic with other processes.
+    pub fn peer_stats(&self) -> &Arc<PeerStats> {
+        self.edges.peers.stats()
+    }
+
     /// Reads the state.
     pub fn inspect<T>(&self, read: impl FnOnce(&State) -> T) -> T {
         read(&self.lock().state)
