--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -73,12 +73,19 @@
         true
     }
 
-    /// Gives free slots of a target to the calls that wait for them.
+    /// Gives free slots of a target to the calls that wait for them. One that
+    /// can no longer be answered in time is not begun.
     pub(super) fn admit_waiting(&mut self, cx: &mut Context<'_>, target: TargetKey) {
         while let Some(gate) = &mut self.targets[target].gate
-            && let Some(id) = gate.admit_next()
+            && let Some(id) = gate.next_waiting()
         {
-            self.dispatch(cx, id, target);
+            let deadline = self.calls[&id].deadline;
+            if gate.admit_waiting(cx.now, deadline) {
+                self.dispatch(cx, id, target);
+            } else {
+                let code = RefusalCode::DeadlineExceeded;
+                self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
+            }
         }
     }
 
--- a/crates/core/src/routing/gate.rs
+++ b/crates/core/src/routing/gate.rs
@@ -84,14 +84,16 @@
         }
     }
 
-    /// Gives a free slot to the call that waits longest.
-    pub fn admit_next(&mut self) -> Option<CallId> {
-        if self.in_flight >= self.limit {
-            return None;
-        }
-        let call = self.queue.pop_front()?;
-        self.in_flight += 1;
-        Some(call)
+    /// Takes the call that waits longest out of the queue, where a slot is free for it.
+    pub fn next_waiting(&mut self) -> Option<CallId> {
+        if self.in_flight < self.limit { self.queue.pop_front() } else { None }
+    }
+
+    /// Gives a free slot to a call that waited, unless it is too late for it.
+    pub fn admit_waiting(&mut self, now: Instant, deadline: Instant) -> bool {
+        let in_time = now.plus_us(self.held.mean_us()) <= deadline && now < deadline;
+        self.in_flight += u32::from(in_time);
+        in_time
     }
 
     /// Removes a call that waits.
--- /dev/null
+++ b/crates/core/tests/routing/bench.rs
@@ -0,0 +1,232 @@
+//! A proxy's call path on its own, with time and answers decided by the test.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::context::{Addresses, Context, Identity};
+use fireflylug_core::ids::{CallId, Locality, Name, NodeId, TargetId, Version};
+use fireflylug_core::membership::{
+    Member, MemberStatus, MembershipChange, TargetRecord, TargetState,
+};
+use fireflylug_core::resource::Resource;
+use fireflylug_core::routing::{
+    CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal, RefusalCode,
+    Routing, RoutingSettings,
+};
+use fireflylug_core::slo::Slo;
+use fireflylug_core::{Effect, Instant};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("the name is in form")
+}
+
+pub fn locality(zone: &str, region: &str) -> Locality {
+    Locality { region: name(region), availability_zone: name(zone) }
+}
+
+pub fn identity(host: &str, locality: Locality) -> Identity {
+    let any = SocketAddr::from(([127, 0, 0, 1], 1));
+    Identity {
+        id: NodeId::of_host(&name(host)),
+        host: name(host),
+        locality,
+        incarnation: 1,
+        started_unix_ms: 0,
+        addresses: Addresses { peers: any, forward: any, api: any, calls: any },
+        control: false,
+    }
+}
+
+pub fn refusal(code: RefusalCode, outcome: Outcome) -> Refusal {
+    Refusal { code, outcome }
+}
+
+/// A target's record, ready, with 4 slots.
+pub fn record(service: &str, id: &str, owner: &str) -> TargetRecord {
+    TargetRecord {
+        target: TargetId { service: name(service), id: name(id) },
+        owner: NodeId::of_host(&name(owner)),
+        incarnation: 1,
+        sequence: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 2)),
+        slots: 4,
+        connections: 8,
+        state: TargetState::Ready,
+        load_percent: None,
+    }
+}
+
+/// One proxy's call path.
+pub struct Bench {
+    pub routing: Routing,
+    pub slo: Slo,
+    pub me: Identity,
+    pub now: Instant,
+    rng: SmallRng,
+    next_call: u64,
+    effects: Vec<Effect>,
+}
+
+impl Bench {
+    /// A proxy on `host` in availability zone `z1` of region `r1`, with these resources.
+    pub fn new(host: &str, resources: Vec<Resource>) -> Self {
+        let mut bench = Self::without_configuration(host, RoutingSettings::default());
+        bench.configure(resources);
+        bench
+    }
+
+    pub fn without_configuration(host: &str, settings: RoutingSettings) -> Self {
+        Self {
+            routing: Routing::new(settings),
+            slo: Slo::new(),
+            me: identity(host, locality("z1", "r1")),
+            now: Instant::from_ms(1_000),
+            rng: SmallRng::seed_from_u64(7),
+            next_call: 1,
+            effects: Vec::new(),
+        }
+    }
+
+    pub fn configure(&mut self, resources: Vec<Resource>) {
+        let stored = |resource: Resource| {
+            let stored =
+                StoredResource { version: Version(1), resource: Arc::new(resource.clone()) };
+            (resource.key(), stored)
+        };
+        let all: BTreeMap<_, _> = resources.into_iter().map(stored).collect();
+        let configuration = Arc::new(Configuration::new(Version(1), all));
+        self.with(|routing, _, cx| routing.configure(cx, configuration));
+    }
+
+    fn with(&mut self, run: impl FnOnce(&mut Routing, &mut Slo, &mut Context<'_>)) {
+        let mut cx =
+            Context { now: self.now, rng: &mut self.rng, me: &self.me, effects: &mut self.effects };
+        run(&mut self.routing, &mut self.slo, &mut cx);
+    }
+
+    pub fn member(&mut self, host: &str, locality: Locality, status: MemberStatus) {
+        let mut member = Member::of(&identity(host, locality));
+        member.status = status;
+        let change = MembershipChange::Member(member);
+        self.with(|routing, _, cx| routing.membership_changed(cx, &change));
+    }
+
+    pub fn target(&mut self, record: TargetRecord) {
+        let change = MembershipChange::Target(record);
+        self.with(|routing, _, cx| routing.membership_changed(cx, &change));
+    }
+
+    pub fn step(&mut self, event: CallEvent) {
+        self.with(|routing, slo, cx| routing.step(cx, slo, event));
+    }
+
+    pub fn stop(&mut self) {
+        self.with(|routing, _, cx| routing.stop(cx));
+    }
+
+    /// Moves time on, with every tick that is due meanwhile.
+    pub fn pass_ms(&mut self, ms: u64) {
+        let end = self.now.plus_ms(ms);
+        while self.routing.next_deadline() <= end {
+            self.now = self.now.max(self.routing.next_deadline());
+            self.with(|routing, slo, cx| routing.tick(cx, slo));
+        }
+        self.now = end;
+    }
+
+    /// A call from a caller arrives.
+    pub fn arrive(&mut self, path: &str, is_safe_method: bool) -> CallId {
+        self.arrive_with(path, |head| head.is_safe_method = is_safe_method)
+    }
+
+    pub fn arrive_with(&mut self, path: &str, change: impl FnOnce(&mut CallHead)) -> CallId {
+        let mut head = CallHead {
+            origin: CallOrigin::Caller,
+            host: "".into(),
+            path: path.into(),
+            is_safe_method: true,
+            body_bytes: Some(0),
+            is_replayable: true,
+            chain: Chain::default(),
+        };
+        change(&mut head);
+        let call = CallId(self.next_call);
+        self.next_call += 1;
+        self.step(CallEvent::Arrived { call, head });
+        call
+    }
+
+    /// A call that another proxy forwards arrives.
+    pub fn arrive_forwarded(&mut self, service: &str, id: &str, remaining_ms: u32) -> CallId {
+        let target = TargetId { service: name(service), id: name(id) };
+        let head = ForwardHead { target, remaining_ms, max_queued: 16, repeatable: false };
+        self.arrive_with("/", |call| call.origin = CallOrigin::Proxy(head))
+    }
+
+    pub fn answer(&mut self, call: CallId, attempt: u8, status: u16) {
+        self.step(CallEvent::Answered { call, attempt, status, load: None });
+    }
+
+    /// The answer of the attempt arrives and is passed on whole.
+    pub fn complete(&mut self, call: CallId, attempt: u8) {
+        self.answer(call, attempt, 200);
+        self.step(CallEvent::Ended { call, attempt, whole: true });
+    }
+
+    pub fn fail(&mut self, call: CallId, attempt: u8, code: RefusalCode, outcome: Outcome) {
+        let refusal = refusal(code, outcome);
+        self.step(CallEvent::Failed { call, attempt, refusal, replayable: true, load: None });
+    }
+
+    /// Takes the effects on calls since the last time.
+    pub fn take(&mut self) -> Vec<CallEffect> {
+        let effects = std::mem::take(&mut self.effects);
+        let of_call = |effect| match effect {
+            Effect::Call(effect) => Some(effect),
+            _ => None,
+        };
+        effects.into_iter().filter_map(of_call).collect()
+    }
+
+    /// Takes the effects since the last time; the attempts among them.
+    pub fn take_attempts(&mut self) -> Vec<Begun> {
+        self.take().into_iter().filter_map(Begun::of).collect()
+    }
+
+    /// Takes the effects since the last time; the refusals among them.
+    pub fn take_refusals(&mut self) -> Vec<(CallId, Refusal)> {
+        let refusal = |effect| match effect {
+            CallEffect::Refuse { call, refusal, .. } => Some((call, refusal)),
+            _ => None,
+        };
+        self.take().into_iter().filter_map(refusal).collect()
+    }
+}
+
+/// An attempt that the reducer began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Begun {
+    pub call: CallId,
+    pub attempt: u8,
+    pub target: String,
+    pub chain: Chain,
+}
+
+impl Begun {
+    fn of(effect: CallEffect) -> Option<Self> {
+        let (call, attempt, target, chain) = match effect {
+            CallEffect::Forward { call, attempt, head, chain, .. } => {
+                (call, attempt, head.target, chain)
+            }
+            CallEffect::Dispatch { call, attempt, target, chain, .. } => {
+                (call, attempt, target, chain)
+            }
+            _ => return None,
+        };
+        Some(Self { call, attempt, target: target.id.to_string(), chain })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/routing/main.rs
@@ -0,0 +1,6 @@
+//! Decisions of the call path, each with the failure that it is meant for.
+
+mod bench;
+mod choice;
+mod limits;
+mod retries;
