--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,11 +1,38 @@
 //! Settings of the daemon, read from INI files and checked into [`Settings`].
+//!
+//! [`Settings::from_file`] first reads the file raw, line by line, then checks
+//! every value. Each mistake becomes a [`SettingsFinding`] with its line, and
+//! all of them are reported together. [`Settings::to_ini`] is the way back.
+
+mod check;
+mod error;
+mod raw;
+mod reader;
+mod write;
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use fireflylug_core::context::Addresses;
 use fireflylug_core::ids::{Locality, Name};
 
+pub use error::{SettingsError, SettingsFinding};
+
+/// Port for messages between processes, where the settings name none.
+pub const DEFAULT_PEERS_PORT: u16 = 7310;
+/// Port for calls forwarded by other proxies, where the settings name none.
+pub const DEFAULT_FORWARD_PORT: u16 = 7311;
+/// Port of the resource API, where the settings name none.
+pub const DEFAULT_API_PORT: u16 = 7312;
+/// Port for calls from callers, where the settings name none.
+pub const DEFAULT_CALLS_PORT: u16 = 7313;
+
+/// Longest time that a graceful stop waits, in milliseconds, where the settings say nothing.
+pub const DEFAULT_STOP_LIMIT_MS: u64 = 30_000;
+
+/// Data folder of a process that is started without settings.
+pub const DEFAULT_DATA_DIR: &str = "fireflylug-data";
+
 /// Checked settings of one daemon.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
@@ -15,6 +42,8 @@
     pub locality: Locality,
     /// Addresses to listen at. Port 0 lets the system choose.
     pub listen: Addresses,
+    /// Addresses announced to others where they differ from `listen`.
+    pub advertise: Advertise,
     /// Addresses of other processes to join through (their `peers` address).
     pub seeds: Vec<SocketAddr>,
     /// Present where the process is a control replica.
@@ -28,15 +57,10 @@
     pub translate: Vec<(SocketAddr, SocketAddr)>,
     /// Least level of log lines: debug, info, warn or error.
     pub log_level: LogLevel,
-    /// Addresses announced to others where they differ from `listen`.
-    pub advertise: Advertise,
     /// Longest time that a graceful stop waits for what is in flight, in milliseconds.
     pub stop_limit_ms: u64,
 }
 
-/// Longest time that a graceful stop waits, in milliseconds, where the settings say nothing.
-pub const DEFAULT_STOP_LIMIT_MS: u64 = 30_000;
-
 /// Addresses announced to others, each where it differs from the one listened at.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Advertise {
@@ -83,17 +107,54 @@
             host,
             locality,
             listen: Addresses { peers: any, forward: any, api: any, calls: any },
+            advertise: Advertise::default(),
             seeds: Vec::new(),
             control: None,
             key_file: None,
             addresses_file: None,
             translate: Vec::new(),
             log_level: LogLevel::Info,
-            advertise: Advertise::default(),
             stop_limit_ms: DEFAULT_STOP_LIMIT_MS,
         }
     }
 
+    /// Makes the settings of a mesh of one: a control replica on loopback with
+    /// the default ports and its data in `./fireflylug-data`.
+    pub fn mesh_of_one() -> Self {
+        let name = |text: &str| Name::new(text).expect("the default names are in form");
+        let host = name("localhost");
+        let locality = Locality { region: name("local"), availability_zone: name("local-a") };
+        let control = ControlSection {
+            data_dir: PathBuf::from(DEFAULT_DATA_DIR),
+            initial_voters: vec![host.clone()],
+        };
+        let mut settings = Self::loopback(host, locality).with_control(control);
+        settings.listen = default_listen();
+        settings
+    }
+
+    /// Reads and checks a file. Relative paths in it start at its folder.
+    ///
+    /// Reports every finding together.
+    pub fn from_file(file: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(file).map_err(|error| {
+            let finding = SettingsFinding::new(None, "file", format!("cannot be read: {error}"));
+            SettingsError::new(file, vec![finding])
+        })?;
+        let folder = file.parent().unwrap_or(Path::new(""));
+        Self::from_ini(&text, folder).map_err(|findings| SettingsError::new(file, findings))
+    }
+
+    /// Checks the text of a settings file. Relative paths in it start at `folder`.
+    pub fn from_ini(text: &str, folder: &Path) -> Result<Self, Vec<SettingsFinding>> {
+        check::check(raw::read(text), folder)
+    }
+
+    /// The text of a settings file that holds these settings.
+    pub fn to_ini(&self) -> String {
+        write::to_ini(self)
+    }
+
     /// Sets the addresses to join through.
     pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
         self.seeds = seeds;
@@ -116,3 +177,14 @@
         }
     }
 }
+
+/// The default ports on loopback.
+fn default_listen() -> Addresses {
+    let at = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    Addresses {
+        peers: at(DEFAULT_PEERS_PORT),
+        forward: at(DEFAULT_FORWARD_PORT),
+        api: at(DEFAULT_API_PORT),
+        calls: at(DEFAULT_CALLS_PORT),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/write.rs
@@ -0,0 +1,74 @@
+//! Writes settings as the text of a file.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use ini::{EscapePolicy, Ini};
+
+use crate::Settings;
+
+/// The text of a file that holds `settings`.
+pub fn to_ini(settings: &Settings) -> String {
+    let mut ini = Ini::new();
+    let mut set = |section: &str, key: &str, value: String| {
+        ini.set_to(Some(section), key.to_owned(), value);
+    };
+    let locality = &settings.locality;
+    set("host", "name", settings.host.to_string());
+    set("host", "region", locality.region.to_string());
+    set("host", "availability_zone", locality.availability_zone.to_string());
+    set("listen", "peers", settings.listen.peers.to_string());
+    set("listen", "forward", settings.listen.forward.to_string());
+    set("listen", "api", settings.listen.api.to_string());
+    set("listen", "calls", settings.listen.calls.to_string());
+    if let Some(file) = &settings.addresses_file {
+        set("listen", "addresses_file", path(file));
+    }
+    let advertise = &settings.advertise;
+    let advertised = [
+        ("peers", advertise.peers),
+        ("forward", advertise.forward),
+        ("api", advertise.api),
+        ("calls", advertise.calls),
+    ];
+    for (key, address) in advertised {
+        if let Some(address) = address {
+            set("advertise", key, address.to_string());
+        }
+    }
+    if !settings.seeds.is_empty() {
+        set("join", "seeds", list(&settings.seeds));
+    }
+    if let Some(control) = &settings.control {
+        set("control", "data_dir", path(&control.data_dir));
+        set("control", "initial_voters", list(&control.initial_voters));
+    }
+    if let Some(file) = &settings.key_file {
+        set("security", "key_file", path(file));
+    }
+    set("log", "level", settings.log_level.to_string());
+    for (index, pair) in settings.translate.iter().enumerate() {
+        set("translate", &format!("pair_{index}"), translation(pair));
+    }
+    set("stop", "limit_ms", settings.stop_limit_ms.to_string());
+    text(&ini)
+}
+
+fn text(ini: &Ini) -> String {
+    let mut bytes = Vec::new();
+    ini.write_to_policy(&mut bytes, EscapePolicy::Nothing).expect("a vector takes every byte");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn translation((announced, replacement): &(SocketAddr, SocketAddr)) -> String {
+    format!("{announced} -> {replacement}")
+}
+
+fn list<T: ToString>(items: &[T]) -> String {
+    let items: Vec<String> = items.iter().map(T::to_string).collect();
+    items.join(", ")
+}
+
+fn path(path: &Path) -> String {
+    path.display().to_string()
+}
