--- a/crates/daemon/src/api/respond.rs
+++ b/crates/daemon/src/api/respond.rs
@@ -44,12 +44,10 @@
 /// Asks the reducer and makes HTTP of its answer.
 pub(super) async fn ask(context: &ApiContext, request: ApiRequest) -> Reply {
     let watch = matches!(request, ApiRequest::Watch { .. });
+    let change = matches!(request, ApiRequest::Change(_));
     let mut answers = context.answers.ask(&context.runtime, request);
     match answers.next().await {
-        None => error(&ApiError::new(
-            ErrorCode::OutcomeUnknown,
-            "the process is stopping; ask another one, and resend a change with the same key",
-        )),
+        None => error(&stopping(change)),
         Some(ApiResponse::Error(failure)) => error(&failure),
         Some(first) if watch => Reply {
             status: 200,
@@ -61,6 +59,16 @@
     }
 }
 
+/// The error for a request that the end of the process left without an answer.
+fn stopping(change: bool) -> ApiError {
+    if change {
+        let message = "the process is stopping and the change may have been accepted; \
+                       resend it to another process with the same Idempotency-Key";
+        return ApiError::new(ErrorCode::OutcomeUnknown, message);
+    }
+    ApiError::new(ErrorCode::Unavailable, "the process is stopping; ask another one")
+}
+
 /// An answer that is complete.
 fn whole(response: &ApiResponse) -> Reply {
     match response {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,16 +5,19 @@
 //! program; nothing here is global.
 
 pub mod api;
+pub mod args;
 pub mod calls;
 pub mod daemon;
 pub mod disk;
 pub mod key;
 pub mod log;
+pub mod main_loop;
 pub mod peers;
 pub mod runtime;
 pub mod translation;
 
 pub use daemon::Daemon;
 pub use key::SharedKey;
+pub use main_loop::main;
 pub use runtime::Runtime;
 pub use translation::Translation;
--- /dev/null
+++ b/crates/daemon/src/main_loop.rs
@@ -0,0 +1,95 @@
+//! The whole of `fireflylugd`, so that its binary stays thin.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use eyre::WrapErr;
+use fireflylug_core::event::{LogLevel, LogPart};
+use fireflylug_settings::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::args::{self, Command};
+use crate::{Daemon, SharedKey, log};
+
+/// Exit status for wrong arguments or settings.
+const EXIT_USAGE: u8 = 2;
+/// Exit status where the limit of a graceful stop cut off what was in flight.
+const EXIT_CUT_OFF: u8 = 3;
+
+/// Runs the daemon with the arguments of the program.
+pub fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let command = match Command::from_args(&args) {
+        Ok(command) => command,
+        Err(error) => return fail(&error, EXIT_USAGE),
+    };
+    match command {
+        Command::Help => print(&args::help()),
+        Command::Version => print(concat!("fireflylugd ", env!("CARGO_PKG_VERSION"))),
+        Command::CheckConfig(file) => match read_settings(Some(&file)) {
+            Ok(_) => print(&format!("settings file {} is in order", file.display())),
+            Err(error) => fail(&error, EXIT_USAGE),
+        },
+        Command::Run(file) => match read_settings(file.as_deref()) {
+            Ok(settings) => run(settings),
+            Err(error) => fail(&error, EXIT_USAGE),
+        },
+    }
+}
+
+fn read_settings(file: Option<&Path>) -> eyre::Result<Settings> {
+    let Some(file) = file else {
+        return Ok(Settings::mesh_of_one());
+    };
+    let settings = Settings::from_file(file)?;
+    if let Some(key_file) = &settings.key_file {
+        SharedKey::from_file(key_file)
+            .wrap_err_with(|| format!("settings file {}: [security] key_file", file.display()))?;
+    }
+    Ok(settings)
+}
+
+fn run(settings: Settings) -> ExitCode {
+    let served = log::set_up(settings.host.as_str(), settings.log_level)
+        .and_then(|()| Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?))
+        .and_then(|runtime| runtime.block_on(serve(settings)));
+    match served {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_CUT_OFF),
+        Err(error) => fail(&error, 1),
+    }
+}
+
+/// Serves until a signal, then stops. Returns whether everything in flight was finished.
+async fn serve(settings: Settings) -> eyre::Result<bool> {
+    // Listening for signals first: one that comes during the start must not be lost.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = Daemon::start(settings).await?;
+    let at = daemon.addresses();
+    note(&format!("listening: peers {}, forward {}", at.peers, at.forward));
+    note(&format!("listening: resource API {}, calls {}", at.api, at.calls));
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = daemon.exited() => eyre::bail!("a part of the process failed; see the log above"),
+    }
+    note("stopping gracefully");
+    let finished = daemon.stop().await;
+    note(if finished { "stopped" } else { "stopped; the limit cut off what was in flight" });
+    Ok(finished)
+}
+
+fn note(text: &str) {
+    log::write(LogLevel::Info, LogPart::Daemon, text);
+}
+
+fn print(text: &str) -> ExitCode {
+    println!("{text}");
+    ExitCode::SUCCESS
+}
+
+fn fail(error: &eyre::Report, status: u8) -> ExitCode {
+    eprintln!("fireflylugd: {error:#}");
+    ExitCode::from(status)
+}
--- a/src/bin/fireflylugd.rs
+++ b/src/bin/fireflylugd.rs
@@ -1,2 +1,7 @@
-//! Thin binary.
-fn main() {}
+//! The daemon: one process a host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    fireflylug_daemon::main()
+}
