--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -190,7 +190,7 @@
             }
         }
         for finished in self.finished.drain(..) {
-            slo.count(cx.now, &finished.rule.service, &finished.rule.policy, finished.result);
+            slo.count(&finished.rule.service, &finished.rule.policy, finished.result);
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/slo.rs
@@ -0,0 +1,193 @@
+//! Counts against objectives, and the burn report made of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fireflylug_core::Instant;
+use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::context::{Addresses, Context, Identity};
+use fireflylug_core::ids::{Locality, Name, NodeId, Version};
+use fireflylug_core::membership::{Membership, MembershipSettings};
+use fireflylug_core::message::PeerMessage;
+use fireflylug_core::resource::{Objective, Policy, Resource};
+use fireflylug_core::slo::{
+    BurnRow, CallResult, CountKey, Counts, Leg, ObjectiveKind, Slo, SloMessage, Urgency,
+};
+use fireflylug_core::{Effect, slo};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const GOOD: CallResult = CallResult::Answered { is_good: true, took_us: 5_000 };
+const SLOW: CallResult = CallResult::Answered { is_good: true, took_us: 500_000 };
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("the name is in form")
+}
+
+fn policy() -> Policy {
+    // One in a hundred may fail, one in ten may be slow.
+    Policy::new(name("quick")).with_objective(Objective {
+        availability_ppm: 990_000,
+        latency_ms: 100,
+        latency_ppm: 900_000,
+    })
+}
+
+/// A control replica that is alone, with one objective.
+struct Bench {
+    slo: Slo,
+    me: Identity,
+    membership: Membership,
+    rng: SmallRng,
+    effects: Vec<Effect>,
+    now: Instant,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 1));
+        let me = Identity {
+            id: NodeId::of_host(&name("host-a")),
+            host: name("host-a"),
+            locality: Locality { region: name("r1"), availability_zone: name("z1") },
+            incarnation: 1,
+            started_unix_ms: 0,
+            addresses: Addresses { peers: any, forward: any, api: any, calls: any },
+            control: true,
+        };
+        let membership = Membership::new(MembershipSettings::default(), &me);
+        let rng = SmallRng::seed_from_u64(3);
+        let now = Instant::from_ms(1);
+        let mut bench = Self { slo: Slo::new(), me, membership, rng, effects: Vec::new(), now };
+        let resource = Resource::Policy(policy());
+        let stored = StoredResource { version: Version(1), resource: Arc::new(resource.clone()) };
+        let all = BTreeMap::from([(resource.key(), stored)]);
+        let configuration = Arc::new(Configuration::new(Version(1), all));
+        bench.with(|slo, cx, _| slo.configure(cx, configuration));
+        bench
+    }
+
+    fn with(&mut self, run: impl FnOnce(&mut Slo, &mut Context<'_>, &Membership)) {
+        let mut cx =
+            Context { now: self.now, rng: &mut self.rng, me: &self.me, effects: &mut self.effects };
+        run(&mut self.slo, &mut cx, &self.membership);
+    }
+
+    fn count(&mut self, calls: u32, result: CallResult) {
+        (0..calls).for_each(|_| self.slo.count(&name("seatdesk"), &policy(), result));
+    }
+
+    fn pass_minutes(&mut self, minutes: u64) {
+        let end = self.now.plus_ms(minutes * 60_000);
+        while self.slo.next_deadline() <= end {
+            self.now = self.slo.next_deadline();
+            self.with(|slo, cx, membership| slo.tick(cx, membership));
+        }
+        self.now = end;
+    }
+
+    fn row(&self, kind: ObjectiveKind) -> BurnRow {
+        let report: slo::BurnReport = self.slo.report(self.now);
+        let row = report.rows.into_iter().find(|row| row.objective == kind);
+        row.expect("the objective has a row")
+    }
+}
+
+#[test]
+fn a_burn_of_one_spends_the_budget_exactly() {
+    let mut bench = Bench::new();
+
+    bench.count(990, GOOD);
+    bench.count(10, CallResult::Refused);
+    bench.pass_minutes(1);
+
+    let row = bench.row(ObjectiveKind::Availability);
+    assert_eq!((row.counted, row.bad, row.refused), (1_000, 10, 10));
+    assert_eq!(row.burn.five_minutes_permille, 1_000);
+    assert_eq!(row.budget_left_permille, 0);
+}
+
+#[test]
+fn cancelled_calls_are_shown_apart() {
+    let mut bench = Bench::new();
+
+    bench.count(100, GOOD);
+    bench.count(50, CallResult::Cancelled);
+    bench.pass_minutes(1);
+
+    let row = bench.row(ObjectiveKind::Availability);
+    assert_eq!((row.counted, row.bad, row.cancelled), (100, 0, 50));
+    assert_eq!(row.budget_left_permille, 1_000);
+}
+
+#[test]
+fn a_slow_answer_counts_against_latency_alone() {
+    let mut bench = Bench::new();
+
+    bench.count(80, GOOD);
+    bench.count(20, SLOW);
+    bench.pass_minutes(1);
+
+    assert_eq!(bench.row(ObjectiveKind::Availability).bad, 0);
+    assert_eq!(bench.row(ObjectiveKind::Latency).burn.one_hour_permille, 2_000);
+}
+
+#[test]
+fn a_fault_that_is_over_pages_nobody() {
+    let mut bench = Bench::new();
+    bench.count(100, CallResult::Refused);
+    bench.pass_minutes(1);
+    let during = bench.row(ObjectiveKind::Availability);
+
+    bench.pass_minutes(10);
+
+    let after = bench.row(ObjectiveKind::Availability);
+    assert_eq!(during.urgency, Urgency::Page);
+    assert_eq!(after.burn.five_minutes_permille, 0);
+    assert_ne!(after.urgency, Urgency::Page);
+}
+
+#[test]
+fn counts_leave_the_windows() {
+    let mut bench = Bench::new();
+    bench.count(100, CallResult::Refused);
+
+    bench.pass_minutes(7 * 60);
+
+    let row = bench.row(ObjectiveKind::Availability);
+    assert_eq!(row.burn.six_hours_permille, 0);
+    assert_eq!(row.counted, 100);
+}
+
+#[test]
+fn a_message_that_is_sent_again_counts_once() {
+    let mut bench = Bench::new();
+    let key = CountKey {
+        service: name("seatdesk"),
+        policy: name("quick"),
+        availability_zone: name("z2"),
+    };
+    let counts = Counts { counted: 40, failed: 4, ..Counts::default() };
+    let message = SloMessage::Counts {
+        leg: Leg::Replica,
+        incarnation: 1,
+        sequence: 1,
+        rows: vec![(key, counts)],
+    };
+
+    for _ in 0..2 {
+        let message = message.clone();
+        bench.with(|slo, cx, _| slo.step(cx, NodeId(5), message));
+    }
+
+    let row = bench.row(ObjectiveKind::Availability);
+    assert_eq!((row.counted, row.bad), (40, 4));
+    assert_eq!(row.worst.expect("a zone burns").availability_zone, name("z2"));
+    let acknowledged = bench.effects.iter().filter(|effect| {
+        let acknowledgement =
+            |m: &PeerMessage| matches!(m, PeerMessage::Slo(SloMessage::Acknowledged { .. }));
+        matches!(effect, Effect::Send { message, .. } if acknowledgement(message))
+    });
+    assert_eq!(acknowledged.count(), 2);
+}
