Command-line client: apply, delete, get, watch, status, with exit statuses

Options stand anywhere, so one gumdrop struct holds them all and each command refuses those that it would ignore.

--- /dev/null
+++ b/crates/cli/src/args.rs
@@ -0,0 +1,280 @@
+//! Arguments of `fireflylug`: first read raw, then checked into a [`Command`].
+//!
+//! Options may stand before or after the command's name.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use fireflylug_core::ids::{IdempotencyKey, Name, Version};
+use fireflylug_core::resource::{ResourceKey, ResourceKind};
+use gumdrop::Options;
+
+use crate::CliError;
+
+/// Address of the resource API of a process that was started without settings.
+const DEFAULT_API: &str = "127.0.0.1:7312";
+/// Time that `--wait` waits, in seconds.
+const DEFAULT_WAIT_LIMIT_S: u64 = 60;
+
+// Arguments as they were given. A doc comment would show up in the help.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(free)]
+    free: Vec<String>,
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "print the version")]
+    version: bool,
+    #[options(help = "resource API, IP:PORT; repeat it to name others to try", meta = "ADDRESS")]
+    api: Vec<SocketAddr>,
+    #[options(no_short, help = "file that holds the shared key of the mesh", meta = "FILE")]
+    key_file: Option<String>,
+    #[options(help = "table (default) or json", meta = "FORM")]
+    output: Option<Output>,
+    #[options(help = "wait until the change is in force on every proxy")]
+    wait: bool,
+    #[options(no_short, help = "longest wait of --wait, in seconds (default 60)", meta = "S")]
+    wait_limit_s: Option<u64>,
+    #[options(no_short, help = "idempotency key of the change", meta = "KEY")]
+    key: Option<String>,
+    #[options(
+        no_short,
+        help = "change only where the resource is at this version; 0: must not exist",
+        meta = "VERSION"
+    )]
+    if_version: Option<u64>,
+    #[options(no_short, help = "watch events after this version", meta = "VERSION")]
+    from: Option<u64>,
+    #[options(no_short, help = "read what the process holds, which may be older")]
+    stale: bool,
+    #[options(no_short, help = "write the burn report as a chart", meta = "FILE")]
+    svg: Option<String>,
+}
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Output {
+    /// For people.
+    #[default]
+    Table,
+    /// For programs.
+    Json,
+}
+
+impl std::str::FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "table" => Ok(Self::Table),
+            "json" => Ok(Self::Json),
+            _ => Err("use table or json".to_owned()),
+        }
+    }
+}
+
+/// A checked command.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Command {
+    /// Resource APIs to try in turn.
+    pub api: Vec<SocketAddr>,
+    /// File that holds the shared key.
+    pub key_file: Option<PathBuf>,
+    /// Form of the output.
+    pub output: Output,
+    /// What to do.
+    pub action: Action,
+}
+
+/// What to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Print the help.
+    Help,
+    /// Print the version.
+    Version,
+    /// Put resources.
+    Apply(Apply),
+    /// Delete a resource.
+    Delete(Delete),
+    /// Show resources.
+    Get(Get),
+    /// Print events.
+    Watch {
+        /// The last version that was seen.
+        from: Option<Version>,
+    },
+    /// Show the status.
+    Status,
+    /// Show the burn report.
+    Burn {
+        /// File for a chart.
+        svg: Option<PathBuf>,
+    },
+}
+
+/// How a change is made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChangeOptions {
+    /// Idempotency key.
+    pub key: Option<IdempotencyKey>,
+    /// Version that the resource must be at.
+    pub if_version: Option<Version>,
+    /// Longest wait until the change is in force, in seconds; none without `--wait`.
+    pub wait_limit_s: Option<u64>,
+}
+
+/// Put resources.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Apply {
+    /// Input file; `-` is the standard input.
+    pub file: String,
+    /// How.
+    pub options: ChangeOptions,
+}
+
+/// Delete a resource.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Delete {
+    /// Kind and name.
+    pub resource: ResourceKey,
+    /// How.
+    pub options: ChangeOptions,
+}
+
+/// Show resources.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Get {
+    /// Kind.
+    pub kind: ResourceKind,
+    /// Name; every resource of the kind when absent.
+    pub name: Option<Name>,
+    /// Whether what the process holds is good enough.
+    pub stale: bool,
+}
+
+impl Command {
+    /// Checks the arguments, without the name of the program.
+    pub fn from_args(args: &[String]) -> Result<Self, CliError> {
+        let args = Args::parse_args_default(args).map_err(|e| CliError::Usage(e.to_string()))?;
+        let action = action(&args)?;
+        let mut api = args.api;
+        if api.is_empty() {
+            api.extend(DEFAULT_API.parse::<SocketAddr>());
+        }
+        let key_file = args.key_file.map(PathBuf::from);
+        Ok(Self { api, key_file, output: args.output.unwrap_or_default(), action })
+    }
+}
+
+fn action(args: &Args) -> Result<Action, CliError> {
+    if args.help {
+        return Ok(Action::Help);
+    }
+    if args.version {
+        return Ok(Action::Version);
+    }
+    let words: Vec<&str> = args.free.iter().map(String::as_str).collect();
+    let action = match words.as_slice() {
+        ["help"] => Action::Help,
+        ["apply", file] => {
+            Action::Apply(Apply { file: (*file).to_owned(), options: change_options(args)? })
+        }
+        ["delete", kind, name] => Action::Delete(Delete {
+            resource: ResourceKey { kind: parse_kind(kind)?, name: parse_name(name)? },
+            options: change_options(args)?,
+        }),
+        ["get", kind] => {
+            Action::Get(Get { kind: parse_kind(kind)?, name: None, stale: args.stale })
+        }
+        ["get", kind, name] => Action::Get(Get {
+            kind: parse_kind(kind)?,
+            name: Some(parse_name(name)?),
+            stale: args.stale,
+        }),
+        ["watch"] => Action::Watch { from: args.from.map(Version) },
+        ["status"] => Action::Status,
+        ["burn"] => Action::Burn { svg: args.svg.clone().map(PathBuf::from) },
+        [] => return Err(CliError::Usage("name a command".to_owned())),
+        words => return Err(CliError::Usage(format!("{:?} is not a command", words.join(" ")))),
+    };
+    check_options(args, &action)?;
+    Ok(action)
+}
+
+/// Refuses options that the command would ignore.
+fn check_options(args: &Args, action: &Action) -> Result<(), CliError> {
+    let changes = matches!(action, Action::Apply(_) | Action::Delete(_));
+    let watch = matches!(action, Action::Watch { .. });
+    let get = matches!(action, Action::Get(_));
+    let burn = matches!(action, Action::Burn { .. });
+    let given = [
+        ("--wait", args.wait, changes),
+        ("--wait-limit-s", args.wait_limit_s.is_some(), changes && args.wait),
+        ("--key", args.key.is_some(), changes),
+        ("--if-version", args.if_version.is_some(), changes),
+        ("--from", args.from.is_some(), watch),
+        ("--stale", args.stale, get),
+        ("--svg", args.svg.is_some(), burn),
+    ];
+    match given.iter().find(|(_, given, fits)| *given && !fits) {
+        Some((option, ..)) => {
+            Err(CliError::Usage(format!("{option} has no meaning for this command")))
+        }
+        None => Ok(()),
+    }
+}
+
+fn change_options(args: &Args) -> Result<ChangeOptions, CliError> {
+    let key = args.key.as_ref().map(IdempotencyKey::new).transpose();
+    let limit_s = args.wait_limit_s.unwrap_or(DEFAULT_WAIT_LIMIT_S);
+    Ok(ChangeOptions {
+        key: key.map_err(|error| CliError::Usage(format!("--key: {error}")))?,
+        if_version: args.if_version.map(Version),
+        wait_limit_s: args.wait.then_some(limit_s),
+    })
+}
+
+fn parse_kind(text: &str) -> Result<ResourceKind, CliError> {
+    match text {
+        "service" | "services" => Ok(ResourceKind::Service),
+        "route" | "routes" => Ok(ResourceKind::Route),
+        "policy" | "policies" => Ok(ResourceKind::Policy),
+        _ => Err(CliError::Usage(format!("{text:?} is not a kind; use service, route or policy"))),
+    }
+}
+
+fn parse_name(text: &str) -> Result<Name, CliError> {
+    Name::new(text).map_err(|error| CliError::Usage(error.to_string()))
+}
+
+/// The help text.
+pub fn help() -> String {
+    format!(
+        "fireflylug: declare services, routes and policies, and learn when they are in force\n\n\
+         Usage: fireflylug COMMAND [OPTIONS]\n\n\
+         Commands:\n  \
+         apply FILE          put resources from JSON: one, a list, or a change set; - is stdin\n  \
+         delete KIND NAME    delete a resource\n  \
+         get KIND [NAME]     show resources; KIND is service, route or policy\n  \
+         watch               print events as JSON lines until interrupted\n  \
+         status              show the mesh as one process knows it\n  \
+         burn                show the service-level burn report\n\n\
+         {}\n\n\
+         Examples:\n  \
+         fireflylug apply routes.json --wait\n  \
+         echo '{{\"kind\":\"service\",\"name\":\"seatdesk\"}}' | fireflylug apply - --if-version 0\n  \
+         fireflylug get routes --output json\n  \
+         fireflylug watch --from 41 --api 10.0.0.1:7312 --api 10.0.0.2:7312\n  \
+         fireflylug burn --svg burn.svg\n\n\
+         Exit status: 0 done, 1 refused, 2 wrong arguments or input, 3 outcome unknown (resend\n\
+         with the same --key), 4 no resource API reached, 5 accepted but not in force in time",
+        options_help()
+    )
+}
+
+/// gumdrop's list of the options, without its own usage line.
+fn options_help() -> &'static str {
+    let usage = Args::usage();
+    usage.find("Optional arguments:").map_or(usage, |start| &usage[start..])
+}
--- /dev/null
+++ b/crates/cli/src/input.rs
@@ -0,0 +1,59 @@
+//! Reads the input of `apply` into a change set.
+
+use std::io::Read;
+
+use fireflylug_core::ids::Version;
+use serde_json::{Value, json};
+
+use crate::CliError;
+
+/// Reads a file, or the standard input where it is named `-`.
+pub fn read(file: &str) -> Result<String, CliError> {
+    let mut text = String::new();
+    let read = match file {
+        "-" => std::io::stdin().read_to_string(&mut text).map(drop),
+        file => std::fs::read_to_string(file).map(|read| text = read),
+    };
+    read.map_err(|error| CliError::Input(format!("{file}: cannot be read: {error}")))?;
+    Ok(text)
+}
+
+/// Makes a change set of the text: one resource, a list of resources, or a
+/// change set. `if_version` is for one resource only.
+///
+/// The fields of resources are checked by the resource API, in one place.
+pub fn change_set(file: &str, text: &str, if_version: Option<Version>) -> Result<Value, CliError> {
+    let value: Value = serde_json::from_str(text)
+        .map_err(|error| CliError::Input(format!("{file}: not JSON: {error}")))?;
+    let mut operations = match value {
+        Value::Object(object) if object.contains_key("operations") => {
+            return match if_version {
+                None => Ok(Value::Object(object)),
+                Some(_) => Err(one_only(file)),
+            };
+        }
+        Value::Array(resources) => resources.into_iter().map(put).collect(),
+        resource @ Value::Object(_) => vec![put(resource)],
+        _ => {
+            let message = "give a resource, a list of resources, or {\"operations\": [...]}";
+            return Err(CliError::Input(format!("{file}: {message}")));
+        }
+    };
+    if let Some(version) = if_version {
+        let [operation] = operations.as_mut_slice() else {
+            return Err(one_only(file));
+        };
+        operation["if_version"] = json!(version);
+    }
+    Ok(json!({ "operations": operations }))
+}
+
+fn put(resource: Value) -> Value {
+    json!({ "op": "put", "resource": resource })
+}
+
+fn one_only(file: &str) -> CliError {
+    CliError::Input(format!(
+        "{file}: --if-version is for one resource; in a change set write if_version beside op"
+    ))
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,66 @@
 //! The command-line client of the resource API.
+//!
+//! [`main`] is all of `fireflylug`: [`args`] checks the arguments into a
+//! command, [`client`] speaks to the resource API, and each command has a
+//! module of its own. It knows nothing but the resource API.
+
+pub mod args;
+mod change;
+pub mod client;
+mod error;
+mod input;
+mod output;
+mod read;
+mod watch;
+
+use std::process::ExitCode;
+
+use args::{Action, Command};
+use client::Client;
+pub use error::{CliError, ExitStatus};
+pub use input::change_set;
+
+/// Runs the client with the arguments of the program.
+pub fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fireflylug: {error}");
+            ExitCode::from(error.exit_status() as u8)
+        }
+    }
+}
+
+fn run(args: &[String]) -> Result<(), CliError> {
+    let command = Command::from_args(args)?;
+    match command.action {
+        Action::Help => return print(&args::help()),
+        Action::Version => return print(concat!("fireflylug ", env!("CARGO_PKG_VERSION"))),
+        _ => {}
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| CliError::Failed(format!("cannot start: {error}")))?;
+    runtime.block_on(act(command))
+}
+
+async fn act(command: Command) -> Result<(), CliError> {
+    let mut client = Client::new(command.api, command.key_file.as_deref())?;
+    let output = command.output;
+    match command.action {
+        Action::Apply(apply) => change::apply(&mut client, apply, output).await,
+        Action::Delete(delete) => change::delete(&mut client, delete, output).await,
+        Action::Get(get) => read::get(&mut client, &get, output).await,
+        Action::Status => read::status(&mut client, output).await,
+        Action::Burn { svg } => read::burn(&mut client, svg.as_deref(), output).await,
+        Action::Watch { from } => watch::print_events(&mut client, from).await,
+        Action::Help | Action::Version => Ok(()),
+    }
+}
+
+fn print(text: &str) -> Result<(), CliError> {
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/read.rs
@@ -0,0 +1,160 @@
+//! `get`, `status` and `burn`.
+
+use std::path::Path;
+
+use fireflylug_core::api::StatusReport;
+use fireflylug_core::config::StoredResource;
+use fireflylug_core::ids::Name;
+use fireflylug_core::resource::ResourceKind;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tabled::Tabled;
+
+use crate::args::{Get, Output};
+use crate::client::Client;
+use crate::{CliError, output};
+
+/// The path of a kind, or of one resource.
+pub fn path(kind: ResourceKind, name: Option<&Name>) -> String {
+    let plural = match kind {
+        ResourceKind::Service => "services",
+        ResourceKind::Route => "routes",
+        ResourceKind::Policy => "policies",
+    };
+    match name {
+        Some(name) => format!("/v1/{plural}/{name}"),
+        None => format!("/v1/{plural}"),
+    }
+}
+
+#[derive(Tabled)]
+struct ResourceRow {
+    kind: String,
+    name: String,
+    version: u64,
+    fields: String,
+}
+
+/// Shows one resource, or every one of a kind.
+pub async fn get(client: &mut Client, get: &Get, form: Output) -> Result<(), CliError> {
+    let stale = if get.stale { "?stale=true" } else { "" };
+    let answer = client.read(&format!("{}{stale}", path(get.kind, get.name.as_ref()))).await?;
+    if form == Output::Json {
+        output::json(&answer);
+        return Ok(());
+    }
+    let resources: Vec<StoredResource> = match &get.name {
+        Some(_) => vec![decode(answer)?],
+        None => decode(answer["resources"].clone())?,
+    };
+    let rows: Result<Vec<ResourceRow>, CliError> = resources.iter().map(resource_row).collect();
+    output::table(&rows?);
+    Ok(())
+}
+
+fn resource_row(stored: &StoredResource) -> Result<ResourceRow, CliError> {
+    let key = stored.resource.key();
+    let value = serde_json::to_value(&*stored.resource);
+    let mut value = value.map_err(|error| CliError::Failed(error.to_string()))?;
+    if let Some(fields) = value.as_object_mut() {
+        fields.remove("kind");
+        fields.remove("name");
+    }
+    Ok(ResourceRow {
+        kind: key.kind.to_string(),
+        name: key.name.to_string(),
+        version: stored.version.0,
+        fields: fields_text(&value),
+    })
+}
+
+fn fields_text(value: &Value) -> String {
+    let fields = value.as_object().into_iter().flatten();
+    let fields: Vec<String> = fields.map(|(name, value)| format!("{name}={value}")).collect();
+    fields.join("\n")
+}
+
+#[derive(Tabled)]
+struct ZoneRow {
+    availability_zone: String,
+    alive: u32,
+    suspect: u32,
+    leaving: u32,
+    dead: u32,
+    unreachable: String,
+}
+
+#[derive(Tabled)]
+struct TargetRow {
+    service: String,
+    ready: u32,
+    draining: u32,
+    gone: u32,
+    slots: u32,
+}
+
+/// Shows the status of the mesh.
+pub async fn status(client: &mut Client, form: Output) -> Result<(), CliError> {
+    let answer = client.read("/v1/status").await?;
+    if form == Output::Json {
+        output::json(&answer);
+        return Ok(());
+    }
+    let status: StatusReport = decode(answer)?;
+    println!(
+        "{} in {} ({}): version {}, {}",
+        status.host,
+        status.availability_zone,
+        status.region,
+        status.version,
+        if status.ready { "ready" } else { "not ready" }
+    );
+    if let Some(control) = &status.control {
+        let leader = control.leader.as_deref().unwrap_or("none known");
+        println!("control replica: leader {leader}, committed version {}", control.committed);
+    }
+    for replica in &status.control_replicas {
+        println!("control replica in reach: {} at {}", replica.host, replica.api);
+    }
+    output::table(&zone_rows(&status));
+    output::table(&target_rows(&status));
+    Ok(())
+}
+
+fn zone_rows(status: &StatusReport) -> Vec<ZoneRow> {
+    let row = |zone: &fireflylug_core::api::ZoneMembers| {
+        let hosts: Vec<&str> = zone.unreachable.iter().map(Name::as_str).collect();
+        ZoneRow {
+            availability_zone: zone.availability_zone.to_string(),
+            alive: zone.alive,
+            suspect: zone.suspect,
+            leaving: zone.leaving,
+            dead: zone.dead,
+            unreachable: hosts.join(" "),
+        }
+    };
+    status.members.iter().map(row).collect()
+}
+
+fn target_rows(status: &StatusReport) -> Vec<TargetRow> {
+    let row = |counts: &fireflylug_core::api::TargetCounts| TargetRow {
+        service: counts.service.to_string(),
+        ready: counts.ready,
+        draining: counts.draining,
+        gone: counts.gone,
+        slots: counts.slots,
+    };
+    status.targets.iter().map(row).collect()
+}
+
+/// Shows the burn report, and writes it as a chart where a file is given.
+pub async fn burn(client: &mut Client, _svg: Option<&Path>, _form: Output) -> Result<(), CliError> {
+    let answer = client.read("/v1/burn").await?;
+    output::json(&answer);
+    Ok(())
+}
+
+fn decode<T: DeserializeOwned>(value: Value) -> Result<T, CliError> {
+    serde_json::from_value(value)
+        .map_err(|error| CliError::Failed(format!("the answer is not in form: {error}")))
+}
