--- /dev/null
+++ b/crates/daemon/tests/calls/answers.rs
@@ -0,0 +1,111 @@
+//! Answers are whole or visibly cut; hang-ups reach the target.
+
+use std::time::Duration;
+
+use fireflylug_fault::{HttpClient, ResetStage, TargetOptions};
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::fixture::{exchange, mesh, raw_target, target, until};
+
+#[rstest]
+#[case::through_the_ingress(0)]
+#[case::at_the_owner(1)]
+#[tokio::test]
+async fn a_large_answer_arrives_whole(#[case] ingress: usize) {
+    let target = target(TargetOptions::new().with_body_bytes(3_000_000)).await;
+    let mesh = mesh(&[target.address()]).await;
+
+    let body = vec![b'q'; 200_000];
+    let client = HttpClient::new();
+    let answer = client.send(mesh.calls(ingress), "POST /sheets", &[], body).await.unwrap();
+
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body.len(), 3_000_000);
+    assert_eq!(answer.header("fireflylug-outcome"), "ran");
+    assert_eq!(answer.header("fireflylug-load"), "");
+}
+
+#[tokio::test]
+async fn a_cut_answer_of_known_length_is_visibly_cut() {
+    let options =
+        TargetOptions::new().with_body_bytes(3_000_000).with_reset_at(ResetStage::MidBody);
+    let target = target(options).await;
+    let mesh = mesh(&[target.address()]).await;
+
+    let answer = HttpClient::new().send(mesh.calls(0), "GET /sheets", &[], "").await;
+
+    assert!(answer.is_err());
+}
+
+#[tokio::test]
+async fn a_cut_answer_of_unknown_length_has_no_end() {
+    let cut = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nseats\r\n";
+    let mesh = mesh(&[raw_target(cut).await]).await;
+
+    let answer = exchange(mesh.calls(0), "GET /sheets HTTP/1.1\r\nhost: x\r\n\r\n").await;
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("seats"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+#[tokio::test]
+async fn headers_of_the_mesh_are_not_passed_on() {
+    let told = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nfireflylug-error: no-route\r\n\
+        fireflylug-outcome: not-run\r\nconnection: x-own\r\nx-own: 1\r\n\r\nok";
+    let mesh = mesh(&[raw_target(told).await]).await;
+
+    let request = "GET /sheets HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let answer = exchange(mesh.calls(0), request).await;
+
+    assert!(answer.contains("fireflylug-outcome: ran"), "{answer}");
+    assert!(!answer.contains("fireflylug-error"), "{answer}");
+    assert!(!answer.contains("x-own"), "{answer}");
+    assert!(answer.ends_with("ok"), "{answer}");
+}
+
+#[rstest]
+#[case::before_the_answer(TargetOptions::new().with_service_time_us(60_000_000))]
+#[case::during_the_answer(TargetOptions::new().with_body_bytes(200_000_000))]
+#[tokio::test]
+async fn a_caller_that_hangs_up_frees_the_slot(#[case] options: TargetOptions) {
+    let target = target(options).await;
+    let mesh = mesh(&[target.address()]).await;
+    let mut caller = TcpStream::connect(mesh.calls(0)).await.unwrap();
+    caller.write_all(b"GET /sheets HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+    until("the call is in flight", || in_flight(&mesh, 1) == 1).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    drop(caller);
+
+    until("both proxies forgot the call", || in_flight(&mesh, 0) + in_flight(&mesh, 1) == 0).await;
+    until("the target stopped", || target.running() == 0).await;
+}
+
+fn in_flight(mesh: &fireflylug_measure::calls::mesh::Mesh, index: usize) -> usize {
+    mesh.daemon(index).runtime().inspect(|state| state.routing().in_flight())
+}
+
+#[tokio::test]
+async fn answers_of_concurrent_calls_are_not_mixed_up() {
+    let target = target(TargetOptions::new().with_slots(50)).await;
+    let mesh = mesh(&[target.address()]).await;
+    let client = HttpClient::new();
+
+    let calls = (0..200).map(|index| {
+        let (client, address) = (client.clone(), mesh.calls(0));
+        tokio::spawn(async move {
+            let id = format!("call-{index}");
+            let headers = [("x-request-id", id.as_str())];
+            client.send(address, "GET /sheets", &headers, "").await.map(|a| a.status.as_u16())
+        })
+    });
+    let statuses = futures_util::future::join_all(calls).await;
+
+    let count = |wanted| statuses.iter().filter(|s| matches!(s, Ok(Ok(s)) if *s == wanted)).count();
+    assert_eq!(count(200) + count(503), 200, "{statuses:?}");
+    assert_eq!(target.total_runs(), count(200) as u64);
+    assert!(target.max_running() <= 12);
+}
--- /dev/null
+++ b/crates/daemon/tests/calls/fixture.rs
@@ -0,0 +1,80 @@
+//! Meshes, targets and raw connections for the tests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fireflylug_core::resource::{Policy, Repeatable, Resource, Route, Service};
+use fireflylug_fault::{TargetOptions, TargetStandIn};
+use fireflylug_measure::calls::mesh::{Announced, Mesh, name};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Service `seatdesk` under `/`, and `/pay` whose calls may never be repeated.
+pub fn resources() -> Vec<Resource> {
+    let pay = Policy::new(name("pay")).with_repeatable(Repeatable::Never);
+    vec![
+        Resource::Policy(pay),
+        Resource::Service(Service::new(name("seatdesk"))),
+        Resource::Route(Route::new(name("look"), "/", name("seatdesk"))),
+        Resource::Route(Route::new(name("pay"), "/pay", name("seatdesk")).with_policy(name("pay"))),
+    ]
+}
+
+/// A mesh of an ingress without targets and an owner of each given target.
+pub async fn mesh(targets: &[SocketAddr]) -> Mesh {
+    let mut mesh = Mesh::start(1 + targets.len()).await.expect("the daemons start");
+    mesh.configure(resources());
+    for (index, address) in targets.iter().enumerate() {
+        let id = format!("t{index}");
+        mesh.announce(1 + index, Announced::new("seatdesk", &id, *address));
+    }
+    mesh.wait_for_targets(targets.len()).await.expect("the targets are known");
+    mesh
+}
+
+pub async fn target(options: TargetOptions) -> TargetStandIn {
+    TargetStandIn::start(options).await.expect("the target starts")
+}
+
+/// Waits for a condition, for at most ten seconds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let wait = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(10), wait).await;
+    waited.unwrap_or_else(|_| panic!("it did not come about that {what}"));
+}
+
+/// Sends bytes and reads until the other end closes the connection.
+pub async fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("the proxy accepts");
+    stream.write_all(request.as_bytes()).await.expect("the proxy reads");
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut answer));
+    // A reset after some bytes is one way to see that an answer is cut.
+    let _ = read.await.expect("the proxy closes the connection");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A target that writes `answer` to each request and closes the connection.
+pub async fn raw_target(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("the proxy connects");
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// An address where nothing listens.
+pub async fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+    listener.local_addr().expect("the listener has an address")
+}
--- /dev/null
+++ b/crates/daemon/tests/calls/stops.rs
@@ -0,0 +1,72 @@
+//! Graceful stops and proxies that hold no configuration.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+use fireflylug_fault::{HttpClient, TargetOptions};
+use fireflylug_measure::calls::mesh::Mesh;
+
+use crate::fixture::{mesh, target, until};
+
+#[tokio::test]
+async fn a_proxy_without_configuration_runs_nothing() {
+    let mesh = Mesh::start(1).await.unwrap();
+
+    let answer = HttpClient::new().send(mesh.calls(0), "POST /pay", &[], "fee").await.unwrap();
+
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("fireflylug-outcome"), "not-run");
+    assert_eq!(answer.header("fireflylug-error"), "no-configuration");
+    assert_eq!(answer.header("retry-after"), "1");
+}
+
+#[tokio::test]
+async fn a_stop_of_the_owner_ends_no_call_in_flight() {
+    let options = TargetOptions::new().with_service_time_us(1_500_000).with_body_bytes(500_000);
+    let target = target(options).await;
+    let mut mesh = mesh(&[target.address()]).await;
+    let address = mesh.calls(0);
+    let call =
+        tokio::spawn(async move { HttpClient::new().send(address, "GET /sheets", &[], "").await });
+    until("the call runs", || target.running() == 1).await;
+
+    let finished = mesh.daemons[1].take().unwrap().stop().await;
+
+    assert!(finished);
+    assert_eq!(call.await.unwrap().unwrap().body.len(), 500_000);
+}
+
+#[tokio::test]
+async fn stops_under_load_cut_and_refuse_nothing() {
+    let (one, two) = (target(TargetOptions::new()).await, target(TargetOptions::new()).await);
+    let mut mesh = mesh(&[one.address(), two.address()]).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let done = Arc::new(AtomicU32::new(0));
+    let caller = {
+        let (stop, done, address) = (Arc::clone(&stop), Arc::clone(&done), mesh.calls(0));
+        tokio::spawn(async move {
+            let client = HttpClient::new();
+            let mut bad = Vec::new();
+            while !stop.load(Ordering::Relaxed) {
+                match client.send(address, "POST /pay", &[], "fee").await {
+                    Ok(answer) if answer.status == 200 => _ = done.fetch_add(1, Ordering::Relaxed),
+                    Ok(answer) => bad.push(answer.text()),
+                    Err(error) => bad.push(error.to_string()),
+                }
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+            bad
+        })
+    };
+    until("calls run", || done.load(Ordering::Relaxed) > 50).await;
+
+    let finished = mesh.daemons[1].take().unwrap().stop().await;
+    let after = done.load(Ordering::Relaxed);
+    until("calls go on", || done.load(Ordering::Relaxed) > after + 50).await;
+    stop.store(true, Ordering::Relaxed);
+
+    assert!(finished);
+    assert_eq!(caller.await.unwrap(), Vec::<String>::new());
+    assert_eq!(one.total_runs() + two.total_runs(), u64::from(done.load(Ordering::Relaxed)));
+}
--- /dev/null
+++ b/crates/measure/src/calls/mesh.rs
@@ -0,0 +1,195 @@
+//! A small mesh in one program: daemons, targets and a configuration.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{WrapErr, eyre};
+use fireflylug_core::Event;
+use fireflylug_core::api::ApiRequest;
+use fireflylug_core::config::StoredResource;
+use fireflylug_core::distribution::DistributionMessage;
+use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, TargetId, Version};
+use fireflylug_core::membership::TargetAnnouncement;
+use fireflylug_core::resource::Resource;
+use fireflylug_daemon::Daemon;
+use fireflylug_settings::Settings;
+
+/// Time for every daemon to learn what another was told.
+const SETTLE_LIMIT: Duration = Duration::from_secs(10);
+/// Time between looks at whether they have.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Lease of announced targets, in milliseconds: no test lasts longer.
+const LEASE_MS: u32 = 600_000;
+
+/// Daemons that know each other.
+#[derive(Default)]
+pub struct Mesh {
+    /// The daemons, in the order of their start. Absent once stopped.
+    pub daemons: Vec<Option<Daemon>>,
+    version: Version,
+    resources: Vec<StoredResource>,
+    announced: Vec<TargetAnnouncement>,
+}
+
+/// A target to announce.
+#[derive(Clone, Copy, Debug)]
+pub struct Announced<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Id of the target.
+    pub id: &'a str,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes at once.
+    pub connections: u32,
+}
+
+impl<'a> Announced<'a> {
+    /// Makes an announcement with 12 slots and 120 connections.
+    pub fn new(service: &'a str, id: &'a str, address: SocketAddr) -> Self {
+        Self { service, id, address, slots: 12, connections: 120 }
+    }
+
+    /// Sets the calls and the connections that the target takes at once.
+    pub fn with_limits(mut self, slots: u32, connections: u32) -> Self {
+        self.slots = slots;
+        self.connections = connections;
+        self
+    }
+}
+
+/// Makes a name that is known to be in form.
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("the name is in form")
+}
+
+impl Mesh {
+    /// Starts `count` daemons in one availability zone and waits until they know each other.
+    pub async fn start(count: usize) -> eyre::Result<Self> {
+        let mut mesh = Self::default();
+        for _ in 0..count {
+            mesh.add_daemon().await?;
+        }
+        mesh.wait_for_members().await?;
+        Ok(mesh)
+    }
+
+    /// Starts one more daemon, or in the place of one that was stopped.
+    pub async fn add_daemon(&mut self) -> eyre::Result<()> {
+        let place = self.daemons.iter().position(Option::is_none);
+        let index = place.unwrap_or(self.daemons.len());
+        let locality = Locality { region: name("kochi"), availability_zone: name("kochi-aluva") };
+        let seeds = self.running().map(|daemon| daemon.addresses().peers).collect();
+        let settings =
+            Settings::loopback(name(&format!("host-{index}")), locality).with_seeds(seeds);
+        let daemon = Daemon::start(settings).await?;
+        match place {
+            Some(place) => self.daemons[place] = Some(daemon),
+            None => self.daemons.push(Some(daemon)),
+        }
+        Ok(())
+    }
+
+    /// The daemons that run.
+    pub fn running(&self) -> impl Iterator<Item = &Daemon> {
+        self.daemons.iter().flatten()
+    }
+
+    /// A daemon that runs.
+    pub fn daemon(&self, index: usize) -> &Daemon {
+        self.daemons[index].as_ref().expect("the daemon runs")
+    }
+
+    /// Where a daemon takes calls.
+    pub fn calls(&self, index: usize) -> SocketAddr {
+        self.daemon(index).addresses().calls
+    }
+
+    /// Brings a configuration into force at every daemon, as a committed version.
+    pub fn configure(&mut self, resources: impl IntoIterator<Item = Resource>) {
+        self.version = self.version.next();
+        let version = self.version;
+        let stored = |resource| StoredResource { version, resource: Arc::new(resource) };
+        self.resources = resources.into_iter().map(stored).collect();
+        self.running().for_each(|daemon| self.install(daemon));
+    }
+
+    /// Brings the configuration into force at one daemon.
+    pub fn install(&self, daemon: &Daemon) {
+        let snapshot = DistributionMessage::Snapshot {
+            version: self.version,
+            resources: self.resources.clone(),
+        };
+        let from = NodeId::of_host(&name("source"));
+        daemon.runtime().submit(Event::PeerMessage { from, message: snapshot.into() });
+    }
+
+    /// Announces a target at the daemon of its host.
+    pub fn announce(&mut self, index: usize, target: Announced<'_>) {
+        let announcement = TargetAnnouncement {
+            target: TargetId { service: name(target.service), id: name(target.id) },
+            address: target.address,
+            slots: target.slots,
+            connections: target.connections,
+            lease_ms: LEASE_MS,
+            load_percent: None,
+            draining: false,
+        };
+        self.tell(index, ApiRequest::Announce(announcement.clone()));
+        self.announced.push(announcement);
+    }
+
+    /// Announces again, at a daemon that was started again, what had this id.
+    pub fn announce_again(&self, index: usize, id: &str, draining: bool) {
+        let known = self.announced.iter().find(|known| known.target.id.as_str() == id);
+        if let Some(known) = known {
+            let announcement = TargetAnnouncement { draining, ..known.clone() };
+            self.tell(index, ApiRequest::Announce(announcement));
+        }
+    }
+
+    fn tell(&self, index: usize, body: ApiRequest) {
+        let request = RequestId(u64::MAX);
+        self.daemon(index).runtime().submit(Event::ApiRequest { request, body });
+    }
+
+    /// Waits until every daemon knows every other.
+    pub async fn wait_for_members(&self) -> eyre::Result<()> {
+        let count = self.running().count();
+        self.wait_until("every daemon knows every other", |daemon| {
+            let alive = |member: &&fireflylug_core::membership::Member| {
+                member.status == fireflylug_core::membership::MemberStatus::Alive
+            };
+            daemon
+                .runtime()
+                .inspect(|state| state.membership().members().filter(alive).count() == count)
+        })
+        .await
+    }
+
+    /// Waits until every daemon knows this many targets.
+    pub async fn wait_for_targets(&self, count: usize) -> eyre::Result<()> {
+        self.wait_until("every daemon knows every target", |daemon| {
+            daemon.runtime().inspect(|state| state.routing().metrics().targets.len() == count)
+        })
+        .await
+    }
+
+    /// Waits until `holds` for every daemon.
+    pub async fn wait_until(
+        &self,
+        what: &str,
+        holds: impl Fn(&Daemon) -> bool,
+    ) -> eyre::Result<()> {
+        let wait = async {
+            while !self.running().all(&holds) {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let waited = tokio::time::timeout(SETTLE_LIMIT, wait).await;
+        waited.wrap_err_with(|| eyre!("it did not come about that {what}"))
+    }
+}
