--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -3,10 +3,15 @@
 //! A [`Configuration`] is immutable once made; a change set makes the next
 //! version of it, whole, or fails with every [`Finding`].
 
+mod apply;
 mod change;
 mod configuration;
 mod finding;
+mod validate;
 
 pub use change::{ChangeRequest, ChangeSet, Operation};
 pub use configuration::{Configuration, StoredResource};
 pub use finding::{Finding, FindingCode};
+pub use validate::{
+    MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HOST_BYTES, MAX_PATH_PREFIX_BYTES, MAX_QUEUED, MAX_TIME_MS,
+};
--- /dev/null
+++ b/crates/core/src/config/validate.rs
@@ -0,0 +1,224 @@
+//! Checks of the fields of resources and of the references between them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
+
+use compact_str::CompactString;
+
+use super::{ChangeSet, Finding, FindingCode, Operation, StoredResource};
+use crate::ids::Name;
+use crate::resource::{Objective, Policy, Resource, ResourceKey, ResourceKind, Route, Service};
+
+/// Longest path prefix, in bytes.
+pub const MAX_PATH_PREFIX_BYTES: usize = 256;
+
+/// Longest host of a route, in bytes.
+pub const MAX_HOST_BYTES: usize = 253;
+
+/// Longest time that a resource may name, in milliseconds.
+pub const MAX_TIME_MS: u32 = 3_600_000;
+
+/// Most attempts of one call.
+pub const MAX_ATTEMPTS: u8 = 16;
+
+/// Longest queue of one target.
+pub const MAX_QUEUED: u32 = 100_000;
+
+/// Largest limit of a request body, in bytes.
+pub const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
+
+/// Parts per million that make a whole.
+const PPM: u32 = 1_000_000;
+
+type Resources = BTreeMap<ResourceKey, StoredResource>;
+
+/// Checks each field of each put by itself.
+pub(super) fn check_fields(changes: &ChangeSet, findings: &mut Vec<Finding>) {
+    for (at, operation) in changes.operations.iter().enumerate() {
+        let Operation::Put { resource, .. } = operation else { continue };
+        let mut fields = Fields { at, findings };
+        match resource {
+            Resource::Service(service) => fields.check_service(service),
+            Resource::Route(route) => fields.check_route(route),
+            Resource::Policy(policy) => fields.check_policy(policy),
+        }
+    }
+}
+
+/// Checks that what the change set puts refers to what exists afterwards, and
+/// that nothing refers to what it deletes.
+pub(super) fn check_references(changes: &ChangeSet, next: &Resources, findings: &mut Vec<Finding>) {
+    let mut deleted = BTreeMap::new();
+    for (at, operation) in changes.operations.iter().enumerate() {
+        match operation {
+            Operation::Put { resource, .. } => {
+                for (field, key) in references(resource) {
+                    if !next.contains_key(&key) {
+                        findings.push(Finding::new(
+                            FindingCode::Dangling,
+                            format!("operations[{at}].resource.{field}"),
+                            format!("{key} does not exist; put it in the same change set"),
+                        ));
+                    }
+                }
+            }
+            Operation::Delete { resource, .. } => {
+                deleted.insert(resource.clone(), at);
+            }
+        }
+    }
+    if !deleted.is_empty() {
+        check_deleted(changes, next, &deleted, findings);
+    }
+}
+
+fn check_deleted(
+    changes: &ChangeSet,
+    next: &Resources,
+    deleted: &BTreeMap<ResourceKey, usize>,
+    findings: &mut Vec<Finding>,
+) {
+    // A put that refers to a deleted resource has its own finding.
+    let touched: BTreeSet<_> = changes.operations.iter().map(Operation::key).collect();
+    for (key, stored) in next.iter().filter(|(key, _)| !touched.contains(*key)) {
+        for (_, referred) in references(&stored.resource) {
+            if let Some(at) = deleted.get(&referred) {
+                findings.push(Finding::new(
+                    FindingCode::Dangling,
+                    format!("operations[{at}].resource"),
+                    format!("{key} still refers to {referred}; change or delete it too"),
+                ));
+            }
+        }
+    }
+}
+
+/// Checks that no two routes match the same host and path prefix.
+pub(super) fn check_routes(changes: &ChangeSet, next: &Resources, findings: &mut Vec<Finding>) {
+    let puts_route = |operation: &&Operation| {
+        matches!(operation, Operation::Put { resource: Resource::Route(_), .. })
+    };
+    if !changes.operations.iter().any(|operation| puts_route(&operation)) {
+        return;
+    }
+    let mut matches: BTreeMap<(Option<&str>, &str), Vec<&Name>> = BTreeMap::new();
+    for stored in next.values() {
+        if let Resource::Route(route) = &*stored.resource {
+            matches.entry(matched(route)).or_default().push(&route.name);
+        }
+    }
+    for (at, operation) in changes.operations.iter().enumerate() {
+        let Operation::Put { resource: Resource::Route(route), .. } = operation else { continue };
+        let same = matches.get(&matched(route)).into_iter().flatten();
+        for other in same.filter(|name| ***name != route.name) {
+            findings.push(Finding::new(
+                FindingCode::Duplicate,
+                format!("operations[{at}].resource.path_prefix"),
+                format!("route/{other} has the same host and path prefix; change one of them"),
+            ));
+        }
+    }
+}
+
+fn matched(route: &Route) -> (Option<&str>, &str) {
+    (route.host.as_deref(), route.path_prefix.as_str())
+}
+
+/// The resources that a resource refers to, each with the field that does.
+fn references(resource: &Resource) -> Vec<(&'static str, ResourceKey)> {
+    let policy = |name: &Option<Name>| {
+        let name = name.clone()?;
+        Some(("policy", ResourceKey { kind: ResourceKind::Policy, name }))
+    };
+    match resource {
+        Resource::Service(service) => policy(&service.policy).into_iter().collect(),
+        Resource::Route(route) => {
+            let name = route.service.clone();
+            let service = ("service", ResourceKey { kind: ResourceKind::Service, name });
+            std::iter::once(service).chain(policy(&route.policy)).collect()
+        }
+        Resource::Policy(_) => Vec::new(),
+    }
+}
+
+/// Gathers the findings of one put.
+struct Fields<'a> {
+    at: usize,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl Fields<'_> {
+    fn check_service(&mut self, service: &Service) {
+        self.check_range("retry_budget_percent", service.retry_budget_percent, 0..=100);
+        self.check_range("max_ejected_percent", service.max_ejected_percent, 0..=100);
+        self.check_range("slow_start_ms", service.slow_start_ms, 0..=MAX_TIME_MS);
+    }
+
+    fn check_route(&mut self, route: &Route) {
+        if let Some(host) = &route.host
+            && !is_host(host)
+        {
+            let remedy = "use lower-case labels of a-z, 0-9 and '-' with dots between, and no port";
+            self.add("host", format!("host {host:?} is out of form: {remedy}"));
+        }
+        if !is_path_prefix(&route.path_prefix) {
+            let prefix: CompactString =
+                route.path_prefix.chars().take(MAX_PATH_PREFIX_BYTES).collect();
+            let remedy = "start it with '/', end it without (but for '/' itself), and use no \
+                          empty, '.' or '..' segment, query or fragment";
+            self.add("path_prefix", format!("path prefix {prefix:?} is out of form: {remedy}"));
+        }
+    }
+
+    fn check_policy(&mut self, policy: &Policy) {
+        self.check_range("deadline_ms", policy.deadline_ms, 1..=MAX_TIME_MS);
+        self.check_range("max_attempts", policy.max_attempts, 1..=MAX_ATTEMPTS);
+        self.check_range("max_queued", policy.max_queued, 0..=MAX_QUEUED);
+        self.check_range("max_body_bytes", policy.max_body_bytes, 0..=MAX_BODY_BYTES);
+        if let Some(objective) = &policy.objective {
+            self.check_objective(objective);
+        }
+    }
+
+    fn check_objective(&mut self, objective: &Objective) {
+        // A whole objective would leave no budget to burn.
+        let share = 1..=PPM - 1;
+        self.check_range("objective.availability_ppm", objective.availability_ppm, share.clone());
+        self.check_range("objective.latency_ppm", objective.latency_ppm, share);
+        self.check_range("objective.latency_ms", objective.latency_ms, 1..=MAX_TIME_MS);
+    }
+
+    fn check_range<T>(&mut self, field: &str, value: T, range: RangeInclusive<T>)
+    where
+        T: PartialOrd + std::fmt::Display,
+    {
+        if !range.contains(&value) {
+            let (least, most) = (range.start(), range.end());
+            self.add(field, format!("{field} is {value}; use {least} to {most}"));
+        }
+    }
+
+    fn add(&mut self, field: &str, message: String) {
+        let place = format!("operations[{}].resource.{field}", self.at);
+        self.findings.push(Finding::new(FindingCode::OutOfRange, place, message));
+    }
+}
+
+fn is_host(host: &str) -> bool {
+    let is_label = |label: &str| {
+        !label.is_empty()
+            && !label.starts_with('-')
+            && !label.ends_with('-')
+            && label.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+    };
+    host.len() <= MAX_HOST_BYTES && host.split('.').all(is_label)
+}
+
+fn is_path_prefix(prefix: &str) -> bool {
+    let is_segment = |segment: &str| {
+        !matches!(segment, "" | "." | "..")
+            && segment.bytes().all(|b| b.is_ascii_graphic() && b != b'?' && b != b'#')
+    };
+    let Some(path) = prefix.strip_prefix('/') else { return false };
+    prefix.len() <= MAX_PATH_PREFIX_BYTES && (path.is_empty() || path.split('/').all(is_segment))
+}
--- /dev/null
+++ b/crates/core/src/consensus/election.rs
@@ -0,0 +1,217 @@
+//! Elections: pre-vote, votes, and handing the lead over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::entry::{Payload, Voter};
+use super::message::{ConsensusMessage, VoteRequest, VoteResponse};
+use super::peer::Peer;
+use super::replica::ControlReplica;
+use super::role::{Leadership, Role};
+use super::{ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_INTERVAL_MS};
+use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
+use crate::ids::NodeId;
+
+impl ControlReplica {
+    /// No leader was heard from in time.
+    pub(super) fn campaign(&mut self, cx: &mut Context<'_>) {
+        self.leader = None;
+        let me = self.me(cx);
+        if !self.is_voter(me) {
+            self.role = Role::Follower;
+            self.role_deadline = self.election_deadline(cx);
+            self.greet_in_time(cx);
+            return;
+        }
+        self.role = Role::PreCandidate(BTreeSet::from([me]));
+        self.role_deadline = self.election_deadline(cx);
+        self.ask_for_votes(cx, true, false);
+        self.elect_when_granted(cx);
+    }
+
+    /// The leader stops and asks this replica to take over.
+    pub(super) fn take_campaign(&mut self, cx: &mut Context<'_>, from: NodeId, term: u64) {
+        let me = self.me(cx);
+        if term == self.hard_state.term && self.leader == Some(from) && self.is_voter(me) {
+            self.start_election(cx, true);
+        }
+    }
+
+    /// Asks the most advanced voter to take over.
+    pub(super) fn hand_over(&mut self, cx: &mut Context<'_>) {
+        let term = self.hard_state.term;
+        let Role::Leader(leadership) = &self.role else { return };
+        let voters = self.newest_voters();
+        let may_lead = |node: &NodeId, peer: &Peer| {
+            voters.disk_of(*node).is_some_and(|disk| peer.is_with(disk))
+        };
+        let best = leadership
+            .peers
+            .iter()
+            .filter(|(node, peer)| may_lead(node, peer))
+            .max_by_key(|(_, peer)| (peer.match_index, peer.heard_at));
+        if let Some((node, _)) = best {
+            let node = *node;
+            cx.log(LogLevel::Info, LogPart::Consensus, format!("Hands the lead over to {node}."));
+            cx.send(node, ConsensusMessage::Campaign { term });
+        }
+    }
+
+    fn start_election(&mut self, cx: &mut Context<'_>, transfer: bool) {
+        self.leader = None;
+        let term = self.hard_state.term + 1;
+        self.set_hard_state(cx, term, Some(cx.me.id));
+        self.role = Role::Candidate(BTreeSet::new());
+        self.role_deadline = self.election_deadline(cx);
+        self.ask_for_votes(cx, false, transfer);
+    }
+
+    fn ask_for_votes(&self, cx: &mut Context<'_>, pre: bool, transfer: bool) {
+        let request = VoteRequest {
+            term: self.hard_state.term + u64::from(pre),
+            pre,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        };
+        let sets = self.counting_sets().flat_map(|set| set.voters());
+        let nodes: BTreeSet<_> = sets.map(|voter| voter.node).collect();
+        for node in nodes.into_iter().filter(|node| *node != cx.me.id) {
+            cx.send(node, ConsensusMessage::VoteRequest(request.clone()));
+        }
+    }
+
+    pub(super) fn take_vote_request(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: NodeId,
+        request: VoteRequest,
+    ) {
+        if matches!(self.role, Role::Blank(_)) {
+            return;
+        }
+        if request.pre {
+            let granted = request.term > self.hard_state.term
+                && self.is_up_to_date(&request)
+                && !self.has_live_leader(cx);
+            let term = if granted { request.term } else { self.hard_state.term };
+            self.answer_vote(cx, from, term, true, granted);
+            return;
+        }
+        if request.term > self.hard_state.term {
+            // A leader that still has its quorum yields only where it asked for the election.
+            if self.has_live_leader(cx) && !request.transfer {
+                return;
+            }
+            self.follow(cx, request.term, None);
+        }
+        let is_free = matches!(self.role, Role::Follower)
+            && self.hard_state.vote.is_none_or(|candidate| candidate == from);
+        let granted = request.term == self.hard_state.term
+            && self.leader.is_none()
+            && is_free
+            && self.is_up_to_date(&request);
+        if granted {
+            if self.hard_state.vote.is_none() {
+                self.set_hard_state(cx, request.term, Some(from));
+            }
+            self.role_deadline = self.election_deadline(cx);
+        }
+        self.answer_vote(cx, from, self.hard_state.term, false, granted);
+    }
+
+    fn is_up_to_date(&self, request: &VoteRequest) -> bool {
+        let mine = (self.log.last_term(), self.log.last_index());
+        (request.last_term, request.last_index) >= mine
+    }
+
+    fn has_live_leader(&self, cx: &Context<'_>) -> bool {
+        self.leader.is_some() && cx.now.since_ms(self.current_at(cx.now)) < ELECTION_TIMEOUT_MIN_MS
+    }
+
+    fn answer_vote(
+        &mut self,
+        cx: &mut Context<'_>,
+        to: NodeId,
+        term: u64,
+        pre: bool,
+        granted: bool,
+    ) {
+        let (disk, generation) = (self.disk, self.generation);
+        let response = VoteResponse { term, pre, granted, disk, generation };
+        self.unsent_votes.push_back((self.storage.hard_state_sequence(), to, response));
+        self.send_votes(cx);
+    }
+
+    /// Sends the votes whose promise is synced.
+    pub(super) fn send_votes(&mut self, cx: &mut Context<'_>) {
+        while let Some((sequence, ..)) = self.unsent_votes.front()
+            && self.storage.is_synced(*sequence)
+            && let Some((_, to, response)) = self.unsent_votes.pop_front()
+        {
+            cx.send(to, ConsensusMessage::VoteResponse(response));
+        }
+    }
+
+    pub(super) fn take_vote(&mut self, cx: &mut Context<'_>, from: NodeId, vote: VoteResponse) {
+        if !vote.granted {
+            if vote.term > self.hard_state.term {
+                self.follow(cx, vote.term, None);
+            }
+            return;
+        }
+        let asked_term = self.hard_state.term + u64::from(vote.pre);
+        let voter = Voter { node: from, disk: vote.disk };
+        match &mut self.role {
+            Role::PreCandidate(votes) if vote.pre && vote.term == asked_term => {
+                votes.insert(voter);
+            }
+            Role::Candidate(votes) if !vote.pre && vote.term == asked_term => {
+                votes.insert(voter);
+            }
+            _ => return,
+        }
+        self.elect_when_granted(cx);
+    }
+
+    /// The promise to vote for itself is synced.
+    pub(super) fn vote_for_myself(&mut self, cx: &mut Context<'_>) {
+        let me = self.me(cx);
+        if !self.storage.is_hard_state_synced() {
+            return;
+        }
+        if let Role::Candidate(votes) = &mut self.role
+            && votes.insert(me)
+        {
+            self.elect_when_granted(cx);
+        }
+    }
+
+    fn elect_when_granted(&mut self, cx: &mut Context<'_>) {
+        match &self.role {
+            Role::PreCandidate(votes) if self.is_quorum(|voter| votes.contains(voter)) => {
+                self.start_election(cx, false);
+            }
+            Role::Candidate(votes) if self.is_quorum(|voter| votes.contains(voter)) => {
+                self.lead(cx);
+            }
+            _ => {}
+        }
+    }
+
+    fn lead(&mut self, cx: &mut Context<'_>) {
+        let text = format!("Leads in term {}.", self.hard_state.term);
+        cx.log(LogLevel::Info, LogPart::Consensus, text);
+        let next_index = self.log.last_index() + 1;
+        self.leader = Some(cx.me.id);
+        self.role = Role::Leader(Leadership {
+            peers: BTreeMap::new(),
+            first_index: next_index,
+            round: 0,
+            heartbeat_at: cx.now.plus_ms(HEARTBEAT_INTERVAL_MS),
+        });
+        self.update_peers(cx);
+        self.append(cx, Payload::Noop);
+        self.beat(cx);
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/formation.rs
@@ -0,0 +1,121 @@
+//! How the first voters find each other, and how a replica that no leader
+//! knows makes itself known.
+//!
+//! The first voters form a set only once each has heard from every other one
+//! that it is blank and has heard of the same storages. A voter that lost its
+//! storage later therefore cannot form a set of its own: the others answer
+//! that they hold something. It waits for the leader instead.
+
+use std::collections::BTreeSet;
+
+use super::disk::DiskWrite;
+use super::entry::{Voter, VoterSet};
+use super::machine::Machine;
+use super::message::{ConsensusMessage, Hello};
+use super::replica::ControlReplica;
+use super::role::{Formation, Role};
+use super::snapshot::Snapshot;
+use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
+use crate::ids::NodeId;
+
+impl ControlReplica {
+    pub(super) fn begin_formation(&mut self, cx: &mut Context<'_>) {
+        let me = self.me(cx);
+        if self.settings.initial_voters.contains(&me.node) {
+            let mut formation = Formation::default();
+            formation.heard.insert(me.node, me);
+            self.role = Role::Blank(formation);
+        }
+        self.form_when_complete(cx);
+    }
+
+    /// Tells the replicas that may know a leader that this one is here.
+    pub(super) fn greet(&mut self, cx: &mut Context<'_>) {
+        self.delay_hello(cx);
+        let voters = self.newest_voters().voters().iter().map(|voter| voter.node);
+        let known: BTreeSet<_> =
+            voters.chain(self.settings.initial_voters.iter().copied()).chain(self.leader).collect();
+        for node in known.into_iter().filter(|node| *node != cx.me.id) {
+            self.send_hello(cx, node, true);
+        }
+    }
+
+    fn send_hello(&self, cx: &mut Context<'_>, to: NodeId, wants_answer: bool) {
+        let hello = Hello {
+            disk: self.disk,
+            generation: self.generation,
+            blank: matches!(self.role, Role::Blank(_)),
+            wants_answer,
+            leader: self.leader,
+            heard: self.heard(),
+        };
+        cx.send(to, ConsensusMessage::Hello(hello));
+    }
+
+    /// The blank initial voters that this replica knew or formed a set with.
+    fn heard(&self) -> Vec<Voter> {
+        match &self.role {
+            Role::Blank(formation) => formation.heard.values().copied().collect(),
+            // Lets a voter form that missed the last greeting of this one.
+            _ if self.log.base_index() == 0 => self.first_voters.voters().to_vec(),
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn take_hello(&mut self, cx: &mut Context<'_>, from: NodeId, hello: Hello) {
+        if hello.wants_answer {
+            self.send_hello(cx, from, false);
+        }
+        match &mut self.role {
+            Role::Blank(formation) => {
+                if hello.blank && self.settings.initial_voters.contains(&from) {
+                    formation.heard.insert(from, Voter { node: from, disk: hello.disk });
+                }
+                formation.echoed.insert(from, hello.heard);
+                if let Some(leader) = hello.leader
+                    && leader != cx.me.id
+                {
+                    self.leader = Some(leader);
+                }
+                self.form_when_complete(cx);
+            }
+            Role::Leader(_) => self.take_greeting(cx, from, (hello.disk, hello.generation)),
+            Role::Follower | Role::PreCandidate(_) | Role::Candidate(_) => {}
+        }
+    }
+
+    /// Becomes a voter of the first set once all of it agree.
+    fn form_when_complete(&mut self, cx: &mut Context<'_>) {
+        let Role::Blank(formation) = &self.role else { return };
+        let mut initial = self.settings.initial_voters.clone();
+        initial.sort_unstable();
+        initial.dedup();
+        let complete: Vec<Voter> = formation.heard.values().copied().collect();
+        let is_complete = complete.len() == initial.len() && !initial.is_empty();
+        let agrees = |node: &NodeId| {
+            *node == cx.me.id || formation.echoed.get(node).is_some_and(|heard| *heard == complete)
+        };
+        if is_complete && initial.iter().all(agrees) {
+            self.form(cx, VoterSet::new(complete));
+        }
+    }
+
+    fn form(&mut self, cx: &mut Context<'_>, voters: VoterSet) {
+        let text = format!("Forms the first set of {} voters.", voters.voters().len());
+        cx.log(LogLevel::Info, LogPart::Consensus, text);
+        for voter in voters.voters().iter().filter(|voter| voter.node != cx.me.id) {
+            // The others may wait for this last agreement.
+            self.send_hello(cx, voter.node, false);
+        }
+        let snapshot = std::sync::Arc::new(Snapshot::initial(voters.clone()));
+        self.machine = Machine::from_snapshot(&snapshot);
+        self.first_voters = voters;
+        self.storage.write(cx, DiskWrite::Snapshot { snapshot, keep_entries: false });
+        self.role = Role::Follower;
+        self.leader = None;
+        // The first election need not wait for a leader that cannot be there.
+        let alone = self.newest_voters().voters().len() == 1;
+        self.role_deadline = if alone { cx.now } else { self.election_deadline(cx) };
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/leader.rs
@@ -0,0 +1,295 @@
+//! What a leader does: sends entries and heartbeats, commits, and admits
+//! storages that have caught up.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::disk::DiskWrite;
+use super::entry::{DiskId, Entry, Payload, Voter, VoterSet};
+use super::message::{Append, AppendResponse, ConsensusMessage, InstallSnapshot};
+use super::peer::{MAX_APPEND_BYTES, Peer, Sending};
+use super::replica::ControlReplica;
+use super::role::Role;
+use super::{ELECTION_TIMEOUT_MAX_MS, HEARTBEAT_INTERVAL_MS};
+use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
+use crate::ids::NodeId;
+
+/// Most replicas beside the voters to which a leader sends its log.
+const MAX_LEARNERS: usize = 8;
+
+/// Time after which a snapshot without answer is sent again, in milliseconds.
+const SNAPSHOT_RESEND_MS: u64 = 3_000;
+
+impl ControlReplica {
+    /// A heartbeat is due.
+    pub(super) fn lead_on(&mut self, cx: &mut Context<'_>) {
+        if cx.now.since_ms(self.current_at(cx.now)) >= ELECTION_TIMEOUT_MAX_MS {
+            cx.log(LogLevel::Warn, LogPart::Consensus, "Lost touch with a quorum.".to_owned());
+            self.follow(cx, self.hard_state.term, None);
+            return;
+        }
+        self.beat(cx);
+    }
+
+    /// Sends a heartbeat to every replica, with entries where there are any to send.
+    pub(super) fn beat(&mut self, cx: &mut Context<'_>) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        leadership.round += 1;
+        leadership.heartbeat_at = cx.now.plus_ms(HEARTBEAT_INTERVAL_MS);
+        self.role_deadline = leadership.heartbeat_at;
+        let nodes: Vec<_> = leadership.peers.keys().copied().collect();
+        for node in nodes {
+            if !self.send_entries(cx, node) {
+                self.send_append(cx, node, Vec::new(), 0);
+            }
+        }
+    }
+
+    /// Appends an entry to the leader's own log and sends it. Returns its index.
+    pub(super) fn append(&mut self, cx: &mut Context<'_>, payload: Payload) -> u64 {
+        let last_unix_ms = self.log.get(self.log.last_index()).map_or(0, |last| last.unix_ms);
+        let entry = Arc::new(Entry {
+            index: self.log.last_index() + 1,
+            term: self.hard_state.term,
+            unix_ms: cx.me.unix_ms(cx.now).max(last_unix_ms),
+            payload,
+        });
+        let index = entry.index;
+        if let Payload::Voters(voters) = &entry.payload {
+            self.pending_voters.push_back((index, voters.clone()));
+            self.update_peers(cx);
+        }
+        self.log.push(Arc::clone(&entry));
+        self.storage.write(cx, DiskWrite::Append(vec![entry]));
+        self.send_all(cx);
+        index
+    }
+
+    fn send_all(&mut self, cx: &mut Context<'_>) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let nodes: Vec<_> = leadership.peers.keys().copied().collect();
+        for node in nodes {
+            self.send_entries(cx, node);
+        }
+    }
+
+    /// Sends what a replica lacks, as far as it may be sent. Returns whether anything was.
+    fn send_entries(&mut self, cx: &mut Context<'_>, node: NodeId) -> bool {
+        let mut sent = false;
+        loop {
+            let Role::Leader(leadership) = &mut self.role else { return sent };
+            let Some(peer) = leadership.peers.get_mut(&node) else { return sent };
+            if !peer.may_send() || peer.next_index > self.log.last_index() {
+                return sent;
+            }
+            if self.log.term_at(peer.next_index - 1).is_none() {
+                // A snapshot is large: it is sent to a replica that answers.
+                let is_heard = peer.is_heard(cx.now);
+                if is_heard {
+                    self.send_snapshot(cx, node);
+                }
+                return is_heard;
+            }
+            let (entries, bytes) = self.log.slice(peer.next_index, MAX_APPEND_BYTES);
+            self.send_append(cx, node, entries, bytes);
+            sent = true;
+        }
+    }
+
+    fn send_append(
+        &mut self,
+        cx: &mut Context<'_>,
+        node: NodeId,
+        entries: Vec<Arc<Entry>>,
+        bytes: usize,
+    ) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(peer) = leadership.peers.get_mut(&node) else { return };
+        let prev_index = match peer.sending {
+            Sending::Snapshot { resend_at, .. } if resend_at <= cx.now && peer.is_heard(cx.now) => {
+                self.send_snapshot(cx, node);
+                return;
+            }
+            // Follows from every log: keeps the follower from asking for an election.
+            Sending::Snapshot { .. } => 0,
+            Sending::Probe | Sending::Stream => peer.next_index - 1,
+        };
+        let (prev_index, prev_term) = match self.log.term_at(prev_index) {
+            Some(term) => (prev_index, term),
+            None if peer.sending.is_snapshot() || !peer.is_heard(cx.now) => (0, 0),
+            None => {
+                self.send_snapshot(cx, node);
+                return;
+            }
+        };
+        if let Some(last) = entries.last() {
+            peer.sent(last.index, bytes);
+        }
+        let append = Append {
+            term: self.hard_state.term,
+            prev_index,
+            prev_term,
+            commit: self.commit,
+            round: leadership.round,
+            entries,
+        };
+        cx.send(node, ConsensusMessage::Append(append));
+    }
+
+    fn send_snapshot(&mut self, cx: &mut Context<'_>, node: NodeId) {
+        let snapshot = Arc::new(self.machine.to_snapshot());
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(peer) = leadership.peers.get_mut(&node) else { return };
+        peer.wait_for_snapshot(snapshot.index, cx.now.plus_ms(SNAPSHOT_RESEND_MS));
+        let (term, round) = (self.hard_state.term, leadership.round);
+        cx.send(node, ConsensusMessage::Snapshot(InstallSnapshot { term, round, snapshot }));
+    }
+
+    pub(super) fn take_response(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: NodeId,
+        response: AppendResponse,
+    ) {
+        if response.term > self.hard_state.term {
+            self.follow(cx, response.term, None);
+            return;
+        }
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(peer) = leadership.peers.get_mut(&from) else { return };
+        if response.term < self.hard_state.term {
+            return;
+        }
+        peer.set_disk((response.disk, response.generation));
+        peer.heard_at = cx.now;
+        peer.acked_round = peer.acked_round.max(response.round);
+        let mut needs_snapshot = false;
+        match response.rejected {
+            Some(rejected) if rejected.prev_index < peer.match_index => {}
+            // Answers what was sent before the snapshot.
+            Some(_) if peer.sending.is_snapshot() => {}
+            Some(rejected) => match rejected.hint {
+                Some(hint) => {
+                    peer.probe(rejected.prev_index.min(hint + 1));
+                    self.send_append(cx, from, Vec::new(), 0);
+                }
+                None => needs_snapshot = true,
+            },
+            None => {
+                peer.matched(response.match_index);
+                let is_waiting = matches!(peer.sending, Sending::Snapshot { index, .. } if index > peer.match_index);
+                if !is_waiting {
+                    peer.sending = Sending::Stream;
+                }
+            }
+        }
+        if needs_snapshot {
+            self.send_snapshot(cx, from);
+        }
+        self.advance_commit(cx);
+        self.answer_reads(cx);
+        self.send_entries(cx, from);
+        self.admit_when_caught_up(cx, from);
+    }
+
+    /// Commits what a majority has synced.
+    pub(super) fn advance_commit(&mut self, cx: &mut Context<'_>) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let me = self.me(cx);
+        let synced = |voter: &Voter| {
+            if *voter == me {
+                return self.storage.durable_index();
+            }
+            let peer = leadership.peers.get(&voter.node);
+            peer.filter(|peer| peer.is_with(voter.disk)).map_or(0, |peer| peer.match_index)
+        };
+        let index = self.quorum_value(synced);
+        // Entries of older terms are committed by one of this term only.
+        if index <= self.commit || self.log.term_at(index) != Some(self.hard_state.term) {
+            return;
+        }
+        self.commit = index;
+        self.apply_committed(cx);
+        self.beat(cx);
+        self.answer_reads(cx);
+        let is_removed = self.pending_voters.is_empty() && !self.is_voter(me);
+        if is_removed {
+            cx.log(LogLevel::Info, LogPart::Consensus, "Is no voter any more.".to_owned());
+            self.follow(cx, self.hard_state.term, None);
+        }
+    }
+
+    /// Replicates to the voters of the sets that count, and keeps learners.
+    pub(super) fn update_peers(&mut self, cx: &mut Context<'_>) {
+        let sets = self.counting_sets().flat_map(|set| set.voters());
+        let nodes: BTreeSet<_> = sets.map(|voter| voter.node).collect();
+        let next_index = self.log.last_index() + 1;
+        let Role::Leader(leadership) = &mut self.role else { return };
+        for node in nodes.into_iter().filter(|node| *node != cx.me.id) {
+            leadership.peers.entry(node).or_insert_with(|| Peer::new(next_index, cx.now));
+        }
+    }
+
+    /// A replica that follows no leader greeted this one.
+    pub(super) fn take_greeting(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: NodeId,
+        disk: (DiskId, u64),
+    ) {
+        let next_index = self.log.last_index() + 1;
+        let voters = self.newest_voters();
+        let is_voter = voters.disk_of(from).is_some();
+        let voter_count = voters.voters().len();
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let is_known = leadership.peers.contains_key(&from);
+        if !is_known && !is_voter && leadership.peers.len() >= voter_count + MAX_LEARNERS {
+            return;
+        }
+        let peer = leadership.peers.entry(from).or_insert_with(|| Peer::new(next_index, cx.now));
+        if peer.disk != Some(disk) {
+            peer.set_disk(disk);
+            peer.probe(next_index);
+            self.send_append(cx, from, Vec::new(), 0);
+        }
+    }
+
+    /// Lets a voter whose storage was replaced vote again, by an entry, once
+    /// the new storage holds all that is committed.
+    fn admit_when_caught_up(&mut self, cx: &mut Context<'_>, node: NodeId) {
+        let Role::Leader(leadership) = &self.role else { return };
+        let Some(peer) = leadership.peers.get(&node) else { return };
+        let Some((disk, _)) = peer.disk else { return };
+        let voters = self.newest_voters();
+        let is_replaced = voters.disk_of(node).is_some_and(|voting| voting != disk);
+        let is_caught_up = peer.match_index >= self.commit && self.has_committed_in_term();
+        if !is_replaced || !is_caught_up || !self.pending_voters.is_empty() {
+            return;
+        }
+        let next = voters.with_replaced(node, Voter { node, disk });
+        cx.log(LogLevel::Info, LogPart::Consensus, format!("Admits {node} with a new storage."));
+        self.append(cx, Payload::Voters(next));
+    }
+
+    /// Whether an entry of this term is committed, so that the leader knows
+    /// everything that is.
+    pub(super) fn has_committed_in_term(&self) -> bool {
+        matches!(&self.role, Role::Leader(leadership) if self.commit >= leadership.first_index)
+    }
+
+    /// Replaces the voters by an entry. Returns why not where it may not be done now.
+    pub(super) fn append_voters(
+        &mut self,
+        cx: &mut Context<'_>,
+        voters: VoterSet,
+    ) -> Result<u64, &'static str> {
+        if !self.has_committed_in_term() {
+            return Err("this replica is not a leader with a quorum; ask again");
+        }
+        if !self.pending_voters.is_empty() {
+            return Err("another change of the voters is under way; ask again once it is done");
+        }
+        Ok(self.append(cx, Payload::Voters(voters)))
+    }
+}
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -2,24 +2,64 @@
 //!
 //! Elections with pre-vote, majority commit, step-down without a quorum, read
 //! index, snapshots and compaction. An entry counts once it is synced.
+//!
+//! A [`ControlReplica`] is driven by the reducer: it is given messages, disk
+//! events and ticks, and answers with effects and [`ControlOutput`]s. A change
+//! set is validated when its entry is applied, so that every replica comes to
+//! the same outcome and none hangs on the leader of the moment.
 
 mod disk;
+mod election;
+mod entry;
+mod follower;
+mod formation;
+mod leader;
+mod log;
+mod machine;
+mod message;
+mod outcomes;
+mod peer;
+mod proposals;
+mod quorum;
+mod reads;
+mod replica;
+mod role;
+mod snapshot;
+mod status;
+mod storage;
+mod waiting;
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-pub use disk::{DiskCommand, DiskEvent, RecoveredDisk};
+pub use disk::{DiskCommand, DiskEvent, DiskWrite, RecoveredDisk};
+pub use entry::{DiskId, Entry, HardState, Payload, Voter, VoterSet};
+pub use message::{
+    Append, AppendResponse, ConsensusMessage, Hello, InstallSnapshot, Rejected, VoteRequest,
+    VoteResponse,
+};
+pub use outcomes::{MAX_OUTCOME_AGE_MS, MAX_OUTCOMES, OutcomeRecord};
+pub use replica::ControlReplica;
+pub use snapshot::Snapshot;
+pub use status::{ControlRole, ControlStatus};
+pub use waiting::{PROPOSAL_TIMEOUT_MS, READ_TIMEOUT_MS};
 
 use crate::api::ApiError;
-use crate::config::{ChangeRequest, Configuration};
-use crate::context::Context;
+use crate::config::Configuration;
 use crate::ids::{NodeId, RequestId, Version};
-use crate::time::Instant;
 
-/// Messages between control replicas.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum ConsensusMessage {}
+/// Least time without a leader after which a voter asks for an election, in milliseconds.
+pub const ELECTION_TIMEOUT_MIN_MS: u64 = 300;
+
+/// Most time without a leader after which a voter asks for an election, in milliseconds.
+pub const ELECTION_TIMEOUT_MAX_MS: u64 = 600;
+
+/// Time between heartbeats of the leader, in milliseconds.
+pub const HEARTBEAT_INTERVAL_MS: u64 = 100;
+
+/// Time between the greetings of a replica that no leader knows, in milliseconds.
+pub const HELLO_INTERVAL_MS: u64 = 300;
 
 /// Settings of a control replica.
 #[derive(Clone, Debug, Default)]
@@ -54,7 +94,8 @@
 /// What the control replica tells the rest of the reducer.
 #[derive(Clone, Debug)]
 pub enum ControlOutput {
-    /// A version is committed here. Versions come in order, each once.
+    /// A version is committed here. Versions come in order, each once; those
+    /// that a snapshot covers are left out.
     Committed(Arc<Configuration>),
     /// A change that was proposed at this replica has its outcome.
     Outcome(Origin, ChangeOutcome),
@@ -62,62 +103,3 @@
     /// newest committed version, or must be refused as not current.
     Read(Origin, Result<Arc<Configuration>, ApiError>),
 }
-
-/// State of a control replica.
-pub struct ControlReplica {
-    outputs: Vec<ControlOutput>,
-    configuration: Arc<Configuration>,
-}
-
-impl ControlReplica {
-    /// Makes a replica from its settings and what its disk held.
-    pub fn new(_settings: ControlSettings, _recovered: RecoveredDisk, _now: Instant) -> Self {
-        Self { outputs: Vec::new(), configuration: Arc::default() }
-    }
-
-    /// The newest committed configuration that this replica knows.
-    pub fn configuration(&self) -> &Arc<Configuration> {
-        &self.configuration
-    }
-
-    /// The leader that this replica follows, itself included.
-    pub fn leader(&self) -> Option<NodeId> {
-        None
-    }
-
-    /// Proposes a change. The outcome comes as a [`ControlOutput::Outcome`].
-    pub fn propose(&mut self, _cx: &mut Context<'_>, origin: Origin, _change: ChangeRequest) {
-        self.outputs.push(ControlOutput::Outcome(origin, ChangeOutcome::Unknown));
-    }
-
-    /// Asks for a read that is current. Answered by a [`ControlOutput::Read`].
-    pub fn read(&mut self, _cx: &mut Context<'_>, origin: Origin) {
-        self.outputs.push(ControlOutput::Read(origin, Ok(Arc::clone(&self.configuration))));
-    }
-
-    /// Takes what the rest of the reducer must hear.
-    pub fn take_outputs(&mut self) -> Vec<ControlOutput> {
-        std::mem::take(&mut self.outputs)
-    }
-
-    /// When [`ControlReplica::tick`] is due.
-    pub fn next_deadline(&self) -> Instant {
-        Instant::NEVER
-    }
-
-    /// Does what is due.
-    pub fn tick(&mut self, _cx: &mut Context<'_>) {}
-
-    /// A message from another replica.
-    pub fn step(&mut self, _cx: &mut Context<'_>, _from: NodeId, message: ConsensusMessage) {
-        match message {}
-    }
-
-    /// The last connection to another process closed.
-    pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, _peer: NodeId) {}
-
-    /// The disk finished a command, or failed.
-    pub fn disk(&mut self, _cx: &mut Context<'_>, event: DiskEvent) {
-        match event {}
-    }
-}
--- /dev/null
+++ b/crates/core/src/consensus/outcomes.rs
@@ -0,0 +1,116 @@
+//! Outcomes of changes with an idempotency key.
+//!
+//! They are part of the replicated state: every replica keeps the same ones,
+//! so a resend to any leader gets the first outcome.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::ChangeOutcome;
+use crate::api::{ApiError, ErrorCode};
+use crate::collections::HashMap;
+use crate::config::ChangeSet;
+use crate::ids::{ContentHash, IdempotencyKey};
+
+/// Most outcomes that are kept. The oldest goes first.
+pub const MAX_OUTCOMES: usize = 4096;
+
+/// Longest time that an outcome is kept, in milliseconds by the log's time.
+pub const MAX_OUTCOME_AGE_MS: u64 = 24 * 60 * 60 * 1000;
+
+/// Most findings of a refusal that are kept for a resend.
+const MAX_KEPT_FINDINGS: usize = 16;
+
+/// The outcome of one change with a key.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct OutcomeRecord {
+    /// Key of the change.
+    pub key: IdempotencyKey,
+    /// Hash of the change set, so that another one under the same key is noticed.
+    pub hash: ContentHash,
+    /// Unix time of the entry, in milliseconds.
+    pub unix_ms: u64,
+    /// The outcome.
+    pub outcome: ChangeOutcome,
+}
+
+/// Outcomes by key, bounded by [`MAX_OUTCOMES`] and [`MAX_OUTCOME_AGE_MS`].
+#[derive(Clone, Debug, Default)]
+pub(super) struct Outcomes {
+    by_age: VecDeque<Arc<OutcomeRecord>>,
+    by_key: HashMap<IdempotencyKey, Arc<OutcomeRecord>>,
+}
+
+impl Outcomes {
+    pub(super) fn from_records(records: &[OutcomeRecord]) -> Self {
+        let mut outcomes = Self::default();
+        for record in records {
+            outcomes.push(record.clone());
+        }
+        outcomes
+    }
+
+    pub(super) fn to_records(&self) -> Vec<OutcomeRecord> {
+        self.by_age.iter().map(|record| (**record).clone()).collect()
+    }
+
+    /// The outcome that a change set under this key has already, if any.
+    pub(super) fn find(&self, key: &IdempotencyKey, changes: &ChangeSet) -> Option<ChangeOutcome> {
+        let record = self.by_key.get(key)?;
+        if record.hash == hash_of(changes) {
+            return Some(record.outcome.clone());
+        }
+        let message = "the Idempotency-Key was used for another change set; use a new key";
+        Some(ChangeOutcome::Refused(ApiError::new(ErrorCode::Conflict, message)))
+    }
+
+    /// Keeps the outcome of a change set whose entry has this time.
+    pub(super) fn insert(
+        &mut self,
+        key: &IdempotencyKey,
+        changes: &ChangeSet,
+        unix_ms: u64,
+        outcome: &ChangeOutcome,
+    ) {
+        let mut outcome = outcome.clone();
+        if let ChangeOutcome::Refused(error) = &mut outcome {
+            error.findings.truncate(MAX_KEPT_FINDINGS);
+        }
+        self.push(OutcomeRecord { key: key.clone(), hash: hash_of(changes), unix_ms, outcome });
+    }
+
+    /// Drops what is too old at this time of the log.
+    pub(super) fn expire(&mut self, unix_ms: u64) {
+        let is_old = |record: &Arc<OutcomeRecord>| {
+            unix_ms.saturating_sub(record.unix_ms) > MAX_OUTCOME_AGE_MS
+        };
+        while self.by_age.front().is_some_and(is_old) {
+            self.pop();
+        }
+    }
+
+    fn push(&mut self, record: OutcomeRecord) {
+        if self.by_age.len() == MAX_OUTCOMES {
+            self.pop();
+        }
+        let record = Arc::new(record);
+        self.by_key.insert(record.key.clone(), Arc::clone(&record));
+        self.by_age.push_back(record);
+    }
+
+    fn pop(&mut self) {
+        if let Some(record) = self.by_age.pop_front() {
+            self.by_key.remove(&record.key);
+        }
+    }
+}
+
+fn hash_of(changes: &ChangeSet) -> ContentHash {
+    let mut hasher = blake3::Hasher::new();
+    ciborium::into_writer(changes, &mut hasher).expect("a hasher takes every byte");
+    let mut hash = [0; 16];
+    hash.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    ContentHash(hash)
+}
--- /dev/null
+++ b/crates/core/src/consensus/proposals.rs
@@ -0,0 +1,104 @@
+//! Changes that are proposed here, and what becomes of them.
+
+use super::entry::{Payload, Voter};
+use super::replica::ControlReplica;
+use super::role::Role;
+use super::waiting::Proposal;
+use super::{ChangeOutcome, ControlOutput, Origin, PROPOSAL_TIMEOUT_MS};
+use crate::api::{ApiError, ErrorCode};
+use crate::config::ChangeRequest;
+use crate::context::Context;
+use crate::ids::NodeId;
+
+impl ControlReplica {
+    /// Proposes a change. The outcome comes as a [`ControlOutput::Outcome`].
+    ///
+    /// Only a leader takes it; any other replica refuses it and names the leader.
+    pub fn propose(&mut self, cx: &mut Context<'_>, origin: Origin, change: ChangeRequest) {
+        if let Some(error) = self.why_not_leader() {
+            self.output(ControlOutput::Outcome(origin, ChangeOutcome::Refused(error)));
+            return;
+        }
+        let index = self.append(cx, Payload::Change { origin, change });
+        self.wait_for(cx, origin, index);
+    }
+
+    /// Proposes that the storage of one process votes in the place of another's.
+    ///
+    /// The new voter must have caught up as a learner. Where `old` is no
+    /// voter, the new one votes beside the others. The outcome comes as a
+    /// [`ControlOutput::Outcome`].
+    pub fn propose_voters(
+        &mut self,
+        cx: &mut Context<'_>,
+        origin: Origin,
+        old: NodeId,
+        new: NodeId,
+    ) {
+        let refused = match self.why_not_leader() {
+            Some(error) => Err(error),
+            None => self
+                .replace_voter(cx, old, new)
+                .map_err(|message| ApiError::new(ErrorCode::Conflict, message)),
+        };
+        match refused {
+            Ok(index) => self.wait_for(cx, origin, index),
+            Err(error) => {
+                self.output(ControlOutput::Outcome(origin, ChangeOutcome::Refused(error)));
+            }
+        }
+    }
+
+    fn replace_voter(
+        &mut self,
+        cx: &mut Context<'_>,
+        old: NodeId,
+        new: NodeId,
+    ) -> Result<u64, &'static str> {
+        let Role::Leader(leadership) = &self.role else { return Err("this replica is no leader") };
+        let peer = leadership.peers.get(&new);
+        let ready = peer.filter(|peer| peer.match_index >= self.commit);
+        let Some((disk, _)) = ready.and_then(|peer| peer.disk) else {
+            return Err("the new voter has not caught up; start it and ask again");
+        };
+        let voters = self.newest_voters().with_replaced(old, Voter { node: new, disk });
+        self.append_voters(cx, voters)
+    }
+
+    fn why_not_leader(&self) -> Option<ApiError> {
+        let message = match (&self.role, self.leader) {
+            _ if self.storage.has_failed() => {
+                "the disk of this control replica failed; ask another one".to_owned()
+            }
+            (Role::Leader(_), _) => return None,
+            (_, Some(leader)) => format!("this replica follows; ask the leader {leader}"),
+            (_, None) => "no leader is known; ask again in a second".to_owned(),
+        };
+        Some(ApiError::new(ErrorCode::Unavailable, message))
+    }
+
+    fn wait_for(&mut self, cx: &Context<'_>, origin: Origin, index: u64) {
+        let deadline = cx.now.plus_ms(PROPOSAL_TIMEOUT_MS);
+        let key = (index, self.hard_state.term);
+        self.waiting.proposals.insert(key, Proposal { origin, deadline });
+    }
+
+    /// Answers what has waited too long.
+    pub(super) fn give_up_late(&mut self, cx: &mut Context<'_>) {
+        if self.waiting.next_deadline() > cx.now {
+            return;
+        }
+        for origin in self.waiting.take_late_proposals(cx.now) {
+            self.output(ControlOutput::Outcome(origin, ChangeOutcome::Unknown));
+        }
+        self.refuse_late_reads(cx);
+    }
+
+    /// Answers everything that waits: nothing more will be learnt here.
+    pub(super) fn give_up_all(&mut self) {
+        for origin in self.waiting.take_proposals_up_to(u64::MAX - 1) {
+            self.output(ControlOutput::Outcome(origin, ChangeOutcome::Unknown));
+        }
+        self.refuse_remote_reads();
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/reads.rs
@@ -0,0 +1,157 @@
+//! Reads that are current: answered once a quorum has confirmed the leader
+//! and every entry that was committed before the read is applied.
+
+use std::sync::Arc;
+
+use super::message::ConsensusMessage;
+use super::replica::ControlReplica;
+use super::role::Role;
+use super::waiting::{Read, RemoteRead};
+use super::{ControlOutput, Origin, READ_TIMEOUT_MS};
+use crate::api::{ApiError, ErrorCode};
+use crate::context::Context;
+use crate::ids::NodeId;
+
+impl ControlReplica {
+    /// Asks for a read that is current. Answered by a [`ControlOutput::Read`].
+    pub fn read(&mut self, cx: &mut Context<'_>, origin: Origin) {
+        match (&self.role, self.leader) {
+            _ if self.storage.has_failed() => self.refuse_read(origin),
+            (Role::Leader(_), _) => self.queue_read(cx, origin, None),
+            (_, Some(leader)) => {
+                let deadline = cx.now.plus_ms(READ_TIMEOUT_MS);
+                self.waiting.remote_reads.insert(origin, RemoteRead { index: None, deadline });
+                cx.send(leader, ConsensusMessage::ReadRequest { origin });
+            }
+            (_, None) => self.refuse_read(origin),
+        }
+    }
+
+    pub(super) fn take_read_request(&mut self, cx: &mut Context<'_>, from: NodeId, origin: Origin) {
+        if matches!(self.role, Role::Leader(_)) {
+            self.queue_read(cx, origin, Some(from));
+        } else {
+            cx.send(from, ConsensusMessage::ReadResponse { origin, index: None });
+        }
+    }
+
+    pub(super) fn take_read_response(&mut self, origin: Origin, index: Option<u64>) {
+        let Some(read) = self.waiting.remote_reads.get_mut(&origin) else { return };
+        match index {
+            Some(_) => {
+                read.index = index;
+                self.answer_remote_reads();
+            }
+            None => {
+                self.waiting.remote_reads.remove(&origin);
+                self.refuse_read(origin);
+            }
+        }
+    }
+
+    fn queue_read(&mut self, cx: &mut Context<'_>, origin: Origin, follower: Option<NodeId>) {
+        let Role::Leader(leadership) = &self.role else { return };
+        // A heartbeat that was sent before the read proves nothing of it.
+        let round = leadership.round + 1;
+        // Before its first entry is committed, a leader may not know all that is.
+        let index = self.commit.max(leadership.first_index);
+        let deadline = cx.now.plus_ms(READ_TIMEOUT_MS);
+        self.waiting.reads.push_back(Read { origin, follower, index, round, deadline });
+        self.beat(cx);
+        self.answer_reads(cx);
+    }
+
+    /// Answers the reads whose round a quorum has echoed.
+    pub(super) fn answer_reads(&mut self, cx: &mut Context<'_>) {
+        let Role::Leader(leadership) = &self.role else { return };
+        if self.waiting.reads.is_empty() {
+            return;
+        }
+        let me = self.me(cx);
+        let round = self.quorum_value(|voter| {
+            if *voter == me {
+                return u64::MAX;
+            }
+            let peer = leadership.peers.get(&voter.node);
+            peer.filter(|peer| peer.is_with(voter.disk)).map_or(0, |peer| peer.acked_round)
+        });
+        while let Some(read) = self.waiting.reads.front()
+            && read.round <= round
+            && read.index <= self.machine.index()
+            && let Some(read) = self.waiting.reads.pop_front()
+        {
+            let index = Some(read.index);
+            match read.follower {
+                Some(to) => {
+                    cx.send(to, ConsensusMessage::ReadResponse { origin: read.origin, index });
+                }
+                None => self.allow_read(read.origin),
+            }
+        }
+    }
+
+    /// Answers the reads whose entry is applied here.
+    pub(super) fn answer_remote_reads(&mut self) {
+        let applied = self.machine.index();
+        let is_ready = |read: &RemoteRead| read.index.is_some_and(|index| index <= applied);
+        let reads = self.waiting.remote_reads.iter();
+        let ready: Vec<_> =
+            reads.filter(|(_, read)| is_ready(read)).map(|(origin, _)| *origin).collect();
+        for origin in ready {
+            self.waiting.remote_reads.remove(&origin);
+            self.allow_read(origin);
+        }
+    }
+
+    /// Refuses every read that waits at this leader.
+    pub(super) fn refuse_reads(&mut self, cx: &mut Context<'_>) {
+        while let Some(read) = self.waiting.reads.pop_front() {
+            self.refuse_queued(cx, &read);
+        }
+    }
+
+    /// Refuses the reads that have waited too long.
+    pub(super) fn refuse_late_reads(&mut self, cx: &mut Context<'_>) {
+        while let Some(read) = self.waiting.reads.front()
+            && read.deadline <= cx.now
+            && let Some(read) = self.waiting.reads.pop_front()
+        {
+            self.refuse_queued(cx, &read);
+        }
+        let remote = self.waiting.remote_reads.iter();
+        let late: Vec<_> =
+            remote.filter(|(_, read)| read.deadline <= cx.now).map(|(origin, _)| *origin).collect();
+        for origin in late {
+            self.waiting.remote_reads.remove(&origin);
+            self.refuse_read(origin);
+        }
+    }
+
+    /// Refuses every read that waits for the leader.
+    pub(super) fn refuse_remote_reads(&mut self) {
+        for origin in std::mem::take(&mut self.waiting.remote_reads).into_keys() {
+            self.refuse_read(origin);
+        }
+    }
+
+    fn refuse_queued(&mut self, cx: &mut Context<'_>, read: &Read) {
+        match read.follower {
+            Some(to) => {
+                let origin = read.origin;
+                cx.send(to, ConsensusMessage::ReadResponse { origin, index: None });
+            }
+            None => self.refuse_read(read.origin),
+        }
+    }
+
+    fn allow_read(&mut self, origin: Origin) {
+        let configuration = Arc::clone(self.machine.configuration());
+        self.output(ControlOutput::Read(origin, Ok(configuration)));
+    }
+
+    fn refuse_read(&mut self, origin: Origin) {
+        let message = "this control replica is not in touch with a quorum; ask another one";
+        let error = ApiError::new(ErrorCode::Unavailable, message);
+        self.output(ControlOutput::Read(origin, Err(error)));
+    }
+}
--- /dev/null
+++ b/crates/core/src/consensus/storage.rs
@@ -0,0 +1,107 @@
+//! What was handed to the disk and what of it is synced.
+
+use std::collections::VecDeque;
+
+use super::disk::{DiskCommand, DiskWrite};
+use crate::context::Context;
+use crate::event::Effect;
+
+/// Commands to the disk and how far they are synced.
+#[derive(Debug)]
+pub(super) struct Storage {
+    issued: u64,
+    synced: u64,
+    hard_state_sequence: u64,
+    /// Appends that are not synced: the command and the last entry.
+    unsynced: VecDeque<(u64, u64)>,
+    durable_index: u64,
+    failed: bool,
+}
+
+impl Storage {
+    /// Makes the state after recovery: everything up to an entry is synced.
+    pub(super) fn new(durable_index: u64) -> Self {
+        Self {
+            issued: 0,
+            synced: 0,
+            hard_state_sequence: 0,
+            unsynced: VecDeque::new(),
+            durable_index,
+            failed: false,
+        }
+    }
+
+    /// Hands a command to the disk. Returns its sequence.
+    pub(super) fn write(&mut self, cx: &mut Context<'_>, write: DiskWrite) -> u64 {
+        self.issued += 1;
+        let sequence = self.issued;
+        match &write {
+            DiskWrite::HardState(_) => self.hard_state_sequence = sequence,
+            DiskWrite::Append(entries) => {
+                let first = entries.first().map_or(u64::MAX, |entry| entry.index);
+                let last = entries.last().map_or(0, |entry| entry.index);
+                self.truncate_from(first);
+                self.unsynced.push_back((sequence, last));
+            }
+            DiskWrite::Snapshot { snapshot, keep_entries } => {
+                if !keep_entries {
+                    self.truncate_from(0);
+                }
+                self.unsynced.push_back((sequence, snapshot.index));
+            }
+            DiskWrite::Reset { .. } => {
+                self.hard_state_sequence = sequence;
+                self.truncate_from(0);
+            }
+            DiskWrite::Owner(_) => {}
+        }
+        cx.emit(Effect::Disk(DiskCommand { sequence, write }));
+        sequence
+    }
+
+    /// Takes note that every command up to one is synced.
+    pub(super) fn synced(&mut self, sequence: u64) {
+        self.synced = self.synced.max(sequence);
+        while let Some((at, last)) = self.unsynced.front().copied()
+            && at <= self.synced
+        {
+            self.unsynced.pop_front();
+            self.durable_index = self.durable_index.max(last);
+        }
+    }
+
+    /// Whether a command is synced.
+    pub(super) fn is_synced(&self, sequence: u64) -> bool {
+        sequence <= self.synced
+    }
+
+    /// Whether the newest term and vote are synced.
+    pub(super) fn is_hard_state_synced(&self) -> bool {
+        self.is_synced(self.hard_state_sequence)
+    }
+
+    /// The last entry that is synced.
+    pub(super) fn durable_index(&self) -> u64 {
+        self.durable_index
+    }
+
+    pub(super) fn hard_state_sequence(&self) -> u64 {
+        self.hard_state_sequence
+    }
+
+    pub(super) fn fail(&mut self) {
+        self.failed = true;
+    }
+
+    pub(super) fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    fn truncate_from(&mut self, index: u64) {
+        let last_kept = index.saturating_sub(1);
+        self.durable_index = self.durable_index.min(last_kept);
+        for (_, last) in &mut self.unsynced {
+            *last = (*last).min(last_kept);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/consensus/cases.rs
@@ -0,0 +1,253 @@
+//! One case for each failure that the control replicas are meant for.
+
+use fireflylug_core::api::ErrorCode;
+use fireflylug_core::consensus::{
+    ChangeOutcome, ControlRole, ELECTION_TIMEOUT_MAX_MS, PROPOSAL_TIMEOUT_MS,
+};
+use fireflylug_core::ids::Version;
+use rstest::rstest;
+
+use crate::cluster::{Cluster, put_service, put_service_at, service_key};
+
+fn led_cluster(count: usize, seed: u64) -> (Cluster, usize) {
+    let mut cluster = Cluster::new(count, count, seed);
+    assert!(cluster.run_until(3_000, |cluster| cluster.leader().is_some()), "no leader");
+    cluster.run_for(500);
+    let leader = cluster.leader().expect("a leader");
+    (cluster, leader)
+}
+
+fn propose(cluster: &mut Cluster, node: usize, service: &str) -> ChangeOutcome {
+    let origin = cluster.propose(node, put_service(service));
+    cluster.run_until(4_000, |cluster| cluster.outcomes.contains_key(&origin));
+    cluster.outcomes[&origin].clone()
+}
+
+fn is_accepted(outcome: &ChangeOutcome) -> bool {
+    matches!(outcome, ChangeOutcome::Accepted { .. })
+}
+
+fn followers(count: usize, leader: usize) -> Vec<usize> {
+    (0..count).filter(|node| *node != leader).collect()
+}
+
+#[rstest]
+#[case::one(1)]
+#[case::three(3)]
+#[case::seven(7)]
+fn change_is_accepted_and_reaches_every_replica(#[case] count: usize) {
+    let (mut cluster, leader) = led_cluster(count, 1);
+
+    let outcome = propose(&mut cluster, leader, "seatdesk");
+    cluster.run_for(300);
+
+    assert_eq!(outcome, ChangeOutcome::Accepted { version: Version(1) });
+    for node in 0..count {
+        assert_eq!(cluster.configuration(node).version(), Version(1));
+    }
+}
+
+#[test]
+fn follower_refuses_and_names_the_leader() {
+    let (mut cluster, leader) = led_cluster(3, 2);
+    let follower = followers(3, leader)[0];
+
+    let outcome = propose(&mut cluster, follower, "seatdesk");
+
+    let ChangeOutcome::Refused(error) = outcome else { panic!("{outcome:?}") };
+    assert_eq!(error.code, ErrorCode::Unavailable);
+    assert!(error.message.contains(&cluster.id(leader).to_string()), "{error}");
+}
+
+#[test]
+fn isolated_leader_stops_claiming_to_be_current_and_loses_nothing() {
+    let (mut cluster, leader) = led_cluster(3, 3);
+    cluster.isolate(leader);
+
+    let lost = cluster.propose(leader, put_service("lost"));
+    cluster.run_for(ELECTION_TIMEOUT_MAX_MS + 200);
+    let stale_read = cluster.read(leader);
+    let is_current = cluster.status(leader).expect("it runs").is_current;
+    let next = cluster.leader().expect("a new leader");
+    let outcome = propose(&mut cluster, next, "kept");
+    cluster.run_for(PROPOSAL_TIMEOUT_MS);
+    let lost_outcome = cluster.outcomes[&lost].clone();
+    cluster.heal();
+    cluster.run_for(2_000);
+
+    assert!(!is_current);
+    assert_ne!(next, leader);
+    assert!(is_accepted(&outcome));
+    assert_eq!(lost_outcome, ChangeOutcome::Unknown);
+    assert!(!cluster.reads[&stale_read]);
+    assert!(cluster.configuration(leader).get(&service_key("kept")).is_some());
+    assert!(cluster.configuration(leader).get(&service_key("lost")).is_none());
+}
+
+#[test]
+fn lost_leader_is_replaced_within_three_seconds() {
+    let (mut cluster, leader) = led_cluster(5, 4);
+    cluster.crash(leader);
+    let crashed_us = cluster.now_us;
+
+    cluster.run_until(3_000, |cluster| cluster.leader().is_some());
+    let next = cluster.leader().expect("a new leader");
+    let outcome = propose(&mut cluster, next, "seatdesk");
+
+    assert!(is_accepted(&outcome));
+    assert!(cluster.now_us - crashed_us < 3_000_000);
+}
+
+#[test]
+fn read_is_answered_by_every_replica_in_touch() {
+    let (mut cluster, _) = led_cluster(3, 5);
+
+    let reads: Vec<_> = (0..3).map(|node| cluster.read(node)).collect();
+    cluster.run_for(500);
+
+    for read in reads {
+        assert!(cluster.reads[&read]);
+    }
+}
+
+#[test]
+fn resend_to_a_new_leader_gets_the_first_outcome() {
+    let (mut cluster, leader) = led_cluster(3, 6);
+    let first = propose(&mut cluster, leader, "seatdesk");
+    cluster.crash(leader);
+    cluster.run_for(2_000);
+    let next = cluster.leader().expect("a new leader");
+    propose(&mut cluster, next, "bookbook");
+
+    let again = propose(&mut cluster, next, "seatdesk");
+    let other = cluster.propose(next, put_service_at("other", 0, None, "seatdesk"));
+    cluster.run_for(500);
+
+    assert_eq!(again, first);
+    let ChangeOutcome::Refused(error) = &cluster.outcomes[&other] else { panic!("accepted") };
+    assert_eq!(error.code, ErrorCode::Conflict);
+}
+
+#[test]
+fn blank_voter_does_not_vote_and_a_second_loss_loses_nothing() {
+    let (mut cluster, leader) = led_cluster(3, 7);
+    let [repaired, lost] = followers(3, leader)[..] else { panic!("three replicas") };
+    // The change is on the leader and on the voter that is about to be repaired.
+    cluster.isolate(lost);
+    let outcome = propose(&mut cluster, leader, "seatdesk");
+    cluster.crash(repaired);
+    cluster.wipe(repaired);
+    cluster.crash(leader);
+    cluster.heal();
+    cluster.start(repaired);
+
+    // Without the leader, only replicas that lack the change are left.
+    cluster.run_for(3_000);
+    let led_without = cluster.leader();
+    cluster.start(leader);
+    cluster.run_for(3_000);
+
+    assert!(is_accepted(&outcome));
+    assert_eq!(led_without, None);
+    for node in 0..3 {
+        assert!(cluster.configuration(node).get(&service_key("seatdesk")).is_some());
+        assert!(cluster.is_voting(node), "replica {node} is not let in again");
+    }
+}
+
+#[test]
+fn repaired_voter_counts_once_it_is_let_in() {
+    let (mut cluster, leader) = led_cluster(3, 8);
+    let [repaired, lost] = followers(3, leader)[..] else { panic!("three replicas") };
+    propose(&mut cluster, leader, "seatdesk");
+    cluster.crash(repaired);
+    cluster.wipe(repaired);
+    cluster.start(repaired);
+    cluster.run_until(5_000, |cluster| cluster.is_voting(repaired));
+
+    cluster.crash(lost);
+    cluster.run_for(1_000);
+    let leader = cluster.leader().expect("a leader");
+    let outcome = propose(&mut cluster, leader, "bookbook");
+
+    assert!(is_accepted(&outcome));
+    assert!(cluster.configuration(repaired).get(&service_key("seatdesk")).is_some());
+}
+
+#[test]
+fn failed_sync_silences_the_replica() {
+    let (mut cluster, leader) = led_cluster(3, 9);
+    cluster.nodes[leader].disk_fails = true;
+    let failed = cluster.propose(leader, put_service("seatdesk"));
+    cluster.run_for(3_000);
+
+    let role = cluster.status(leader).expect("it runs").role;
+    let next = cluster.leader().expect("a new leader");
+    let outcome = propose(&mut cluster, next, "bookbook");
+
+    assert_eq!(role, ControlRole::Failed);
+    assert_eq!(cluster.outcomes[&failed], ChangeOutcome::Unknown);
+    assert_ne!(next, leader);
+    assert!(is_accepted(&outcome));
+}
+
+#[test]
+fn voter_is_replaced_by_a_declared_change() {
+    let mut cluster = Cluster::new(4, 3, 10);
+    cluster.run_for(2_000);
+    let leader = cluster.leader().expect("a leader");
+    let old = followers(3, leader)[0];
+    propose(&mut cluster, leader, "seatdesk");
+
+    let replaced = cluster.replace_voter(leader, old, 3);
+    cluster.run_for(1_000);
+    cluster.crash(old);
+    let other = followers(3, leader)[1];
+    cluster.crash(other);
+    cluster.run_for(100);
+    cluster.start(other);
+    cluster.run_for(1_500);
+    let next = cluster.leader().expect("a leader");
+    let outcome = propose(&mut cluster, next, "bookbook");
+
+    assert!(is_accepted(&cluster.outcomes[&replaced]), "{:?}", cluster.outcomes[&replaced]);
+    assert!(cluster.is_voting(3));
+    assert!(!cluster.is_voting(old));
+    assert!(is_accepted(&outcome));
+}
+
+#[test]
+fn follower_far_behind_gets_a_snapshot() {
+    let (mut cluster, leader) = led_cluster(3, 11);
+    let behind = followers(3, leader)[0];
+    cluster.crash(behind);
+    for round in 0..50 {
+        for change in 0..100 {
+            cluster.propose(
+                leader,
+                put_service_at(
+                    "seatdesk",
+                    round * 100 + change,
+                    None,
+                    &format!("k-{round}-{change}"),
+                ),
+            );
+        }
+        cluster.run_for(50);
+    }
+
+    cluster.start(behind);
+    cluster.run_for(2_000);
+
+    assert_eq!(cluster.configuration(behind), cluster.configuration(leader));
+    assert!(cluster.configuration(behind).version() >= Version(4_999));
+}
+
+#[test]
+fn heartbeat_is_small() {
+    let (mut cluster, _) = led_cluster(3, 12);
+
+    cluster.run_for(10_000);
+
+    assert!(cluster.max_heartbeat_bytes < 100, "{} bytes", cluster.max_heartbeat_bytes);
+}
--- /dev/null
+++ b/crates/core/tests/consensus/cluster.rs
@@ -0,0 +1,395 @@
+//! Replicas that talk over a queue which drops, delays, reorders and doubles.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fireflylug_core::config::{ChangeRequest, ChangeSet, Configuration, Operation};
+use fireflylug_core::consensus::{
+    ChangeOutcome, ConsensusMessage, ControlOutput, ControlReplica, ControlRole, ControlSettings,
+    ControlStatus, DiskEvent, Origin, Voter,
+};
+use fireflylug_core::context::{Addresses, Context, Identity};
+use fireflylug_core::ids::{
+    ContentHash, IdempotencyKey, Locality, Name, NodeId, RequestId, Version,
+};
+use fireflylug_core::message::PeerMessage;
+use fireflylug_core::resource::{Resource, ResourceKey, ResourceKind, Service};
+use fireflylug_core::{Effect, Instant};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::disk::FakeDisk;
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub drop_percent: u32,
+    pub double_percent: u32,
+    pub max_delay_us: u64,
+}
+
+impl Faults {
+    pub const NONE: Self = Self { drop_percent: 0, double_percent: 0, max_delay_us: 2_000 };
+}
+
+enum Occurrence {
+    Message { from: usize, to: usize, message: ConsensusMessage },
+    Sync { node: usize, start: u64 },
+}
+
+pub struct Node {
+    pub identity: Identity,
+    pub disk: FakeDisk,
+    pub replica: Option<ControlReplica>,
+    /// Counts starts, so that a sync of an earlier run is not told to a later one.
+    start: u64,
+    sync_under_way: bool,
+    pub disk_fails: bool,
+    newest: Version,
+}
+
+pub struct Cluster {
+    pub nodes: Vec<Node>,
+    pub now_us: u64,
+    pub rng: SmallRng,
+    pub faults: Faults,
+    /// Pairs that cannot reach each other, in this direction.
+    pub cut: BTreeSet<(usize, usize)>,
+    pub outcomes: BTreeMap<Origin, ChangeOutcome>,
+    pub reads: BTreeMap<Origin, bool>,
+    pub sent: u64,
+    pub max_heartbeat_bytes: usize,
+    initial: Vec<NodeId>,
+    queue: BTreeMap<(u64, u64), Occurrence>,
+    next_occurrence: u64,
+    next_request: u64,
+    next_disk: u64,
+    hashes: BTreeMap<Version, ContentHash>,
+    leaders: BTreeMap<u64, usize>,
+}
+
+impl Cluster {
+    /// Makes a cluster whose first `voters` of `count` replicas are the first voters.
+    pub fn new(count: usize, voters: usize, seed: u64) -> Self {
+        let identities: Vec<_> = (0..count).map(identity).collect();
+        let initial = identities.iter().take(voters).map(|identity| identity.id).collect();
+        let mut cluster = Self {
+            nodes: identities.into_iter().map(blank_node).collect(),
+            now_us: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            faults: Faults::NONE,
+            cut: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            sent: 0,
+            max_heartbeat_bytes: 0,
+            initial,
+            queue: BTreeMap::new(),
+            next_occurrence: 0,
+            next_request: 0,
+            next_disk: 100,
+            hashes: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+        };
+        for node in 0..count {
+            cluster.start(node);
+        }
+        cluster
+    }
+
+    pub fn id(&self, node: usize) -> NodeId {
+        self.nodes[node].identity.id
+    }
+
+    pub fn start(&mut self, node: usize) {
+        let settings = ControlSettings { initial_voters: self.initial.clone() };
+        let now = Instant::from_us(self.now_us);
+        let node = &mut self.nodes[node];
+        node.start += 1;
+        node.newest = Version(0);
+        node.sync_under_way = false;
+        node.replica = Some(ControlReplica::new(settings, node.disk.recover(), now));
+    }
+
+    /// Ends a replica; some of what it wrote and did not sync is lost.
+    pub fn crash(&mut self, node: usize) {
+        let kept = self.rng.random_range(0..=self.nodes[node].disk.unsynced.len());
+        self.nodes[node].replica = None;
+        self.nodes[node].disk.crash(kept);
+    }
+
+    pub fn wipe(&mut self, node: usize) {
+        self.next_disk += 1;
+        self.nodes[node].disk = FakeDisk::blank(self.next_disk);
+    }
+
+    pub fn isolate(&mut self, node: usize) {
+        for other in (0..self.nodes.len()).filter(|other| *other != node) {
+            self.cut.insert((node, other));
+            self.cut.insert((other, node));
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn status(&self, node: usize) -> Option<ControlStatus> {
+        let now = Instant::from_us(self.now_us);
+        let node = &self.nodes[node];
+        node.replica.as_ref().map(|replica| replica.status(node.identity.id, now))
+    }
+
+    /// The replica that leads in the newest term.
+    pub fn leader(&self) -> Option<usize> {
+        let statuses = (0..self.nodes.len()).filter_map(|node| Some((node, self.status(node)?)));
+        let leaders = statuses.filter(|(_, status)| status.role == ControlRole::Leader);
+        leaders.max_by_key(|(_, status)| status.term).map(|(node, _)| node)
+    }
+
+    pub fn configuration(&self, node: usize) -> Configuration {
+        let replica = self.nodes[node].replica.as_ref().expect("the replica runs");
+        (**replica.configuration()).clone()
+    }
+
+    /// Whether every replica that runs knows that this one votes with its present disk.
+    pub fn is_voting(&self, node: usize) -> bool {
+        let voter = Voter { node: self.id(node), disk: self.nodes[node].disk.id };
+        let knows = |status: ControlStatus| status.voters.contains(voter);
+        (0..self.nodes.len()).filter_map(|other| self.status(other)).all(knows)
+    }
+
+    pub fn propose(&mut self, node: usize, change: ChangeRequest) -> Origin {
+        let origin = self.next_origin(node);
+        self.drive(node, |replica, cx| replica.propose(cx, origin, change));
+        origin
+    }
+
+    pub fn read(&mut self, node: usize) -> Origin {
+        let origin = self.next_origin(node);
+        self.drive(node, |replica, cx| replica.read(cx, origin));
+        origin
+    }
+
+    pub fn replace_voter(&mut self, node: usize, old: usize, new: usize) -> Origin {
+        let origin = self.next_origin(node);
+        let (old, new) = (self.id(old), self.id(new));
+        self.drive(node, |replica, cx| replica.propose_voters(cx, origin, old, new));
+        origin
+    }
+
+    fn next_origin(&mut self, node: usize) -> Origin {
+        self.next_request += 1;
+        Origin { node: self.id(node), request: RequestId(self.next_request) }
+    }
+
+    /// Lets time pass until the condition holds. Returns whether it did within the time.
+    pub fn run_until(&mut self, limit_ms: u64, done: impl Fn(&Self) -> bool) -> bool {
+        let end_us = self.now_us + limit_ms * 1_000;
+        while !done(self) {
+            if !self.step(end_us) {
+                return done(self);
+            }
+        }
+        true
+    }
+
+    pub fn run_for(&mut self, ms: u64) {
+        self.run_until(ms, |_| false);
+    }
+
+    /// Does the next thing. Returns false where that lies after the end.
+    fn step(&mut self, end_us: u64) -> bool {
+        let occurs_at = self.queue.first_key_value().map_or(u64::MAX, |((at_us, _), _)| *at_us);
+        let due = |node: &Node| node.replica.as_ref().map(|replica| replica.next_deadline());
+        let ticks = self.nodes.iter().enumerate().filter_map(|(at, node)| Some((due(node)?, at)));
+        let (tick_at, ticking) = ticks.min().unwrap_or((Instant::NEVER, 0));
+        let at_us = occurs_at.min(tick_at.as_us());
+        if at_us > end_us {
+            self.now_us = end_us;
+            return false;
+        }
+        self.now_us = self.now_us.max(at_us);
+        if tick_at.as_us() <= occurs_at {
+            self.drive(ticking, |replica, cx| replica.tick(cx));
+        } else if let Some((_, occurrence)) = self.queue.pop_first() {
+            self.occur(occurrence);
+        }
+        true
+    }
+
+    fn occur(&mut self, occurrence: Occurrence) {
+        match occurrence {
+            Occurrence::Message { from, to, message } => {
+                let from = self.id(from);
+                self.drive(to, |replica, cx| replica.step(cx, from, message));
+            }
+            Occurrence::Sync { node, start } => self.finish_sync(node, start),
+        }
+    }
+
+    fn finish_sync(&mut self, at: usize, start: u64) {
+        let node = &mut self.nodes[at];
+        if node.start != start || node.replica.is_none() {
+            return;
+        }
+        node.sync_under_way = false;
+        if node.disk_fails {
+            let event = DiskEvent::Failed { error: "no space left".to_owned() };
+            self.drive(at, |replica, cx| replica.disk(cx, event));
+        } else if let Some(sequence) = node.disk.sync() {
+            self.drive(at, |replica, cx| replica.disk(cx, DiskEvent::Synced { sequence }));
+        }
+    }
+
+    /// Lets a replica do something, carries its effects out and checks what it says.
+    fn drive(&mut self, at: usize, act: impl FnOnce(&mut ControlReplica, &mut Context<'_>)) {
+        let mut effects = Vec::new();
+        let now = Instant::from_us(self.now_us);
+        let node = &mut self.nodes[at];
+        let Some(replica) = &mut node.replica else { return };
+        let mut cx = Context { now, rng: &mut self.rng, me: &node.identity, effects: &mut effects };
+        act(replica, &mut cx);
+        let outputs = replica.take_outputs();
+        for output in outputs {
+            self.check_output(at, output);
+        }
+        self.check_leader(at);
+        for effect in effects {
+            self.carry_out(at, effect);
+        }
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, message: PeerMessage::Consensus(message) } => {
+                self.send(at, to, message);
+            }
+            Effect::Disk(command) => {
+                self.nodes[at].disk.write(command);
+                if !self.nodes[at].sync_under_way {
+                    self.nodes[at].sync_under_way = true;
+                    let delay_us = self.rng.random_range(200..5_000);
+                    let start = self.nodes[at].start;
+                    self.schedule(delay_us, Occurrence::Sync { node: at, start });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: NodeId, message: ConsensusMessage) {
+        self.sent += 1;
+        self.measure(&message);
+        let Some(to) = self.nodes.iter().position(|node| node.identity.id == to) else { return };
+        if self.cut.contains(&(from, to)) || self.chance(self.faults.drop_percent) {
+            return;
+        }
+        let copies = 1 + u32::from(self.chance(self.faults.double_percent));
+        for _ in 0..copies {
+            let delay_us = self.rng.random_range(200..=self.faults.max_delay_us);
+            let message = message.clone();
+            self.schedule(delay_us, Occurrence::Message { from, to, message });
+        }
+    }
+
+    fn measure(&mut self, message: &ConsensusMessage) {
+        if let ConsensusMessage::Append(append) = message
+            && append.entries.is_empty()
+        {
+            let mut bytes = Vec::new();
+            let message = PeerMessage::Consensus(message.clone());
+            ciborium::into_writer(&message, &mut bytes).expect("a vector takes every byte");
+            self.max_heartbeat_bytes = self.max_heartbeat_bytes.max(bytes.len());
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    fn schedule(&mut self, delay_us: u64, occurrence: Occurrence) {
+        self.next_occurrence += 1;
+        self.queue.insert((self.now_us + delay_us, self.next_occurrence), occurrence);
+    }
+
+    fn check_output(&mut self, at: usize, output: ControlOutput) {
+        match output {
+            ControlOutput::Committed(configuration) => {
+                let (version, hash) = (configuration.version(), configuration.hash());
+                assert!(version > self.nodes[at].newest, "replica {at} went back to {version}");
+                self.nodes[at].newest = version;
+                let first = *self.hashes.entry(version).or_insert(hash);
+                assert_eq!(first, hash, "replicas differ in version {version}");
+            }
+            ControlOutput::Outcome(origin, outcome) => {
+                let again = self.outcomes.insert(origin, outcome);
+                assert_eq!(again, None, "a proposal has two outcomes");
+            }
+            ControlOutput::Read(origin, read) => {
+                self.reads.insert(origin, read.is_ok());
+            }
+        }
+    }
+
+    fn check_leader(&mut self, at: usize) {
+        let Some(status) = self.status(at) else { return };
+        if status.role == ControlRole::Leader {
+            let first = *self.leaders.entry(status.term).or_insert(at);
+            assert_eq!(first, at, "two leaders in term {}", status.term);
+        }
+    }
+}
+
+fn blank_node(identity: Identity) -> Node {
+    Node {
+        disk: FakeDisk::blank(identity.id.0),
+        identity,
+        replica: None,
+        start: 0,
+        sync_under_way: false,
+        disk_fails: false,
+        newest: Version(0),
+    }
+}
+
+fn identity(at: usize) -> Identity {
+    let host = name(&format!("control-{at}"));
+    let any = "127.0.0.1:1".parse().expect("an address");
+    Identity {
+        id: NodeId::of_host(&host),
+        host,
+        locality: Locality { region: name("kochi"), availability_zone: name("kochi-aluva") },
+        incarnation: 1,
+        started_unix_ms: 1_000_000,
+        addresses: Addresses { peers: any, forward: any, api: any, calls: any },
+        control: true,
+    }
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).expect("a name in form")
+}
+
+/// Puts a service under a key of its own.
+pub fn put_service(service: &str) -> ChangeRequest {
+    put_service_at(service, 0, None, service)
+}
+
+/// Puts a service with a value to tell it by, at an expected version, under a key.
+pub fn put_service_at(
+    service: &str,
+    slow_start_ms: u32,
+    if_version: Option<Version>,
+    key: &str,
+) -> ChangeRequest {
+    let resource = Resource::Service(Service { slow_start_ms, ..Service::new(name(service)) });
+    let operations = vec![Operation::Put { resource, if_version }];
+    ChangeRequest {
+        key: Some(IdempotencyKey::new(key).expect("a key in form")),
+        changes: ChangeSet { operations },
+    }
+}
+
+pub fn service_key(service: &str) -> ResourceKey {
+    ResourceKey { kind: ResourceKind::Service, name: name(service) }
+}
--- /dev/null
+++ b/crates/core/tests/consensus/random.rs
@@ -0,0 +1,156 @@
+//! Faults at random, checked against what was promised.
+
+use std::collections::BTreeMap;
+
+use fireflylug_core::consensus::{ChangeOutcome, Origin};
+use fireflylug_core::ids::Version;
+use rand::Rng;
+use rstest::rstest;
+
+use crate::cluster::{Cluster, Faults, put_service, put_service_at, service_key};
+
+/// Time over which faults come, in milliseconds.
+const FAULTY_MS: u64 = 30_000;
+
+/// Service that operators race for.
+const RACED: &str = "raced";
+
+/// What was asked for, to be held against the outcomes.
+#[derive(Default)]
+struct Oracle {
+    /// Puts of a service of its own, by service: each send under the one key.
+    puts: BTreeMap<String, Vec<Origin>>,
+    /// Conditional puts of [`RACED`], by expected version.
+    races: BTreeMap<Version, Vec<Origin>>,
+    race_count: u32,
+}
+
+impl Oracle {
+    fn propose(&mut self, cluster: &mut Cluster) {
+        let node = cluster.rng.random_range(0..cluster.nodes.len());
+        let node = cluster.leader().filter(|_| cluster.rng.random_bool(0.8)).unwrap_or(node);
+        if cluster.nodes[node].replica.is_none() {
+            return;
+        }
+        match cluster.rng.random_range(0..4) {
+            0 => self.resend(cluster, node),
+            1 => self.race(cluster, node),
+            _ => {
+                let service = format!("s-{}", self.puts.len());
+                let origin = cluster.propose(node, put_service(&service));
+                self.puts.insert(service, vec![origin]);
+            }
+        }
+    }
+
+    fn resend(&mut self, cluster: &mut Cluster, node: usize) {
+        let Some((service, origins)) = self.puts.iter_mut().next_back() else { return };
+        origins.push(cluster.propose(node, put_service(service)));
+    }
+
+    fn race(&mut self, cluster: &mut Cluster, node: usize) {
+        let configuration = cluster.configuration(node);
+        let stored = configuration.get(&service_key(RACED));
+        let version = stored.map_or(Version(0), |stored| stored.version);
+        let racers = self.races.entry(version).or_default();
+        self.race_count += 1;
+        let value = self.race_count;
+        let key = format!("race-{value}");
+        racers.push(cluster.propose(node, put_service_at(RACED, value, Some(version), &key)));
+    }
+
+    /// Accepted changes are there, once; refused ones are not.
+    fn check(&self, cluster: &Cluster, node: usize) {
+        let configuration = cluster.configuration(node);
+        for (service, origins) in &self.puts {
+            let stored = configuration.get(&service_key(service)).map(|stored| stored.version);
+            let outcomes: Vec<_> =
+                origins.iter().filter_map(|origin| cluster.outcomes.get(origin)).collect();
+            for outcome in &outcomes {
+                if let ChangeOutcome::Accepted { version } = outcome {
+                    assert_eq!(stored, Some(*version), "{service} was accepted: {outcomes:?}");
+                }
+            }
+            let all_refused = outcomes.len() == origins.len()
+                && outcomes.iter().all(|outcome| matches!(outcome, ChangeOutcome::Refused(_)));
+            assert!(!all_refused || stored.is_none(), "{service} was refused and is there");
+        }
+        for (version, racers) in &self.races {
+            let won = |origin: &&Origin| {
+                matches!(cluster.outcomes.get(*origin), Some(ChangeOutcome::Accepted { .. }))
+            };
+            assert!(racers.iter().filter(won).count() <= 1, "two won the race at {version}");
+        }
+    }
+}
+
+fn disturb(cluster: &mut Cluster) {
+    let node = cluster.rng.random_range(0..cluster.nodes.len());
+    match cluster.rng.random_range(0..8) {
+        0 | 1 => cluster.isolate(node),
+        2 | 3 => cluster.heal(),
+        4 => cluster.crash(node),
+        5 if may_wipe(cluster) => {
+            cluster.crash(node);
+            cluster.wipe(node);
+        }
+        _ => {
+            for down in 0..cluster.nodes.len() {
+                if cluster.nodes[down].replica.is_none() {
+                    cluster.start(down);
+                }
+            }
+        }
+    }
+}
+
+/// Whether no storage is being repaired, as far as every replica knows. Two blank
+/// storages at once are more than three replicas are meant to stand.
+fn may_wipe(cluster: &Cluster) -> bool {
+    let runs = |node: usize| cluster.nodes[node].replica.is_some() && cluster.is_voting(node);
+    (0..cluster.nodes.len()).all(runs)
+}
+
+fn agree(cluster: &Cluster) -> bool {
+    let versions = (0..cluster.nodes.len()).map(|node| cluster.configuration(node).version());
+    let first = cluster.configuration(0).version();
+    cluster.leader().is_some() && versions.into_iter().all(|version| version == first)
+}
+
+#[rstest]
+fn promises_hold_under_random_faults(
+    #[values(3, 5)] count: usize,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let mut cluster = Cluster::new(count, count, seed);
+    let mut oracle = Oracle::default();
+    cluster.run_for(1_000);
+    cluster.faults = Faults { drop_percent: 5, double_percent: 5, max_delay_us: 40_000 };
+
+    while cluster.now_us < FAULTY_MS * 1_000 {
+        let pause_ms = cluster.rng.random_range(1..200);
+        cluster.run_for(pause_ms);
+        oracle.propose(&mut cluster);
+        if cluster.rng.random_bool(0.2) {
+            disturb(&mut cluster);
+        }
+    }
+    cluster.faults = Faults::NONE;
+    cluster.heal();
+    for down in 0..count {
+        if cluster.nodes[down].replica.is_none() {
+            cluster.start(down);
+        }
+    }
+    cluster.run_for(5_000);
+    assert!(cluster.run_until(10_000, agree), "the replicas do not come to agree");
+    let accepted = cluster
+        .outcomes
+        .values()
+        .filter(|outcome| matches!(outcome, ChangeOutcome::Accepted { .. }))
+        .count();
+    assert!(accepted > 20, "only {accepted} changes were accepted");
+    for node in 0..count {
+        oracle.check(&cluster, node);
+    }
+}
--- a/crates/daemon/src/disk/mod.rs
+++ b/crates/daemon/src/disk/mod.rs
@@ -4,10 +4,16 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 
-use fireflylug_core::consensus::{DiskCommand, RecoveredDisk};
+use eyre::WrapErr;
+use fireflylug_core::Event;
+use fireflylug_core::consensus::{DiskCommand, DiskEvent, RecoveredDisk};
+use fireflylug_store::Store;
 
 use crate::Runtime;
 
+/// Most commands that share one sync.
+const MAX_BATCH: usize = 1024;
+
 /// Takes commands to the disk without blocking.
 #[derive(Clone, Debug)]
 pub struct DiskHandle {
@@ -17,7 +23,7 @@
 impl DiskHandle {
     /// Runs a command. Its completion comes as an event.
     pub fn run(&self, command: DiskCommand) {
-        // The receiver is gone only while the process stops.
+        // The receiver is gone only while the process stops, or after the disk failed.
         let _ = self.commands.send(command);
     }
 }
@@ -25,17 +31,43 @@
 /// An opened data folder whose thread does not run yet.
 pub struct Disk {
     commands: Receiver<DiskCommand>,
+    store: Store,
 }
 
 /// Opens or makes the data folder and reads what it holds.
-pub fn open(_data_dir: &Path) -> eyre::Result<(DiskHandle, Disk, RecoveredDisk)> {
+pub fn open(data_dir: &Path) -> eyre::Result<(DiskHandle, Disk, RecoveredDisk)> {
+    let (store, recovered) = Store::open(data_dir)
+        .wrap_err_with(|| format!("cannot use the data folder {}", data_dir.display()))?;
     let (commands, receiver) = channel();
-    Ok((DiskHandle { commands }, Disk { commands: receiver }, RecoveredDisk::default()))
+    Ok((DiskHandle { commands }, Disk { commands: receiver, store }, recovered))
 }
 
 impl Disk {
     /// Starts the thread. It ends when every handle is dropped or the runtime is gone.
-    pub fn start(self, _runtime: Arc<Runtime>) {
-        drop(self.commands);
+    pub fn start(self, runtime: Arc<Runtime>) {
+        // Held weakly: the runtime owns the handles whose drop ends the thread.
+        let runtime = Arc::downgrade(&runtime);
+        let submit = move |event| {
+            let runtime = runtime.upgrade();
+            runtime.map(|runtime| runtime.submit(Event::Disk(event))).is_some()
+        };
+        std::thread::spawn(move || run(&self.commands, self.store, submit));
+    }
+}
+
+/// Runs what waits, with one sync for all of it, until the end or a failure.
+fn run(commands: &Receiver<DiskCommand>, mut store: Store, submit: impl Fn(DiskEvent) -> bool) {
+    while let Ok(first) = commands.recv() {
+        let mut batch = vec![first];
+        batch.extend(commands.try_iter().take(MAX_BATCH - 1));
+        let sequence = batch[batch.len() - 1].sequence;
+        let event = match store.run(&batch) {
+            Ok(()) => DiskEvent::Synced { sequence },
+            Err(error) => DiskEvent::Failed { error: error.to_string() },
+        };
+        let has_failed = matches!(event, DiskEvent::Failed { .. });
+        if !submit(event) || has_failed {
+            return;
+        }
     }
 }
--- /dev/null
+++ b/crates/store/src/error.rs
@@ -0,0 +1,51 @@
+//! What can go wrong with a data folder.
+
+use std::io;
+use std::path::PathBuf;
+
+/// Why a data folder cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// A file or folder cannot be read, written or synced.
+    #[error("cannot {action} {}: {source}", path.display())]
+    Io {
+        /// What was tried.
+        action: &'static str,
+        /// The file or folder.
+        path: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// Another process uses the folder.
+    #[error("{} is locked by another process; stop it or use another data folder", path.display())]
+    Locked {
+        /// The lock file.
+        path: PathBuf,
+    },
+    /// A file holds something else than was written.
+    #[error(
+        "{} is damaged at offset {offset_bytes}: {detail}; move the data folder away and start \
+         again with an empty one, so that the replica is brought up to date by the others",
+        path.display()
+    )]
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// Where the damage begins, in bytes from the start of the file.
+        offset_bytes: u64,
+        /// What is wrong.
+        detail: String,
+    },
+    /// A write failed before; nothing is carried out any more.
+    #[error("a write to {} failed before, so nothing more is written", path.display())]
+    Failed {
+        /// The folder.
+        path: PathBuf,
+    },
+}
+
+impl StoreError {
+    pub(crate) fn damaged(path: impl Into<PathBuf>, offset: usize, detail: &str) -> Self {
+        Self::Damaged { path: path.into(), offset_bytes: offset as u64, detail: detail.to_owned() }
+    }
+}
--- /dev/null
+++ b/crates/store/src/recovery.rs
@@ -0,0 +1,151 @@
+//! Reads back what a folder holds.
+
+use std::collections::BTreeMap;
+use std::fs::{self, OpenOptions};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use fireflylug_core::consensus::{DiskId, Entry, HardState, Snapshot};
+
+use crate::files::{self, Describe};
+use crate::record::{self, Record, SnapshotFile};
+use crate::{StoreError, frame};
+
+const LOG_PREFIX: &str = "log-";
+
+/// What the log and the snapshot of a folder hold.
+#[derive(Debug, Default)]
+pub(crate) struct Recovered {
+    /// Number of the log file.
+    pub(crate) log_number: u64,
+    /// Number of the last frame in it.
+    pub(crate) frame_number: u64,
+    pub(crate) hard_state: HardState,
+    pub(crate) snapshot: Option<Arc<Snapshot>>,
+    pub(crate) entries: BTreeMap<u64, Arc<Entry>>,
+    pub(crate) notices: Vec<String>,
+    disk: Option<DiskId>,
+    snapshot_index: Option<u64>,
+}
+
+/// Path of a log file.
+pub(crate) fn log_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{LOG_PREFIX}{number:016x}"))
+}
+
+/// Path of the snapshot.
+pub(crate) fn snapshot_path(folder: &Path) -> PathBuf {
+    folder.join("snapshot")
+}
+
+/// Numbers of the log files of a folder, sorted.
+pub(crate) fn log_numbers(folder: &Path) -> Result<Vec<u64>, StoreError> {
+    let mut numbers = Vec::new();
+    for item in fs::read_dir(folder).describe("list", folder)? {
+        let name = item.describe("list", folder)?.file_name();
+        let number = name.to_str().and_then(|name| name.strip_prefix(LOG_PREFIX));
+        numbers.extend(number.and_then(|number| u64::from_str_radix(number, 16).ok()));
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+/// Reads back the newest log and the snapshot of a storage.
+pub(crate) fn recover(folder: &Path, disk: DiskId) -> Result<Recovered, StoreError> {
+    let Some(log_number) = log_numbers(folder)?.pop() else {
+        let path = log_path(folder, 1);
+        return Err(StoreError::damaged(path, 0, "the log is missing"));
+    };
+    let path = log_path(folder, log_number);
+    let mut recovered = Recovered { log_number, ..Recovered::default() };
+    recovered.read_log(&path)?;
+    if recovered.disk != Some(disk) {
+        return Err(StoreError::damaged(path, 0, "the log belongs to another storage"));
+    }
+    recovered.read_snapshot(&snapshot_path(folder), disk)?;
+    recovered.check_entries(&path)?;
+    Ok(recovered)
+}
+
+impl Recovered {
+    fn read_log(&mut self, path: &Path) -> Result<(), StoreError> {
+        let bytes = files::read(path)?.unwrap_or_default();
+        let mut offset = 0;
+        while let Some(frame) = frame::decode(&bytes[offset..]) {
+            if frame.number <= self.frame_number && offset > 0 {
+                return Err(StoreError::damaged(path, offset, "a frame is out of order"));
+            }
+            self.frame_number = frame.number;
+            let payload_offset = offset + frame::HEADER_BYTES;
+            for record in record::decode::<Vec<Record>>(path, payload_offset, frame.payload)? {
+                self.take(record);
+            }
+            offset += frame.len();
+        }
+        if offset < bytes.len() {
+            self.cut_tail(path, &bytes, offset)?;
+        }
+        Ok(())
+    }
+
+    /// Drops a last frame that a crash left unfinished. Nothing of it was acknowledged.
+    fn cut_tail(&mut self, path: &Path, bytes: &[u8], offset: usize) -> Result<(), StoreError> {
+        // The first frame was synced before the file got its name.
+        if offset == 0 || frame::holds_frame(&bytes[offset + 1..]) {
+            return Err(StoreError::damaged(path, offset, "the checksum does not match"));
+        }
+        let file = OpenOptions::new().write(true).open(path).describe("open", path)?;
+        file.set_len(offset as u64).describe("truncate", path)?;
+        file.sync_all().describe("sync", path)?;
+        let cut_bytes = bytes.len() - offset;
+        let name = path.display();
+        self.notices.push(format!(
+            "Cut {cut_bytes} bytes of an unfinished write at offset {offset} of {name}."
+        ));
+        Ok(())
+    }
+
+    fn take(&mut self, record: Record) {
+        match record {
+            Record::Head { disk, snapshot_index } => {
+                self.disk = Some(disk);
+                self.snapshot_index = snapshot_index;
+            }
+            Record::HardState(hard_state) => self.hard_state = hard_state,
+            Record::Entry(entry) => {
+                self.entries.split_off(&entry.index);
+                self.entries.insert(entry.index, entry);
+            }
+        }
+    }
+
+    fn read_snapshot(&mut self, path: &Path, disk: DiskId) -> Result<(), StoreError> {
+        if let Some(bytes) = files::read(path)? {
+            let file: SnapshotFile = record::decode_whole(path, &bytes)?;
+            if file.disk != disk {
+                return Err(StoreError::damaged(
+                    path,
+                    0,
+                    "the snapshot belongs to another storage",
+                ));
+            }
+            self.snapshot = Some(file.snapshot);
+        }
+        if self.snapshot.as_ref().map(|snapshot| snapshot.index) < self.snapshot_index {
+            return Err(StoreError::damaged(path, 0, "the snapshot is older than the log"));
+        }
+        Ok(())
+    }
+
+    /// Drops what the snapshot covers and checks that the rest has no gap.
+    fn check_entries(&mut self, path: &Path) -> Result<(), StoreError> {
+        let base = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        self.entries = self.entries.split_off(&(base + 1));
+        let has_gap =
+            self.entries.keys().zip(base + 1..).any(|(index, expected)| *index != expected);
+        if has_gap {
+            return Err(StoreError::damaged(path, 0, "entries are missing"));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,239 @@
+//! One data folder.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use fireflylug_core::consensus::{
+    DiskCommand, DiskId, DiskWrite, Entry, HardState, RecoveredDisk, Snapshot,
+};
+use fireflylug_core::ids::NodeId;
+
+use crate::files::{self, Describe};
+use crate::identity::Identity;
+use crate::record::{self, Record, SnapshotFile};
+use crate::recovery::{self, log_path, snapshot_path};
+use crate::{StoreError, frame};
+
+/// One data folder, held by this process alone.
+#[derive(Debug)]
+pub struct Store {
+    folder: PathBuf,
+    /// Holds the lock on the folder while it is open.
+    _lock: File,
+    identity: Identity,
+    log: File,
+    log_number: u64,
+    frame_number: u64,
+    hard_state: HardState,
+    snapshot_index: Option<u64>,
+    entries: BTreeMap<u64, Arc<Entry>>,
+    has_failed: bool,
+}
+
+impl Store {
+    /// Opens a data folder, or makes it, and reads what it holds.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Locked`] where another process uses the folder,
+    /// [`StoreError::Damaged`] where more than an unfinished last write is
+    /// missing or wrong, and [`StoreError::Io`].
+    pub fn open(folder: &Path) -> Result<(Self, RecoveredDisk), StoreError> {
+        fs::create_dir_all(folder).describe("create", folder)?;
+        let lock = lock(folder)?;
+        let mut identity = match Identity::read(folder)? {
+            Some(identity) => identity,
+            None => make_identity(folder)?,
+        };
+        if identity.generation == 0 {
+            make_empty(folder, identity.disk)?;
+        }
+        let recovered = recovery::recover(folder, identity.disk)?;
+        identity.generation += 1;
+        identity.write(folder)?;
+        let path = log_path(folder, recovered.log_number);
+        let store = Self {
+            folder: folder.to_owned(),
+            _lock: lock,
+            identity,
+            log: OpenOptions::new().append(true).open(&path).describe("open", &path)?,
+            log_number: recovered.log_number,
+            frame_number: recovered.frame_number,
+            hard_state: recovered.hard_state,
+            snapshot_index: recovered.snapshot.as_ref().map(|snapshot| snapshot.index),
+            entries: recovered.entries.clone(),
+            has_failed: false,
+        };
+        store.remove_old_logs()?;
+        let recovered = RecoveredDisk {
+            disk: identity.disk,
+            owner: identity.owner,
+            generation: identity.generation,
+            hard_state: recovered.hard_state,
+            snapshot: recovered.snapshot,
+            entries: recovered.entries.into_values().collect(),
+            notices: recovered.notices,
+        };
+        Ok((store, recovered))
+    }
+
+    /// Carries out commands in order and returns once all of them are synced.
+    ///
+    /// # Errors
+    ///
+    /// Any error is final: what of the commands is on disk is not known, and
+    /// the store carries out nothing more.
+    pub fn run(&mut self, commands: &[DiskCommand]) -> Result<(), StoreError> {
+        if self.has_failed {
+            return Err(StoreError::Failed { path: self.folder.clone() });
+        }
+        // A failed sync may have dropped the pages: trying it again would prove nothing.
+        self.has_failed = true;
+        let mut records = Vec::new();
+        for command in commands {
+            self.take(&command.write, &mut records)?;
+        }
+        self.sync(&mut records)?;
+        self.has_failed = false;
+        Ok(())
+    }
+
+    fn take(&mut self, write: &DiskWrite, records: &mut Vec<Record>) -> Result<(), StoreError> {
+        match write {
+            DiskWrite::HardState(hard_state) => {
+                self.hard_state = *hard_state;
+                records.push(Record::HardState(*hard_state));
+            }
+            DiskWrite::Append(entries) => {
+                for entry in entries {
+                    self.entries.split_off(&entry.index);
+                    self.entries.insert(entry.index, Arc::clone(entry));
+                    records.push(Record::Entry(Arc::clone(entry)));
+                }
+            }
+            DiskWrite::Snapshot { snapshot, keep_entries } => {
+                self.sync(records)?;
+                self.replace_snapshot(snapshot, *keep_entries)?;
+            }
+            DiskWrite::Owner(owner) => {
+                self.identity.owner = Some(*owner);
+                self.identity.write(&self.folder)?;
+            }
+            DiskWrite::Reset { disk, owner } => {
+                records.clear();
+                self.reset(*disk, *owner)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the records as one frame and syncs it.
+    fn sync(&mut self, records: &mut Vec<Record>) -> Result<(), StoreError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        let path = log_path(&self.folder, self.log_number);
+        self.frame_number += 1;
+        let frame = frame::encode(self.frame_number, &record::encode(records));
+        self.log.write_all(&frame).describe("write", &path)?;
+        self.log.sync_data().describe("sync", &path)?;
+        records.clear();
+        Ok(())
+    }
+
+    fn replace_snapshot(
+        &mut self,
+        snapshot: &Arc<Snapshot>,
+        keep_entries: bool,
+    ) -> Result<(), StoreError> {
+        let file = SnapshotFile { disk: self.identity.disk, snapshot: Arc::clone(snapshot) };
+        files::replace(&snapshot_path(&self.folder), &record::encode_whole(&file))?;
+        self.snapshot_index = Some(snapshot.index);
+        self.entries = self.entries.split_off(&(snapshot.index + 1));
+        if !keep_entries {
+            self.entries.clear();
+        }
+        self.start_log()
+    }
+
+    /// Starts a new log that holds what the old one still has to say.
+    fn start_log(&mut self) -> Result<(), StoreError> {
+        self.log_number += 1;
+        self.frame_number += 1;
+        let (disk, snapshot_index) = (self.identity.disk, self.snapshot_index);
+        let mut records =
+            vec![Record::Head { disk, snapshot_index }, Record::HardState(self.hard_state)];
+        records.extend(self.entries.values().cloned().map(Record::Entry));
+        let path = log_path(&self.folder, self.log_number);
+        let frame = frame::encode(self.frame_number, &record::encode(&records));
+        files::replace(&path, &frame)?;
+        self.log = OpenOptions::new().append(true).open(&path).describe("open", &path)?;
+        self.remove_old_logs()
+    }
+
+    fn remove_old_logs(&self) -> Result<(), StoreError> {
+        let numbers = recovery::log_numbers(&self.folder)?;
+        for number in numbers.into_iter().filter(|number| *number < self.log_number) {
+            let path = log_path(&self.folder, number);
+            fs::remove_file(&path).describe("remove", &path)?;
+        }
+        Ok(())
+    }
+
+    fn reset(&mut self, disk: DiskId, owner: NodeId) -> Result<(), StoreError> {
+        self.identity = Identity { disk, owner: Some(owner), generation: 0 };
+        self.identity.write(&self.folder)?;
+        make_empty(&self.folder, disk)?;
+        self.identity.generation = 1;
+        self.identity.write(&self.folder)?;
+        let path = log_path(&self.folder, FIRST_LOG);
+        self.log = OpenOptions::new().append(true).open(&path).describe("open", &path)?;
+        self.log_number = FIRST_LOG;
+        self.frame_number = 0;
+        self.hard_state = HardState::default();
+        self.snapshot_index = None;
+        self.entries.clear();
+        Ok(())
+    }
+}
+
+/// Number of the first log of a storage.
+const FIRST_LOG: u64 = 1;
+
+fn lock(folder: &Path) -> Result<File, StoreError> {
+    let path = folder.join("lock");
+    let file = File::create(&path).describe("create", &path)?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(fs::TryLockError::WouldBlock) => Err(StoreError::Locked { path }),
+        Err(fs::TryLockError::Error(error)) => Err(error).describe("lock", &path),
+    }
+}
+
+/// Gives an identity to a folder that was just made.
+fn make_identity(folder: &Path) -> Result<Identity, StoreError> {
+    let has_log = !recovery::log_numbers(folder)?.is_empty();
+    if has_log || snapshot_path(folder).exists() {
+        let path = Identity::path(folder);
+        return Err(StoreError::damaged(path, 0, "the file is missing"));
+    }
+    let identity = Identity { disk: DiskId(rand::random()), owner: None, generation: 0 };
+    identity.write(folder)?;
+    if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        files::sync_folder(parent)?;
+    }
+    Ok(identity)
+}
+
+/// Removes every log and snapshot and starts the first log of a storage.
+fn make_empty(folder: &Path, disk: DiskId) -> Result<(), StoreError> {
+    let old = recovery::log_numbers(folder)?.into_iter().map(|number| log_path(folder, number));
+    for path in old.chain([snapshot_path(folder)]).filter(|path| path.exists()) {
+        fs::remove_file(&path).describe("remove", &path)?;
+    }
+    let head = vec![Record::Head { disk, snapshot_index: None }];
+    files::replace(&log_path(folder, FIRST_LOG), &frame::encode(0, &record::encode(&head)))
+}
