--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -2,8 +2,9 @@
 //!
 //! A change is sent again after a lost answer, because it carries an
 //! idempotency key; one without is given a key here. "Refused" is said only
-//! where no attempt can be committed any more: an attempt that was sent and
-//! not answered keeps the outcome open.
+//! where the change cannot be committed any more: the replicated log refused
+//! it under its key, or nothing of it was ever proposed. An attempt that was
+//! sent and not answered keeps the outcome open.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -188,10 +189,12 @@
         };
         let answered = match outcome {
             ChangeOutcome::Accepted { version } => Ok(ApiResponse::Accepted { version }),
-            ChangeOutcome::Refused(error) => {
+            // Not proposed at all: the replica does not lead any more.
+            ChangeOutcome::Refused(error) if error.code == ErrorCode::Unavailable => {
                 waiting.answered_by(from);
-                Err(waiting.refused(error))
+                return self.retry(cx, request, Some(error));
             }
+            ChangeOutcome::Refused(error) => Err(error),
             ChangeOutcome::Unknown => return self.retry(cx, request, None),
         };
         self.leader = Some(from);
@@ -283,18 +286,6 @@
         }
     }
 
-    fn refused(&self, error: ApiError) -> ApiError {
-        if self.open.is_empty() {
-            return error;
-        }
-        let message = format!(
-            "an attempt was not answered and may still be accepted; the latest one was refused \
-             ({}); resend with the same Idempotency-Key to learn the outcome",
-            error.message
-        );
-        ApiError::new(ErrorCode::OutcomeUnknown, message).with_findings(error.findings)
-    }
-
     fn timeout(self) -> ApiError {
         match self.work {
             Work::Change(_) if !self.open.is_empty() => ApiError::new(
--- /dev/null
+++ b/crates/core/tests/api.rs
@@ -0,0 +1,375 @@
+//! Operators' requests: what is said of a change, and what a watch tells.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fireflylug_core::api::{
+    Api, ApiError, ApiMessage, ApiParts, ApiRequest, ApiResponse, ErrorCode, MAX_HISTORY_EVENTS,
+    WatchEvent,
+};
+use fireflylug_core::config::{ChangeRequest, ChangeSet, Configuration, Operation, StoredResource};
+use fireflylug_core::consensus::ChangeOutcome;
+use fireflylug_core::context::{Addresses, Context, Identity};
+use fireflylug_core::distribution::{Distribution, DistributionSettings, Progress, ZoneProgress};
+use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, Version};
+use fireflylug_core::membership::{Membership, MembershipMessage, MembershipSettings};
+use fireflylug_core::message::PeerMessage;
+use fireflylug_core::resource::{Resource, Service};
+use fireflylug_core::slo::Slo;
+use fireflylug_core::{Effect, Instant};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+const SEED: u64 = 7;
+const REQUEST: RequestId = RequestId(1);
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn identity(host: &str, control: bool) -> Identity {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let locality = Locality { region: name("kochi"), availability_zone: name("kochi-aluva") };
+    Identity {
+        id: NodeId::of_host(&name(host)),
+        host: name(host),
+        locality,
+        incarnation: 1,
+        started_unix_ms: 0,
+        addresses: Addresses { peers: address, forward: address, api: address, calls: address },
+        control,
+    }
+}
+
+/// The API of one process, with the parts of the state that it needs.
+struct Process {
+    me: Identity,
+    rng: SmallRng,
+    api: Api,
+    distribution: Distribution,
+    membership: Membership,
+    slo: Slo,
+    now: Instant,
+}
+
+impl Process {
+    fn new(me: Identity) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(SEED),
+            api: Api::new(),
+            distribution: Distribution::new(DistributionSettings::default()),
+            membership: Membership::new(MembershipSettings::default(), &me),
+            slo: Slo::new(),
+            now: Instant::ZERO,
+            me,
+        }
+    }
+
+    /// A proxy that knows the control replicas on `hosts`.
+    fn proxy_with_replicas(hosts: &[&str]) -> Self {
+        let mut process = Self::new(identity("proxy", false));
+        for host in hosts {
+            let replica = identity(host, true);
+            for message in greeting(&replica, process.me.id) {
+                let mut effects = Vec::new();
+                let mut cx = Context {
+                    now: process.now,
+                    rng: &mut process.rng,
+                    me: &process.me,
+                    effects: &mut effects,
+                };
+                process.membership.step(&mut cx, replica.id, message);
+            }
+        }
+        process
+    }
+
+    fn act(&mut self, act: impl FnOnce(&mut Api, &mut Context<'_>, ApiParts<'_>)) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let mut cx =
+            Context { now: self.now, rng: &mut self.rng, me: &self.me, effects: &mut effects };
+        let parts = ApiParts {
+            control: None,
+            distribution: &self.distribution,
+            membership: &mut self.membership,
+            slo: &self.slo,
+        };
+        act(&mut self.api, &mut cx, parts);
+        effects
+    }
+
+    fn request(&mut self, request: RequestId, body: ApiRequest) -> Vec<Effect> {
+        self.act(|api, cx, parts| api.request(cx, parts, request, body))
+    }
+
+    fn receive(&mut self, from: NodeId, message: ApiMessage) -> Vec<Effect> {
+        self.act(|api, cx, parts| api.step(cx, parts, from, message))
+    }
+
+    /// Ticks at each deadline up to `until_ms`.
+    fn run_until_ms(&mut self, until_ms: u64) -> Vec<Effect> {
+        let until = Instant::from_ms(until_ms);
+        let mut effects = Vec::new();
+        while self.api.next_deadline() <= until {
+            self.now = self.api.next_deadline().max(self.now);
+            effects.extend(self.act(|api, cx, parts| api.tick(cx, parts)));
+        }
+        self.now = until;
+        effects
+    }
+
+    fn commit(&mut self, version: u64) -> Vec<Effect> {
+        let configuration = Arc::new(configuration(version));
+        self.act(|api, cx, _| api.committed(cx, &configuration))
+    }
+
+    fn progress(&mut self, progress: Progress) -> Vec<Effect> {
+        self.act(|api, cx, _| api.progress(cx, progress))
+    }
+}
+
+/// What a process sends first to another one.
+fn greeting(me: &Identity, to: NodeId) -> Vec<MembershipMessage> {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let mut effects = Vec::new();
+    let mut cx = Context { now: Instant::ZERO, rng: &mut rng, me, effects: &mut effects };
+    Membership::new(MembershipSettings::default(), me).peer_connected(&mut cx, to);
+    let sent = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Send { message: PeerMessage::Membership(message), .. } => Some(message),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn service(text: &str) -> Resource {
+    Resource::Service(Service::new(name(text)))
+}
+
+fn change() -> ApiRequest {
+    let operations = vec![Operation::Put { resource: service("seatdesk"), if_version: None }];
+    ApiRequest::Change(ChangeRequest { key: None, changes: ChangeSet { operations } })
+}
+
+fn configuration(version: u64) -> Configuration {
+    let resource = Arc::new(service("seatdesk"));
+    let stored = StoredResource { version: Version(version), resource };
+    Configuration::new(Version(version), BTreeMap::from([(service("seatdesk").key(), stored)]))
+}
+
+fn progress(version: u64, zones: &[(u32, u32, bool)]) -> Progress {
+    let zone = |(index, (proxies, in_force, cut_off)): (usize, &(u32, u32, bool))| ZoneProgress {
+        availability_zone: name(&format!("zone-{index}")),
+        proxies: *proxies,
+        in_force: *in_force,
+        unreachable: Vec::new(),
+        cut_off: *cut_off,
+    };
+    Progress { version: Version(version), zones: zones.iter().enumerate().map(zone).collect() }
+}
+
+fn proposals(effects: &[Effect]) -> Vec<(NodeId, ChangeRequest)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send { to, message: PeerMessage::Api(ApiMessage::Propose { change, .. }) } => {
+                Some((*to, change.clone()))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn responses(effects: &[Effect]) -> Vec<ApiResponse> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Answer { response, .. } => Some(response.clone()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn events(effects: &[Effect]) -> Vec<WatchEvent> {
+    responses(effects)
+        .into_iter()
+        .filter_map(|response| match response {
+            ApiResponse::Watch(event) => Some(event),
+            _ => None,
+        })
+        .collect()
+}
+
+fn error_code(effects: &[Effect]) -> Option<ErrorCode> {
+    responses(effects).iter().find_map(|response| match response {
+        ApiResponse::Error(error) => Some(error.code),
+        _ => None,
+    })
+}
+
+#[rstest]
+fn change_without_a_replica_in_reach_is_refused_because_nothing_was_sent() {
+    let mut process = Process::proxy_with_replicas(&[]);
+
+    process.request(REQUEST, change());
+    let effects = process.run_until_ms(6_000);
+
+    assert_eq!(proposals(&effects).len(), 0);
+    assert_eq!(error_code(&effects), Some(ErrorCode::Unavailable));
+}
+
+#[rstest]
+fn change_without_an_answer_is_resent_under_one_key_and_ends_unknown() {
+    let mut process = Process::proxy_with_replicas(&["replica-a", "replica-b", "replica-c"]);
+
+    let mut effects = process.request(REQUEST, change());
+    effects.extend(process.run_until_ms(6_000));
+
+    let proposals = proposals(&effects);
+    let replicas: std::collections::BTreeSet<NodeId> =
+        proposals.iter().map(|(to, _)| *to).collect();
+    let keys: std::collections::BTreeSet<_> =
+        proposals.iter().map(|(_, change)| change.key.clone()).collect();
+    assert_eq!(replicas.len(), 3);
+    assert_eq!(keys.len(), 1);
+    assert!(!keys.contains(&None));
+    assert_eq!(error_code(&effects), Some(ErrorCode::OutcomeUnknown));
+}
+
+#[rstest]
+fn change_follows_a_redirect_to_the_leader_and_tells_its_version() {
+    let mut process = Process::proxy_with_replicas(&["replica-a"]);
+    let leader = NodeId::of_host(&name("leader"));
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let first = proposals(&process.request(REQUEST, change()));
+
+    let redirect = ApiMessage::NotLeader { request: REQUEST, leader: Some((leader, address)) };
+    let mut effects = process.receive(first[0].0, redirect);
+    effects.extend(process.run_until_ms(10));
+    let outcome = ChangeOutcome::Accepted { version: Version(3) };
+    let answered = process.receive(leader, ApiMessage::Outcome { request: REQUEST, outcome });
+
+    assert_eq!(proposals(&effects), [(leader, first[0].1.clone())]);
+    let learnt =
+        |effect: &Effect| matches!(effect, Effect::LearnAddress { peer, .. } if *peer == leader);
+    assert!(effects.iter().any(learnt));
+    assert!(matches!(
+        responses(&answered).as_slice(),
+        [ApiResponse::Accepted { version: Version(3) }]
+    ));
+}
+
+#[rstest]
+#[case::by_the_log(ErrorCode::Conflict, Some(ErrorCode::Conflict))]
+#[case::by_a_replica_that_does_not_lead(ErrorCode::Unavailable, None)]
+fn refusal_is_final_only_where_the_log_refused(
+    #[case] code: ErrorCode,
+    #[case] answered: Option<ErrorCode>,
+) {
+    let mut process = Process::proxy_with_replicas(&["replica-a"]);
+    let first = proposals(&process.request(REQUEST, change()));
+
+    let outcome = ChangeOutcome::Refused(ApiError::new(code, "refused"));
+    let effects = process.receive(first[0].0, ApiMessage::Outcome { request: REQUEST, outcome });
+
+    assert_eq!(error_code(&effects), answered);
+}
+
+#[rstest]
+fn change_is_attempted_again_when_the_replica_that_was_asked_is_lost() {
+    let mut process = Process::proxy_with_replicas(&["replica-a", "replica-b"]);
+    let first = proposals(&process.request(REQUEST, change()));
+
+    let lost = first[0].0;
+    process.act(|api, cx, _| api.peer_disconnected(cx, lost));
+    let effects = process.run_until_ms(200);
+
+    let again = proposals(&effects);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].0, lost);
+    assert_eq!(again[0].1.key, first[0].1.key);
+}
+
+#[rstest]
+fn watch_at_a_proxy_names_the_control_replicas() {
+    let mut process = Process::proxy_with_replicas(&["replica-a"]);
+
+    let effects = process.request(REQUEST, ApiRequest::Watch { from: None });
+
+    let [ApiResponse::Error(error)] = &responses(&effects)[..] else {
+        panic!("not one error: {effects:?}");
+    };
+    assert_eq!(error.code, ErrorCode::Misdirected);
+    assert_eq!(error.addresses.len(), 1);
+}
+
+#[rstest]
+fn watch_tells_accepted_progress_and_in_force_in_order() {
+    let mut process = Process::new(identity("replica", true));
+    process.request(REQUEST, ApiRequest::Watch { from: None });
+
+    let mut effects = process.commit(1);
+    effects.extend(process.progress(progress(1, &[(3, 1, false)])));
+    effects.extend(process.run_until_ms(500));
+    effects.extend(process.progress(progress(1, &[(3, 3, false)])));
+
+    let names: Vec<&str> = events(&effects)
+        .iter()
+        .map(|event| match event {
+            WatchEvent::Started { .. } => "started",
+            WatchEvent::Accepted { .. } => "accepted",
+            WatchEvent::Progress(_) => "progress",
+            WatchEvent::InForce { .. } => "in-force",
+        })
+        .collect();
+    assert_eq!(names, ["accepted", "progress", "in-force"]);
+}
+
+#[rstest]
+#[case::nobody_is_known(&[])]
+#[case::one_proxy_is_behind(&[(3, 3, false), (3, 2, false)])]
+#[case::a_zone_is_cut_off(&[(3, 3, false), (3, 3, true)])]
+fn in_force_is_not_said_early(#[case] zones: &[(u32, u32, bool)]) {
+    let mut process = Process::new(identity("replica", true));
+    process.request(REQUEST, ApiRequest::Watch { from: None });
+    process.commit(1);
+
+    let mut effects = process.progress(progress(1, zones));
+    effects.extend(process.run_until_ms(1_000));
+
+    let in_force = |event: &WatchEvent| matches!(event, WatchEvent::InForce { .. });
+    assert!(!events(&effects).iter().any(in_force), "{effects:?}");
+}
+
+#[rstest]
+fn watch_that_resumes_gets_what_it_missed_and_nothing_older() {
+    let mut process = Process::new(identity("replica", true));
+    for version in 1..=4 {
+        process.commit(version);
+    }
+    process.progress(progress(4, &[(2, 2, false)]));
+
+    let effects = process.request(REQUEST, ApiRequest::Watch { from: Some(Version(2)) });
+
+    let events = events(&effects);
+    assert_eq!(events[0], WatchEvent::Started { version: Version(4), in_force: Version(4) });
+    let accepted = |event: &WatchEvent| match event {
+        WatchEvent::Accepted { version, .. } => Some(version.0),
+        _ => None,
+    };
+    assert_eq!(events.iter().filter_map(accepted).collect::<Vec<_>>(), [3, 4]);
+    assert_eq!(events.last(), Some(&WatchEvent::InForce { version: Version(4), proxies: 2 }));
+}
+
+#[rstest]
+fn watch_from_a_forgotten_version_is_told_so() {
+    let mut process = Process::new(identity("replica", true));
+    for version in 1..=MAX_HISTORY_EVENTS as u64 + 10 {
+        process.commit(version);
+    }
+
+    let effects = process.request(REQUEST, ApiRequest::Watch { from: Some(Version(5)) });
+
+    assert_eq!(error_code(&effects), Some(ErrorCode::Compacted));
+}
