--- /dev/null
+++ b/crates/daemon/tests/api.rs
@@ -0,0 +1,228 @@
+//! The resource API over HTTP: bad input gets a clear error with its place,
+//! and no daemon dies of it.
+
+use std::path::Path;
+use std::time::Duration;
+
+use fireflylug_core::ids::{Locality, Name};
+use fireflylug_daemon::Daemon;
+use fireflylug_settings::Settings;
+use rstest::rstest;
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const KEY: &str = "0123456789abcdef";
+
+fn settings(host: &str) -> Settings {
+    let name = |text| Name::new(text).unwrap();
+    let locality = Locality { region: name("kochi"), availability_zone: name("kochi-aluva") };
+    Settings::loopback(name(host), locality)
+}
+
+async fn with_key(folder: &Path) -> Daemon {
+    let file = folder.join("key");
+    std::fs::write(&file, KEY).unwrap();
+    let mut settings = settings("guarded");
+    settings.key_file = Some(file);
+    Daemon::start(settings).await.unwrap()
+}
+
+/// An answer as it came.
+struct Answer {
+    status: u16,
+    body: String,
+}
+
+impl Answer {
+    fn error(&self) -> Value {
+        let body: Value = serde_json::from_str(&self.body).unwrap();
+        body["error"].clone()
+    }
+
+    fn code(&self) -> String {
+        self.error()["code"].as_str().unwrap_or_default().to_owned()
+    }
+
+    fn places(&self) -> Vec<String> {
+        let error = self.error();
+        let findings = error["findings"].as_array().cloned().unwrap_or_default();
+        findings.iter().map(|finding| finding["place"].as_str().unwrap().to_owned()).collect()
+    }
+}
+
+async fn send(daemon: &Daemon, head: &str, body: &str) -> Answer {
+    let mut stream = TcpStream::connect(daemon.addresses().api).await.unwrap();
+    let length = body.len();
+    let request =
+        format!("{head} HTTP/1.1\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}");
+    // The daemon may answer before it has read a body that is too long.
+    let _ = stream.write_all(request.as_bytes()).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    Answer { status, body: body.to_owned() }
+}
+
+async fn get_with(daemon: &Daemon, path: &str, header: &str) -> Answer {
+    send(daemon, &format!("GET {path} HTTP/1.1\r\n{header}\r\nx-rest:"), "").await
+}
+
+#[rstest]
+#[tokio::test]
+async fn several_daemons_answer_in_one_program_and_stop() {
+    let mut daemons = Vec::new();
+    for index in 0..3 {
+        daemons.push(Daemon::start(settings(&format!("host-{index}"))).await.unwrap());
+    }
+
+    for daemon in daemons {
+        let health = send(&daemon, "GET /healthz", "").await;
+        let ready = send(&daemon, "GET /readyz", "").await;
+        let stopped = tokio::time::timeout(Duration::from_secs(10), daemon.stop()).await;
+
+        assert_eq!(health.status, 200);
+        assert_eq!(ready.status, 503);
+        assert_eq!(stopped, Ok(true));
+    }
+}
+
+#[rstest]
+#[case::unknown_path("GET /v2/services", "", 404, "not-found")]
+#[case::unknown_kind("GET /v1/clusters/a", "", 404, "not-found")]
+#[case::wrong_method("POST /v1/services/a", "{}", 405, "method-not-allowed")]
+#[case::method_of_another("PUT /v1/watch", "{}", 405, "method-not-allowed")]
+#[case::bad_name("PUT /v1/services/Seat_Desk", "{}", 400, "malformed")]
+#[case::not_json("PUT /v1/services/a", "{nope", 400, "malformed")]
+#[case::no_object("PUT /v1/services/a", "[]", 400, "malformed")]
+#[case::bad_version("GET /v1/watch?from=soon", "", 400, "malformed")]
+#[case::watch_at_a_proxy("GET /v1/watch", "", 421, "misdirected")]
+#[case::unknown_target("DELETE /v1/targets/a/b", "", 404, "not-found")]
+#[tokio::test]
+async fn bad_request_gets_a_typed_error(
+    #[case] head: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let daemon = Daemon::start(settings("host")).await.unwrap();
+
+    let answer = send(&daemon, head, body).await;
+
+    assert_eq!((answer.status, answer.code().as_str()), (status, code), "{}", answer.body);
+    daemon.kill();
+}
+
+#[rstest]
+#[case::fields_of_a_resource(
+    "PUT /v1/routes/lookup",
+    r#"{"name": "other", "path_prefix": 7, "service": "Seat", "colour": "red"}"#,
+    &["name", "colour", "path_prefix", "service"]
+)]
+#[case::operations_of_a_change_set(
+    "POST /v1/changes",
+    r#"{"operations": [
+        {"op": "put", "resource": {"kind": "policy", "name": "p", "deadline_ms": -1}},
+        {"op": "drop", "resource": {"kind": "route", "name": "r"}},
+        {"op": "delete", "resource": {"kind": "route"}, "if_version": "x"},
+        {"op": "put", "resource": {"kind": "fleet", "name": "f"}, "why": 1},
+        7
+    ], "dry_run": true}"#,
+    &[
+        "dry_run",
+        "operations[0].resource.deadline_ms",
+        "operations[1].op",
+        "operations[2].if_version",
+        "operations[2].resource",
+        "operations[3].why",
+        "operations[3].resource.kind",
+        "operations[4]"
+    ]
+)]
+#[case::fields_of_an_announcement(
+    "PUT /v1/targets/seatdesk/a",
+    r#"{"address": "nowhere", "slots": 0, "connections": 1, "lease_ms": 5, "load": 1}"#,
+    &["address", "load"]
+)]
+#[tokio::test]
+async fn every_mistake_of_a_body_is_reported_with_its_place(
+    #[case] head: &str,
+    #[case] body: &str,
+    #[case] expected: &[&str],
+) {
+    let daemon = Daemon::start(settings("host")).await.unwrap();
+
+    let answer = send(&daemon, head, body).await;
+
+    let mut places = answer.places();
+    places.sort();
+    let mut expected = expected.to_vec();
+    expected.sort_unstable();
+    assert_eq!(places, expected, "{}", answer.body);
+    daemon.kill();
+}
+
+#[rstest]
+#[tokio::test]
+async fn body_that_is_too_long_is_refused_and_the_daemon_lives() {
+    let daemon = Daemon::start(settings("host")).await.unwrap();
+    let body = " ".repeat(fireflylug_daemon::api::MAX_BODY_BYTES + 1);
+
+    let answer = send(&daemon, "POST /v1/changes", &body).await;
+    let health = send(&daemon, "GET /healthz", "").await;
+
+    assert_eq!(answer.status, 413);
+    assert_eq!(health.status, 200);
+    daemon.kill();
+}
+
+#[rstest]
+#[case::no_bytes("")]
+#[case::half_a_head("GET /v1/st")]
+#[case::garbage("\x00\x01\x02\r\n\r\n\r\n")]
+#[case::half_a_body("PUT /v1/services/a HTTP/1.1\r\ncontent-length: 100\r\n\r\n{\"po")]
+#[tokio::test]
+async fn daemon_outlives_a_connection_that_is_cut(#[case] sent: &str) {
+    let daemon = Daemon::start(settings("host")).await.unwrap();
+
+    let mut stream = TcpStream::connect(daemon.addresses().api).await.unwrap();
+    stream.write_all(sent.as_bytes()).await.unwrap();
+    drop(stream);
+    let health = send(&daemon, "GET /healthz", "").await;
+
+    assert_eq!(health.status, 200);
+    daemon.kill();
+}
+
+#[rstest]
+#[case::none("x-none: 1", 401)]
+#[case::wrong("authorization: Bearer 0123456789abcdeF", 401)]
+#[case::longer("authorization: Bearer 0123456789abcdefg", 401)]
+#[case::right("authorization: Bearer 0123456789abcdef", 200)]
+#[tokio::test]
+async fn shared_key_guards_all_but_health(#[case] header: &str, #[case] status: u16) {
+    let folder = tempfile::tempdir().unwrap();
+    let daemon = with_key(folder.path()).await;
+
+    let guarded = get_with(&daemon, "/v1/status", header).await;
+    let metrics = get_with(&daemon, "/metrics", header).await;
+    let health = get_with(&daemon, "/healthz", header).await;
+
+    assert_eq!((guarded.status, metrics.status, health.status), (status, status, 200));
+    daemon.kill();
+}
+
+#[rstest]
+#[tokio::test]
+async fn port_in_use_is_named_with_the_key_to_change() {
+    let first = Daemon::start(settings("first")).await.unwrap();
+    let mut second = settings("second");
+    second.listen.api = first.addresses().api;
+
+    let error = Daemon::start(second).await.err().unwrap().to_string();
+
+    assert!(error.contains("[listen] api"), "{error}");
+    first.kill();
+}
