Membership: ring, relays, digests, suspicion, leases and zones that are cut off

Records that change go at once along a ring with fingers in each availability zone and along relays between them; digests in heartbeats heal what was missed. Status is decided inside a zone only, so a zone that was cut off returns without refuting anything. Tests run processes in memory with fixed seeds.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -2,32 +2,49 @@
 //!
 //! Every process is a member. A target is announced to the process of its own
 //! host, its owner, which alone writes the target's record.
+//!
+//! Members of an availability zone form a ring ordered by key and keep in
+//! touch with a few others at fixed distances in it. One of them, the relay, is in touch with
+//! the relays of the other availability zones of its region, and one relay of
+//! each region with those of the other regions. Records that change go along
+//! these links at once; heartbeats carry a digest of everything, and records
+//! are compared where digests stay different. Status is decided within a
+//! member's own availability zone; an availability zone as a whole is cut off
+//! when its relay is not heard.
 
+mod beats;
+mod gossip;
+pub(crate) mod hash;
+mod health;
+mod leases;
+mod links;
+mod message;
 mod record;
+mod topology;
+mod view;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use rand::Rng;
-use serde::{Deserialize, Serialize};
-
+pub use beats::{CUT_OFF_AFTER_MS, FORGET_CUT_OFF_AFTER_MS};
+pub use health::{HEARTBEAT_EVERY_MS, SUSPECT_FOR_MS};
+pub use leases::{MAX_LEASE_MS, MAX_TARGETS};
+pub use links::SILENT_AFTER_MS;
+pub use message::{
+    Beat, Heartbeat, MembershipMessage, Records, Summary, ZoneDigest, ZoneReach, ZoneSummary,
+};
 pub use record::{Member, MemberStatus, TargetAnnouncement, TargetRecord, TargetState};
+pub use view::{FORGET_DEAD_AFTER_MS, FORGET_LEFT_AFTER_MS};
 
+use crate::Effect;
 use crate::context::{Context, Identity};
-use crate::ids::{NodeId, TargetId};
+use crate::ids::{Name, NodeId, TargetId};
 use crate::time::Instant;
-
-/// Messages about hosts and targets.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum MembershipMessage {
-    /// Records that the sender holds.
-    Records {
-        /// Members.
-        members: Vec<Member>,
-        /// Targets.
-        targets: Vec<TargetRecord>,
-    },
-}
+use beats::Beats;
+use leases::Leases;
+use links::Links;
+use topology::Topology;
+use view::{RecordKey, View};
 
 /// A change of the view, for the other parts of the reducer.
 #[derive(Clone, Debug)]
@@ -51,165 +68,238 @@
 /// The process's view of hosts and targets.
 pub struct Membership {
     settings: MembershipSettings,
-    members: BTreeMap<NodeId, Member>,
-    targets: BTreeMap<TargetId, TargetRecord>,
-    changes: Vec<MembershipChange>,
-    next_dial_at: Instant,
+    view: View,
+    topology: Topology,
+    /// Generation of the view that `topology` follows.
+    topology_generation: Option<u64>,
+    links: Links,
+    beats: Beats,
+    leases: Leases,
+    /// Records to pass on, each with the link that it came from.
+    outbox: BTreeMap<RecordKey, Option<NodeId>>,
+    /// When each suspect of this availability zone is given up.
+    suspects: BTreeMap<NodeId, Instant>,
+    flush_at: Instant,
+    heartbeat_at: Instant,
+    dial_at: Instant,
+    failed_dials: u32,
+    heard_at: Option<Instant>,
+    synced_at: Option<Instant>,
+    stopping: bool,
 }
 
 impl Membership {
     /// Makes a view that knows only this process.
     pub fn new(settings: MembershipSettings, me: &Identity) -> Self {
-        let member = Member::of(me);
+        let mut view = View::default();
+        view.merge_member(Instant::ZERO, Member::of(me));
+        view.take_changes();
+        let dial_at = if settings.seeds.is_empty() { Instant::NEVER } else { Instant::ZERO };
+        let topology = Topology::new(&view, me);
+        let topology_generation = Some(view.generation());
         Self {
             settings,
-            members: BTreeMap::from([(me.id, member)]),
-            targets: BTreeMap::new(),
-            changes: Vec::new(),
-            next_dial_at: Instant::ZERO,
+            view,
+            topology,
+            topology_generation,
+            links: Links::default(),
+            beats: Beats::default(),
+            leases: Leases::default(),
+            outbox: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            flush_at: Instant::NEVER,
+            heartbeat_at: Instant::ZERO,
+            dial_at,
+            failed_dials: 0,
+            heard_at: None,
+            synced_at: None,
+            stopping: false,
         }
     }
 
     /// Every member that is known and not forgotten, this process included.
+    /// Those of an availability zone that is cut off are suspect.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
+        self.view.members()
     }
 
     /// One member.
     pub fn member(&self, id: NodeId) -> Option<&Member> {
-        self.members.get(&id)
+        self.view.member(id)
     }
 
     /// Every target that is known.
     pub fn targets(&self) -> impl Iterator<Item = &TargetRecord> {
-        self.targets.values()
+        self.view.targets()
     }
 
     /// Control replicas that are known and alive, by key.
     pub fn control_replicas(&self) -> impl Iterator<Item = &Member> {
-        self.members.values().filter(|member| member.control && member.status.is_reachable())
+        self.members().filter(|member| member.control && member.status.is_reachable())
+    }
+
+    /// Whether an availability zone as a whole cannot be reached from this one.
+    pub fn is_cut_off(&self, availability_zone: &Name) -> bool {
+        self.view.is_cut_off(availability_zone)
+    }
+
+    /// Grows with each change of a member or of the reach of an availability zone.
+    pub fn generation(&self) -> u64 {
+        self.view.generation()
+    }
+
+    /// When this process first learned what another one knows. None before
+    /// that, unless it has nobody to ask.
+    pub fn synced_at(&self) -> Option<Instant> {
+        if self.settings.seeds.is_empty() { Some(Instant::ZERO) } else { self.synced_at }
+    }
+
+    /// The relay of an availability zone.
+    pub fn relay(&self, availability_zone: &Name) -> Option<NodeId> {
+        self.topology.relay(availability_zone)
+    }
+
+    /// The relay that speaks for a region with the other regions.
+    pub fn hub(&self, region: &Name) -> Option<NodeId> {
+        self.topology.hub(region)
+    }
+
+    #[allow(dead_code)]
+    pub(crate) fn topology(&self) -> &Topology {
+        &self.topology
     }
 
     /// Takes what changed since the last call.
     pub fn take_changes(&mut self) -> Vec<MembershipChange> {
-        std::mem::take(&mut self.changes)
+        self.view.take_changes()
     }
 
     /// When [`Membership::tick`] is due.
     pub fn next_deadline(&self) -> Instant {
-        self.next_dial_at
+        let first_suspect = self.suspects.values().copied().min().unwrap_or(Instant::NEVER);
+        self.flush_at
+            .min(self.heartbeat_at)
+            .min(self.dial_at)
+            .min(self.leases.next_deadline())
+            .min(first_suspect)
     }
 
     /// Does what is due.
     pub fn tick(&mut self, cx: &mut Context<'_>) {
-        if cx.now < self.next_dial_at {
-            return;
+        for target in self.leases.expired(cx.now) {
+            self.leave(cx, &target);
         }
-        self.next_dial_at = if self.members.len() > 1 {
-            Instant::NEVER
-        } else {
-            cx.now.plus_ms(cx.rng.random_range(0..SEED_DIAL_EVERY_MS))
-        };
-        for address in &self.settings.seeds {
-            cx.emit(crate::Effect::Dial { address: *address });
+        if cx.now >= self.dial_at {
+            self.dial_seeds(cx);
+        }
+        if cx.now >= self.heartbeat_at {
+            self.heartbeat(cx);
         }
+        self.give_up_due(cx);
+        self.settle(cx);
     }
 
     /// A connection to another process is ready.
     pub fn peer_connected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
-        let members = self.members.values().cloned().collect();
-        let targets = self.targets.values().cloned().collect();
-        cx.send(peer, MembershipMessage::Records { members, targets });
+        let records = self.view.records_of([cx.me.id]);
+        let is_new = self.view.members().nth(1).is_none();
+        cx.send(peer, MembershipMessage::Hello { records, is_new });
     }
 
     /// The last connection to another process closed.
-    pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, _peer: NodeId) {}
-
-    /// A message from another process.
-    pub fn step(&mut self, cx: &mut Context<'_>, _from: NodeId, message: MembershipMessage) {
-        let MembershipMessage::Records { members, targets } = message;
-        for member in members {
-            self.merge_member(cx, member);
+    pub fn peer_disconnected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        if !self.links.contains(peer) {
+            return;
         }
-        for target in targets {
-            self.merge_target(cx, target);
+        if self.links.disconnected(peer) {
+            self.suspect(cx, peer);
+        } else {
+            // This dials again; a process that is gone refuses.
+            self.send_heartbeat(cx, peer, false);
         }
+        self.settle(cx);
+    }
+
+    /// A message from another process.
+    pub fn step(&mut self, cx: &mut Context<'_>, from: NodeId, message: MembershipMessage) {
+        self.heard_at = Some(cx.now);
+        self.links.heard(cx.now, from);
+        self.take_message(cx, from, message);
+        self.settle(cx);
     }
 
     /// A target announced itself to this process.
     pub fn announce(&mut self, cx: &mut Context<'_>, announcement: TargetAnnouncement) {
-        let state = if announcement.draining { TargetState::Draining } else { TargetState::Ready };
-        self.write(cx, announcement, state);
+        let stopping = self.stopping;
+        let written = self.leases.announce(cx.now, cx.me, &self.view, &announcement, stopping);
+        if let Some(record) = written {
+            self.take_target(cx, record, None);
+        }
+        self.settle(cx);
     }
 
-    /// A target of this process leaves. Returns false where it is not known.
+    /// A target of this process leaves, or its lease lapsed. Returns false
+    /// where it is not known.
     pub fn leave(&mut self, cx: &mut Context<'_>, target: &TargetId) -> bool {
-        let Some(mut record) = self.targets.get(target).cloned() else { return false };
-        record.state = TargetState::Gone;
-        record.sequence += 1;
-        self.merge_target(cx, record);
-        true
+        let is_known = self.leases.holds(target);
+        if let Some(record) = self.leases.end(cx.me, &self.view, target) {
+            self.take_target(cx, record, None);
+        }
+        self.settle(cx);
+        is_known
     }
 
-    /// This process leaves: tell the others and announce its targets as gone.
+    /// This process stops: its targets take no new work from here on.
     pub fn stop(&mut self, cx: &mut Context<'_>) {
-        let mut member = self.members[&cx.me.id].clone();
-        member.status = MemberStatus::Left;
-        self.merge_member(cx, member);
-    }
-
-    fn write(&mut self, cx: &mut Context<'_>, given: TargetAnnouncement, state: TargetState) {
-        let sequence = self.targets.get(&given.target).map_or(1, |old| old.sequence + 1);
-        let record = TargetRecord {
-            target: given.target,
-            owner: cx.me.id,
-            incarnation: cx.me.incarnation,
-            sequence,
-            address: given.address,
-            slots: given.slots,
-            connections: given.connections,
-            state,
-            load_percent: given.load_percent,
-        };
-        let same = self
-            .targets
-            .get(&record.target)
-            .is_some_and(|old| TargetRecord { sequence, ..old.clone() } == record);
-        if !same {
-            self.merge_target(cx, record);
+        self.stopping = true;
+        self.write_own_status(cx, MemberStatus::Leaving);
+        for target in self.leases.targets() {
+            let old = self.view.target(&target).filter(|old| old.owner == cx.me.id);
+            if let Some(record) = old.map(leases::draining) {
+                self.take_target(cx, record, None);
+            }
         }
+        self.settle(cx);
+        self.flush(cx);
     }
 
-    fn merge_member(&mut self, cx: &mut Context<'_>, member: Member) {
-        let old = self.members.get(&member.id);
-        if old.is_some_and(|old| !member.supersedes(old)) {
-            return;
-        }
-        if member.id != cx.me.id {
-            let address = member.addresses.peers;
-            cx.emit(crate::Effect::LearnAddress { peer: member.id, address });
+    /// This process has stopped: nobody needs to wait for it.
+    pub fn left(&mut self, cx: &mut Context<'_>) {
+        self.write_own_status(cx, MemberStatus::Left);
+        self.settle(cx);
+        self.flush(cx);
+    }
+
+    fn write_own_status(&mut self, cx: &mut Context<'_>, status: MemberStatus) {
+        let Some(own) = self.view.outgoing_member(cx.me.id) else { return };
+        if status > own.status {
+            self.take_member(cx, Member { status, ..own }, None);
         }
-        self.members.insert(member.id, member.clone());
-        self.changes.push(MembershipChange::Member(member.clone()));
-        self.tell_all(cx, MembershipMessage::Records { members: vec![member], targets: vec![] });
     }
 
-    fn merge_target(&mut self, cx: &mut Context<'_>, target: TargetRecord) {
-        let old = self.targets.get(&target.target);
-        if old.is_some_and(|old| !target.supersedes(old)) {
-            return;
+    /// Brings what follows from the view up to date, and sends what is due.
+    fn settle(&mut self, cx: &mut Context<'_>) {
+        if self.topology_generation != Some(self.view.generation()) {
+            self.topology_generation = Some(self.view.generation());
+            self.topology = Topology::new(&self.view, cx.me);
+            self.follow_suspects(cx);
+            self.follow_links(cx);
+        }
+        if cx.now >= self.flush_at {
+            self.flush(cx);
         }
-        self.targets.insert(target.target.clone(), target.clone());
-        self.changes.push(MembershipChange::Target(target.clone()));
-        self.tell_all(cx, MembershipMessage::Records { members: vec![], targets: vec![target] });
     }
 
-    fn tell_all(&self, cx: &mut Context<'_>, message: MembershipMessage) {
-        for id in self.members.keys().filter(|id| **id != cx.me.id) {
-            cx.send(*id, message.clone());
+    /// Tells new links at once that this process is there: records that went
+    /// out before they were links may have passed them by.
+    fn follow_links(&mut self, cx: &mut Context<'_>) {
+        for peer in self.links.follow(cx.now, &self.topology, cx.me) {
+            self.send_heartbeat(cx, peer, false);
         }
     }
-}
 
-/// Longest time between two dials of the seeds while nobody is known, in milliseconds.
-const SEED_DIAL_EVERY_MS: u64 = 500;
+    fn forget(&mut self, cx: &mut Context<'_>, id: NodeId) {
+        self.view.forget_member(id);
+        cx.emit(Effect::ForgetPeer { peer: id });
+    }
+}
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -31,12 +31,10 @@
     pub fn is_reachable(self) -> bool {
         matches!(self, Self::Alive | Self::Leaving)
     }
-}
 
-impl Member {
-    /// Whether this record replaces `other`, which is of the same process.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        (self.incarnation, self.status) > (other.incarnation, other.status)
+    /// Whether the process is given up, or stopped.
+    pub fn is_over(self) -> bool {
+        matches!(self, Self::Dead | Self::Left)
     }
 }
 
@@ -115,9 +113,10 @@
     pub target: TargetId,
     /// The process of the target's host.
     pub owner: NodeId,
-    /// Incarnation of the owner that wrote the record.
+    /// Incarnation of the owner at the start that wrote the record. Higher where
+    /// the target had a record of another start or owner before.
     pub incarnation: u64,
-    /// Grows with each change that this incarnation of the owner makes to the record.
+    /// Grows with each change of the record.
     pub sequence: u64,
     /// Where it takes calls.
     pub address: SocketAddr,
@@ -134,6 +133,7 @@
 impl TargetRecord {
     /// Whether this record replaces `other`, which is of the same target.
     pub fn supersedes(&self, other: &Self) -> bool {
-        (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
+        let version = |record: &Self| (record.incarnation, record.sequence, record.owner);
+        version(self) > version(other)
     }
 }
--- /dev/null
+++ b/crates/core/src/membership/topology.rs
@@ -0,0 +1,146 @@
+//! Who relays for whom: chosen alike by every process that holds the same records.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::MemberStatus;
+use super::hash::rank;
+use super::view::View;
+use crate::context::Identity;
+use crate::ids::{Name, NodeId};
+
+/// Distances in the ring of an availability zone at which members keep in
+/// touch. Each is four times the one before, so that news crosses a ring of
+/// 256 in a few steps while each member keeps at most eight neighbours.
+const RING_DISTANCES: [usize; 4] = [1, 4, 16, 64];
+
+/// The members of one availability zone that can relay.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ZoneOrder {
+    /// Region.
+    pub region: Option<Name>,
+    /// Live members by rank; the first is the relay.
+    pub order: Vec<NodeId>,
+}
+
+/// Relays and neighbours that follow from one generation of the view.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Topology {
+    zones: BTreeMap<Name, ZoneOrder>,
+    /// Relays of the availability zones of a region that are not cut off, by rank.
+    relays: BTreeMap<Name, Vec<NodeId>>,
+    neighbours: Vec<NodeId>,
+}
+
+impl Topology {
+    pub(super) fn new(view: &View, me: &Identity) -> Self {
+        let zones = zone_orders(view);
+        let relays = region_relays(view, &zones, me);
+        let neighbours = neighbours(view, me);
+        Self { zones, relays, neighbours }
+    }
+
+    /// Every availability zone with its order.
+    pub fn zones(&self) -> impl Iterator<Item = (&Name, &ZoneOrder)> {
+        self.zones.iter()
+    }
+
+    /// Live members of an availability zone by rank; the first is its relay.
+    pub fn order(&self, availability_zone: &Name) -> &[NodeId] {
+        self.zones.get(availability_zone).map_or(&[], |zone| &zone.order)
+    }
+
+    /// The relay of an availability zone.
+    pub fn relay(&self, availability_zone: &Name) -> Option<NodeId> {
+        self.order(availability_zone).first().copied()
+    }
+
+    /// The relay that speaks for a region with the other regions.
+    pub fn hub(&self, region: &Name) -> Option<NodeId> {
+        self.relays.get(region)?.first().copied()
+    }
+
+    /// Every region that has a relay.
+    pub fn regions(&self) -> impl Iterator<Item = &Name> {
+        self.relays.keys()
+    }
+
+    /// Members to contact in a region, the relays first.
+    pub fn region_candidates(&self, region: &Name) -> Vec<NodeId> {
+        let orders: Vec<&[NodeId]> = self
+            .zones
+            .values()
+            .filter(|zone| zone.region.as_ref() == Some(region))
+            .map(|zone| &*zone.order)
+            .collect();
+        let longest = orders.iter().map(|order| order.len()).max().unwrap_or(0);
+        let mut candidates = Vec::new();
+        for position in 0..longest {
+            let mut row: Vec<NodeId> =
+                orders.iter().filter_map(|order| order.get(position)).copied().collect();
+            row.sort_by_key(|id| rank(*id));
+            candidates.extend(row);
+        }
+        candidates
+    }
+
+    /// Members of this process's own availability zone to keep in touch with.
+    pub fn neighbours(&self) -> &[NodeId] {
+        &self.neighbours
+    }
+}
+
+fn zone_orders(view: &View) -> BTreeMap<Name, ZoneOrder> {
+    let mut zones: BTreeMap<Name, ZoneOrder> = BTreeMap::new();
+    for (member, written) in view.written().filter(|(_, written)| !written.is_over()) {
+        let zone = zones.entry(member.locality.availability_zone.clone()).or_default();
+        zone.region = Some(member.locality.region.clone());
+        if written == MemberStatus::Alive {
+            zone.order.push(member.id);
+        }
+    }
+    for zone in zones.values_mut() {
+        zone.order.sort_by_cached_key(|id| rank(*id));
+    }
+    zones
+}
+
+fn region_relays(
+    view: &View,
+    zones: &BTreeMap<Name, ZoneOrder>,
+    me: &Identity,
+) -> BTreeMap<Name, Vec<NodeId>> {
+    let mut relays: BTreeMap<Name, Vec<NodeId>> = BTreeMap::new();
+    for (name, zone) in zones {
+        let own_region = zone.region.as_ref() == Some(&me.locality.region);
+        // Another region's hub stays the same when it is cut off, to be found again.
+        if own_region && view.is_cut_off(name) {
+            continue;
+        }
+        if let (Some(region), Some(relay)) = (&zone.region, zone.order.first()) {
+            relays.entry(region.clone()).or_default().push(*relay);
+        }
+    }
+    for relays in relays.values_mut() {
+        relays.sort_by_cached_key(|id| rank(*id));
+    }
+    relays
+}
+
+fn neighbours(view: &View, me: &Identity) -> Vec<NodeId> {
+    let ring: Vec<NodeId> = view
+        .written()
+        .filter(|(member, written)| {
+            let same_zone = member.locality.availability_zone == me.locality.availability_zone;
+            same_zone && (!written.is_over() || member.id == me.id)
+        })
+        .map(|(member, _)| member.id)
+        .collect();
+    let Some(place) = ring.iter().position(|id| *id == me.id) else { return Vec::new() };
+    let mut neighbours = BTreeSet::new();
+    for distance in RING_DISTANCES.into_iter().filter(|distance| *distance < ring.len()) {
+        neighbours.insert(ring[(place + distance) % ring.len()]);
+        neighbours.insert(ring[(place + ring.len() - distance) % ring.len()]);
+    }
+    neighbours.remove(&me.id);
+    neighbours.into_iter().collect()
+}
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -21,6 +21,8 @@
     settle(state, now, &mut effects);
     if state.stopping && !state.exited && state.routing.is_idle() {
         state.exited = true;
+        let mut cx = Context { now, rng: &mut state.rng, me: &state.me, effects: &mut effects };
+        state.membership.left(&mut cx);
         effects.push(Effect::Exit);
     }
     effects
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,222 @@
+//! Hosts and targets over failures: joining, leases, leaving, suspicion, cuts.
+
+mod mesh;
+
+use fireflylug_core::ids::TargetId;
+use fireflylug_core::membership::{MemberStatus, TargetState};
+use mesh::{Faults, Mesh, name, two_regions};
+use rstest::rstest;
+
+fn target(id: &str) -> TargetId {
+    TargetId { service: name("seatdesk"), id: name(id) }
+}
+
+fn seen_everywhere(mesh: &Mesh, target: &TargetId, state: TargetState) -> bool {
+    mesh.running().all(|(host, _)| mesh.target_state(host, target) == Some(state))
+}
+
+fn status_everywhere(mesh: &Mesh, other: usize, status: MemberStatus) -> bool {
+    let others = mesh.running().filter(|(host, _)| *host != other);
+    let mut seen = others.map(|(host, _)| mesh.member_at(host, other).map(|m| m.status));
+    seen.all(|seen| seen == Some(status))
+}
+
+#[rstest]
+#[case::few(1, 1)]
+#[case::users_size(4, 2)]
+#[case::ring_with_fingers(20, 3)]
+fn everybody_learns_of_everybody(#[case] hosts: usize, #[case] seed: u64) {
+    let mesh = Mesh::started(&two_regions(hosts), seed);
+
+    assert!(mesh.running().all(|(_, process)| mesh.alive_at(process) == 4 * hosts));
+}
+
+#[rstest]
+#[case::quiet(Faults::default(), 1)]
+#[case::lossy(Faults { drop_percent: 5, double_percent: 5, delay_us: 20_000 }, 2)]
+fn leaving_target_is_gone_everywhere_within_3_s(#[case] faults: Faults, #[case] seed: u64) {
+    let mut mesh = Mesh::started(&two_regions(6), seed);
+    let target = target("one");
+    mesh.announce(7, &target, 60_000);
+    mesh.run_until("the target is known", 10, |m| seen_everywhere(m, &target, TargetState::Ready));
+    mesh.faults = faults;
+
+    mesh.at(7, |process, cx| process.membership.leave(cx, &target));
+
+    mesh.run_until("gone", 3, |m| seen_everywhere(m, &target, TargetState::Gone));
+}
+
+#[rstest]
+fn lapsed_lease_is_gone_everywhere_within_3_s() {
+    let mut mesh = Mesh::started(&two_regions(6), 3);
+    let target = target("one");
+    mesh.announce(7, &target, 2_000);
+    mesh.run_until("the target is known", 2, |m| seen_everywhere(m, &target, TargetState::Ready));
+
+    mesh.run_ms(2_000);
+
+    mesh.run_until("gone", 1, |m| seen_everywhere(m, &target, TargetState::Gone));
+}
+
+#[rstest]
+fn targets_of_a_crashed_host_are_gone_everywhere() {
+    let mut mesh = Mesh::started(&two_regions(6), 4);
+    let target = target("one");
+    mesh.announce(7, &target, 60_000);
+    mesh.run_until("the target is known", 10, |m| seen_everywhere(m, &target, TargetState::Ready));
+
+    mesh.crash(7);
+
+    mesh.run_until("gone", 3, |m| seen_everywhere(m, &target, TargetState::Gone));
+    assert!(status_everywhere(&mesh, 7, MemberStatus::Dead));
+}
+
+#[rstest]
+fn restarted_host_is_alive_again_and_its_old_target_is_gone() {
+    let mut mesh = Mesh::started(&two_regions(6), 5);
+    let target = target("one");
+    mesh.announce(7, &target, 60_000);
+    mesh.run_until("the target is known", 10, |m| seen_everywhere(m, &target, TargetState::Ready));
+
+    mesh.crash(7);
+    mesh.run_ms(50);
+    mesh.start(7);
+
+    mesh.run_until("gone", 3, |m| {
+        m.running().all(|(host, _)| m.target_state(host, &target) != Some(TargetState::Ready))
+    });
+    mesh.run_until("alive", 5, |m| status_everywhere(m, 7, MemberStatus::Alive));
+    mesh.announce(7, &target, 60_000);
+    mesh.run_until("back", 3, |m| seen_everywhere(m, &target, TargetState::Ready));
+}
+
+#[rstest]
+fn stopping_host_leaves_everywhere_and_is_no_suspect() {
+    let mut mesh = Mesh::started(&two_regions(6), 6);
+
+    mesh.at(7, |process, cx| process.membership.stop(cx));
+    mesh.run_until("leaving", 1, |m| status_everywhere(m, 7, MemberStatus::Leaving));
+    mesh.at(7, |process, cx| process.membership.left(cx));
+    mesh.run_ms(200);
+    mesh.crash(7);
+
+    mesh.run_until("left", 1, |m| status_everywhere(m, 7, MemberStatus::Left));
+    mesh.run_ms(70_000);
+    assert!(mesh.running().all(|(host, _)| mesh.member_at(host, 7).is_none()));
+}
+
+#[rstest]
+fn suspicion_of_a_live_host_is_refuted() {
+    let mut mesh = Mesh::started(&two_regions(6), 7);
+    let zone = mesh.zone_hosts("kochi-ernakulam");
+    let (accused, accuser) = (zone[2], zone[3]);
+    let before = mesh.member_at(accuser, accused).unwrap().incarnation;
+
+    mesh.set_cut(&[accused], &[accuser], true);
+    mesh.run_ms(4_000);
+    mesh.set_cut(&[accused], &[accuser], false);
+
+    mesh.run_until("refuted", 5, |m| status_everywhere(m, accused, MemberStatus::Alive));
+    assert!(
+        mesh.running().all(|(host, _)| {
+            mesh.member_at(host, accused).unwrap().status != MemberStatus::Dead
+        })
+    );
+    assert!(mesh.member_at(accuser, accused).unwrap().incarnation >= before);
+}
+
+#[rstest]
+fn isolated_host_accuses_nobody_when_it_returns() {
+    let mut mesh = Mesh::started(&two_regions(6), 8);
+    let isolated = 9;
+    let others = mesh.others(&[isolated]);
+    let before: Vec<u64> =
+        others.iter().map(|h| mesh.member_at(0, *h).unwrap().incarnation).collect();
+
+    mesh.set_cut(&[isolated], &others, true);
+    mesh.run_ms(30_000);
+    let given_up = status_everywhere(&mesh, isolated, MemberStatus::Dead);
+    mesh.set_cut(&[isolated], &others, false);
+
+    assert!(given_up);
+    mesh.run_until("alive again", 15, |m| {
+        m.running().all(|(_, process)| m.alive_at(process) == m.len())
+    });
+    let after: Vec<u64> =
+        others.iter().map(|h| mesh.member_at(0, *h).unwrap().incarnation).collect();
+    assert_eq!(before, after);
+}
+
+#[rstest]
+fn zone_cut_off_is_suspect_elsewhere_and_returns_without_a_refutation() {
+    let mut mesh = Mesh::started(&two_regions(5), 9);
+    let zone = mesh.zone_hosts("kzd-mavoor");
+    let others = mesh.others(&zone);
+    let target = target("one");
+    mesh.announce(zone[1], &target, 60_000);
+    mesh.run_until("the target is known", 10, |m| seen_everywhere(m, &target, TargetState::Ready));
+    let incarnation = mesh.member_at(0, zone[1]).unwrap().incarnation;
+
+    mesh.set_cut(&zone, &others, true);
+    mesh.run_until("cut off", 15, |m| {
+        others.iter().all(|host| {
+            zone.iter().all(|cut| m.member_at(*host, *cut).unwrap().status == MemberStatus::Suspect)
+        })
+    });
+    mesh.announce(zone[1], &target, 60_000);
+    mesh.run_ms(40_000);
+    mesh.announce(zone[1], &target, 60_000);
+    let inside = zone.iter().all(|host| mesh.target_state(*host, &target).is_some());
+    mesh.set_cut(&zone, &others, false);
+
+    assert!(inside);
+    mesh.run_until("healed", 15, |m| {
+        m.running().all(|(_, process)| m.alive_at(process) == m.len())
+    });
+    assert_eq!(mesh.member_at(0, zone[1]).unwrap().incarnation, incarnation);
+    assert!(seen_everywhere(&mesh, &target, TargetState::Ready));
+}
+
+#[rstest]
+fn records_that_were_missed_are_found_by_digests() {
+    let mut mesh = Mesh::started(&two_regions(6), 10);
+    let target = target("one");
+    mesh.faults = Faults { drop_percent: 60, ..Faults::default() };
+    mesh.announce(7, &target, 60_000);
+    mesh.run_ms(2_000);
+    mesh.faults = Faults::default();
+
+    mesh.run_until("healed", 30, |m| {
+        let all = m.running().all(|(_, process)| m.alive_at(process) == m.len());
+        all && seen_everywhere(m, &target, TargetState::Ready)
+    });
+}
+
+#[rstest]
+fn half_of_the_hosts_restarted_at_once_are_all_back() {
+    let mut mesh = Mesh::started(&two_regions(10), 11);
+    let half: Vec<usize> = (0..mesh.len()).filter(|host| host % 2 == 1).collect();
+
+    half.iter().for_each(|host| mesh.crash(*host));
+    mesh.run_ms(100);
+    half.iter().for_each(|host| mesh.start(*host));
+
+    let took_ms = mesh.run_until("all back", 5, |m| {
+        m.running().all(|(_, process)| m.alive_at(process) == m.len())
+    });
+    println!("all back after {took_ms} ms");
+}
+
+#[rstest]
+#[case::one_left_of_its_zone(1)]
+#[case::two_left_of_their_zone(2)]
+fn survivors_of_a_zone_give_the_others_up(#[case] survivors: usize) {
+    let mut mesh = Mesh::started(&two_regions(5), 12);
+    let zone = mesh.zone_hosts("kzd-feroke");
+
+    zone[survivors..].iter().for_each(|host| mesh.crash(*host));
+
+    mesh.run_until("given up", 15, |m| {
+        zone[survivors..].iter().all(|host| status_everywhere(m, *host, MemberStatus::Dead))
+    });
+}
--- /dev/null
+++ b/crates/core/tests/mesh/mod.rs
@@ -0,0 +1,608 @@
+//! Processes of membership and distribution that pass messages in memory.
+//!
+//! Time is simulated, every random number comes from one seed, and messages
+//! can be lost, doubled, delayed out of order or cut off. Control replicas
+//! are given versions directly, as the replicated log would.
+
+#![allow(dead_code)]
+
+mod traffic;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::context::{Addresses, Context, Identity};
+use fireflylug_core::distribution::{Distribution, DistributionSettings, Progress};
+use fireflylug_core::ids::{Locality, Name, NodeId, TargetId, Version};
+use fireflylug_core::membership::{
+    Member, MemberStatus, Membership, MembershipChange, MembershipSettings, TargetAnnouncement,
+    TargetState,
+};
+use fireflylug_core::message::PeerMessage;
+use fireflylug_core::resource::{Resource, Service};
+use fireflylug_core::{Effect, Event, Instant};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub use traffic::Traffic;
+
+/// Unix time at the start of every test, in milliseconds.
+const EPOCH_UNIX_MS: u64 = 1_700_000_000_000;
+
+/// Time after which a connection whose messages are lost breaks, in microseconds.
+const BROKEN_AFTER_US: u64 = 15_000_000;
+
+/// Time that a dial takes which nobody answers, in microseconds.
+const DIAL_TIMEOUT_US: u64 = 3_000_000;
+
+/// Latency within an availability zone, between those of a region, and between regions.
+const LATENCY_US: [u64; 3] = [100, 1_000, 30_000];
+
+/// What goes wrong with messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub drop_percent: u32,
+    pub double_percent: u32,
+    /// Longest extra delay of a message. Messages overtake each other.
+    pub delay_us: u64,
+}
+
+/// One process.
+pub struct Process {
+    pub me: Identity,
+    pub membership: Membership,
+    pub distribution: Distribution,
+    pub progress: Option<Progress>,
+    rng: SmallRng,
+    started_us: u64,
+}
+
+/// A host: its process, if it runs, and what outlives it.
+struct Host {
+    me: Identity,
+    seeds: Vec<SocketAddr>,
+    process: Option<Process>,
+    starts: u64,
+}
+
+#[derive(Debug)]
+enum Happening {
+    Tick,
+    Connected { peer: usize },
+    Disconnected { peer: usize },
+    Message { from: usize, message: Box<PeerMessage> },
+    Break { peer: usize },
+}
+
+struct Scheduled {
+    at_us: u64,
+    order: u64,
+    host: usize,
+    start: u64,
+    happening: Happening,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_us, self.order).cmp(&(other.at_us, other.order))
+    }
+}
+
+/// All hosts and what is on its way between them.
+pub struct Mesh {
+    pub now_us: u64,
+    pub faults: Faults,
+    pub traffic: Traffic,
+    hosts: Vec<Host>,
+    by_id: BTreeMap<NodeId, usize>,
+    connected: BTreeSet<(usize, usize)>,
+    cuts: BTreeSet<(usize, usize)>,
+    last_delivery_us: BTreeMap<(usize, usize), u64>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    armed_us: Vec<u64>,
+    order: u64,
+    rng: SmallRng,
+}
+
+/// Shape of a mesh: each availability zone with its region, hosts and control replicas.
+#[derive(Clone, Debug)]
+pub struct Zone {
+    pub region: &'static str,
+    pub name: &'static str,
+    pub hosts: usize,
+    pub control: usize,
+}
+
+/// Makes a zone of a shape.
+pub fn zone(region: &'static str, name: &'static str, hosts: usize, control: usize) -> Zone {
+    Zone { region, name, hosts, control }
+}
+
+/// Two regions with two availability zones each, as the users have.
+pub fn two_regions(hosts: usize) -> Vec<Zone> {
+    vec![
+        zone("kochi", "kochi-aluva", hosts, 1),
+        zone("kochi", "kochi-ernakulam", hosts, 1),
+        zone("kozhikode", "kzd-feroke", hosts, 1),
+        zone("kozhikode", "kzd-mavoor", hosts, 0),
+    ]
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+impl Mesh {
+    /// Makes the hosts of a shape, none of which runs. The first host of each
+    /// of the first two availability zones is a seed of all.
+    pub fn new(zones: &[Zone], seed: u64) -> Self {
+        let mut hosts = Vec::new();
+        for zone in zones {
+            for index in 0..zone.hosts {
+                hosts.push(Host::new(zone, index, hosts.len()));
+            }
+        }
+        let firsts = [0, zones[0].hosts.min(hosts.len() - 1)];
+        let seeds: Vec<SocketAddr> = firsts.map(|host| hosts[host].me.addresses.peers).to_vec();
+        hosts.iter_mut().for_each(|host| host.seeds = seeds.clone());
+        let by_id = hosts.iter().enumerate().map(|(index, host)| (host.me.id, index)).collect();
+        Self {
+            now_us: 0,
+            faults: Faults::default(),
+            traffic: Traffic::default(),
+            armed_us: vec![u64::MAX; hosts.len()],
+            hosts,
+            by_id,
+            connected: BTreeSet::new(),
+            cuts: BTreeSet::new(),
+            last_delivery_us: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Makes a mesh whose hosts all run and know each other.
+    pub fn started(zones: &[Zone], seed: u64) -> Self {
+        let mut mesh = Self::new(zones, seed);
+        for host in 0..mesh.len() {
+            mesh.start(host);
+        }
+        mesh.run_until("everybody knows everybody", 60, |mesh| {
+            mesh.running().all(|(_, process)| mesh.alive_at(process) == mesh.len())
+        });
+        mesh
+    }
+
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Process)> {
+        let processes = self.hosts.iter().enumerate();
+        processes.filter_map(|(index, host)| Some((index, host.process.as_ref()?)))
+    }
+
+    pub fn process(&self, host: usize) -> &Process {
+        self.hosts[host].process.as_ref().expect("the host runs")
+    }
+
+    pub fn identity(&self, host: usize) -> &Identity {
+        &self.hosts[host].me
+    }
+
+    pub fn host_of(&self, id: NodeId) -> usize {
+        self.by_id[&id]
+    }
+
+    /// Hosts of an availability zone.
+    pub fn zone_hosts(&self, zone: &str) -> Vec<usize> {
+        let of_zone =
+            |host: &usize| self.hosts[*host].me.locality.availability_zone.as_str() == zone;
+        (0..self.len()).filter(of_zone).collect()
+    }
+
+    pub fn controls(&self) -> Vec<usize> {
+        (0..self.len()).filter(|host| self.hosts[*host].me.control).collect()
+    }
+
+    pub fn alive_at(&self, process: &Process) -> usize {
+        let members = process.membership.members();
+        members.filter(|member| member.status == MemberStatus::Alive).count()
+    }
+
+    pub fn member_at(&self, host: usize, other: usize) -> Option<&Member> {
+        self.process(host).membership.member(self.hosts[other].me.id)
+    }
+
+    pub fn target_state(&self, host: usize, target: &TargetId) -> Option<TargetState> {
+        let targets = self.process(host).membership.targets();
+        targets.filter(|record| record.target == *target).map(|record| record.state).next()
+    }
+
+    /// Starts a host's process. It holds nothing.
+    pub fn start(&mut self, host: usize) {
+        let now_us = self.now_us;
+        let seed = self.rng.random();
+        let slot = &mut self.hosts[host];
+        slot.starts += 1;
+        slot.me.incarnation = EPOCH_UNIX_MS + now_us / 1_000 + slot.starts;
+        slot.me.started_unix_ms = EPOCH_UNIX_MS + now_us / 1_000;
+        let settings = MembershipSettings { seeds: slot.seeds.clone() };
+        slot.process = Some(Process {
+            membership: Membership::new(settings, &slot.me),
+            distribution: Distribution::new(DistributionSettings::default()),
+            progress: None,
+            rng: SmallRng::seed_from_u64(seed),
+            started_us: now_us,
+            me: slot.me.clone(),
+        });
+        self.arm(host);
+    }
+
+    /// Ends a host's process without a word.
+    pub fn crash(&mut self, host: usize) {
+        self.hosts[host].process = None;
+        self.armed_us[host] = u64::MAX;
+        let peers: Vec<usize> =
+            self.connected.iter().filter(|(a, _)| *a == host).map(|(_, b)| *b).collect();
+        for peer in peers {
+            self.disconnect(host, peer);
+        }
+    }
+
+    /// Cuts two sets of hosts off from each other, or heals the cut.
+    pub fn set_cut(&mut self, one: &[usize], other: &[usize], cut: bool) {
+        for (a, b) in one.iter().flat_map(|a| other.iter().map(|b| (*a, *b))) {
+            if cut {
+                self.cuts.insert((a, b));
+                self.cuts.insert((b, a));
+                let at_us = self.now_us + BROKEN_AFTER_US;
+                self.schedule(at_us, a, Happening::Break { peer: b });
+            } else {
+                self.cuts.remove(&(a, b));
+                self.cuts.remove(&(b, a));
+            }
+        }
+    }
+
+    /// Hosts outside of an availability zone.
+    pub fn others(&self, zone: &[usize]) -> Vec<usize> {
+        (0..self.len()).filter(|host| !zone.contains(host)).collect()
+    }
+
+    /// Does something at a host's process.
+    pub fn at<T>(
+        &mut self,
+        host: usize,
+        act: impl FnOnce(&mut Process, &mut Context<'_>) -> T,
+    ) -> T {
+        let now_us = self.now_us;
+        let process = self.hosts[host].process.as_mut().expect("the host runs");
+        let mut effects = Vec::new();
+        let result = process.with_context(now_us, &mut effects, act);
+        process.settle(now_us, &mut effects);
+        for effect in effects {
+            self.carry_out(host, effect);
+        }
+        self.arm(host);
+        result
+    }
+
+    /// Announces a target at a host.
+    pub fn announce(&mut self, host: usize, target: &TargetId, lease_ms: u32) {
+        let announcement = TargetAnnouncement {
+            target: target.clone(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9)),
+            slots: 12,
+            connections: 120,
+            lease_ms,
+            load_percent: None,
+            draining: false,
+        };
+        self.at(host, |process, cx| process.membership.announce(cx, announcement));
+    }
+
+    /// Commits a version at every running control replica.
+    pub fn publish(&mut self, configuration: &Arc<Configuration>) {
+        for host in self.controls() {
+            if self.hosts[host].process.is_some() {
+                self.publish_at(host, configuration);
+            }
+        }
+    }
+
+    /// Commits a version at one control replica.
+    pub fn publish_at(&mut self, host: usize, configuration: &Arc<Configuration>) {
+        let configuration = Arc::clone(configuration);
+        self.at(host, |process, cx| process.distribution.publish(cx, configuration));
+    }
+
+    /// Runs for some time.
+    pub fn run_ms(&mut self, ms: u64) {
+        let until_us = self.now_us + ms * 1_000;
+        while self.step(until_us) {}
+        self.now_us = until_us;
+    }
+
+    /// Runs until a condition holds, which is looked at every 5 milliseconds.
+    /// Returns the time that it took, in milliseconds.
+    pub fn run_until(
+        &mut self,
+        what: &str,
+        limit_s: u64,
+        mut condition: impl FnMut(&Self) -> bool,
+    ) -> u64 {
+        let start_us = self.now_us;
+        while !condition(self) {
+            assert!(self.now_us - start_us < limit_s * 1_000_000, "not in {limit_s} s: {what}");
+            self.run_ms(5);
+        }
+        (self.now_us - start_us) / 1_000
+    }
+
+    fn step(&mut self, until_us: u64) -> bool {
+        if self.queue.peek().is_none_or(|Reverse(next)| next.at_us > until_us) {
+            return false;
+        }
+        let Reverse(Scheduled { at_us, host, start, happening, .. }) =
+            self.queue.pop().expect("there is a next one");
+        self.now_us = at_us;
+        if let Happening::Break { peer } = happening {
+            if self.cuts.contains(&(host, peer)) {
+                self.disconnect(host, peer);
+            }
+            return true;
+        }
+        if self.hosts[host].process.is_none() || self.hosts[host].starts != start {
+            return true;
+        }
+        let event = match happening {
+            Happening::Tick if self.armed_us[host] != at_us => return true,
+            Happening::Tick => Event::Tick,
+            Happening::Connected { peer } => Event::PeerConnected { peer: self.hosts[peer].me.id },
+            Happening::Disconnected { peer } => {
+                Event::PeerDisconnected { peer: self.hosts[peer].me.id }
+            }
+            Happening::Message { from, message } => {
+                Event::PeerMessage { from: self.hosts[from].me.id, message: *message }
+            }
+            Happening::Break { .. } => unreachable!("handled above"),
+        };
+        self.at(host, |process, cx| process.take(cx, event));
+        true
+    }
+
+    fn arm(&mut self, host: usize) {
+        let Some(process) = &self.hosts[host].process else { return };
+        let due = process.membership.next_deadline().min(process.distribution.next_deadline());
+        if due == Instant::NEVER {
+            self.armed_us[host] = u64::MAX;
+            return;
+        }
+        let at_us = (process.started_us + due.as_us()).max(self.now_us + 1);
+        if self.armed_us[host] != at_us {
+            self.armed_us[host] = at_us;
+            self.schedule(at_us, host, Happening::Tick);
+        }
+    }
+
+    fn schedule(&mut self, at_us: u64, host: usize, happening: Happening) {
+        self.order += 1;
+        let start = self.hosts[host].starts;
+        let order = self.order;
+        self.queue.push(Reverse(Scheduled { at_us, order, host, start, happening }));
+    }
+
+    fn carry_out(&mut self, host: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => {
+                let Some(peer) = self.by_id.get(&to).copied() else { return };
+                if self.connect(host, peer) {
+                    self.send(host, peer, message);
+                }
+            }
+            Effect::Dial { address } => {
+                let peer = self.hosts.iter().position(|h| h.me.addresses.peers == address);
+                if let Some(peer) = peer.filter(|peer| *peer != host) {
+                    let dead = self.hosts[peer].process.is_none();
+                    if !dead && !self.cuts.contains(&(host, peer)) {
+                        self.connect(host, peer);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Connects two hosts unless they are, and says whether that can be done.
+    fn connect(&mut self, host: usize, peer: usize) -> bool {
+        if self.connected.contains(&(host, peer)) {
+            return true;
+        }
+        let cut = self.cuts.contains(&(host, peer));
+        if cut || self.hosts[peer].process.is_none() {
+            let wait_us = if cut { DIAL_TIMEOUT_US } else { self.latency_us(host, peer) * 2 };
+            self.schedule(self.now_us + wait_us, host, Happening::Disconnected { peer });
+            return false;
+        }
+        self.connected.insert((host, peer));
+        self.connected.insert((peer, host));
+        let at_us = self.now_us + 2 * self.latency_us(host, peer);
+        self.last_delivery_us.insert((host, peer), at_us);
+        self.last_delivery_us.insert((peer, host), at_us);
+        self.schedule(at_us, host, Happening::Connected { peer });
+        self.schedule(at_us, peer, Happening::Connected { peer: host });
+        true
+    }
+
+    fn disconnect(&mut self, host: usize, peer: usize) {
+        if self.connected.remove(&(host, peer)) {
+            self.connected.remove(&(peer, host));
+            let at_us = self.now_us + self.latency_us(host, peer);
+            self.schedule(at_us, peer, Happening::Disconnected { peer: host });
+            self.schedule(at_us, host, Happening::Disconnected { peer });
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let (sender, receiver) = (&self.hosts[from].me, &self.hosts[to].me);
+        self.traffic.count(sender, receiver, &message);
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        if self.chance(self.faults.drop_percent) {
+            return;
+        }
+        if self.chance(self.faults.double_percent) {
+            self.deliver(from, to, message.clone());
+        }
+        self.deliver(from, to, message);
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: PeerMessage) {
+        let mut at_us = self.now_us + self.latency_us(from, to);
+        if self.faults.delay_us > 0 {
+            at_us += self.rng.random_range(0..=self.faults.delay_us);
+        } else {
+            at_us = at_us.max(self.last_delivery_us.get(&(from, to)).copied().unwrap_or(0));
+            self.last_delivery_us.insert((from, to), at_us);
+        }
+        let message = Box::new(message);
+        self.schedule(at_us, to, Happening::Message { from, message });
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+
+    fn latency_us(&self, a: usize, b: usize) -> u64 {
+        let (a, b) = (&self.hosts[a].me.locality, &self.hosts[b].me.locality);
+        match (a.region == b.region, a.availability_zone == b.availability_zone) {
+            (true, true) => LATENCY_US[0],
+            (true, false) => LATENCY_US[1],
+            (false, _) => LATENCY_US[2],
+        }
+    }
+}
+
+impl Host {
+    fn new(zone: &Zone, index: usize, number: usize) -> Self {
+        let host = name(&format!("{}-{index}", zone.name));
+        let port = 1_000 + number as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let locality = Locality { region: name(zone.region), availability_zone: name(zone.name) };
+        let me = Identity {
+            id: NodeId::of_host(&host),
+            host,
+            locality,
+            incarnation: 0,
+            started_unix_ms: 0,
+            addresses: Addresses { peers: address, forward: address, api: address, calls: address },
+            control: index < zone.control,
+        };
+        Self { me, seeds: Vec::new(), process: None, starts: 0 }
+    }
+}
+
+impl Process {
+    pub fn version(&self) -> u64 {
+        self.distribution.current().version().0
+    }
+
+    fn with_context<T>(
+        &mut self,
+        now_us: u64,
+        effects: &mut Vec<Effect>,
+        act: impl FnOnce(&mut Self, &mut Context<'_>) -> T,
+    ) -> T {
+        let now = Instant::from_us(now_us - self.started_us);
+        let mut rng = self.rng.clone();
+        let me = self.me.clone();
+        let mut cx = Context { now, rng: &mut rng, me: &me, effects };
+        let result = act(self, &mut cx);
+        self.rng = rng;
+        result
+    }
+
+    fn take(&mut self, cx: &mut Context<'_>, event: Event) {
+        match event {
+            Event::Tick => {
+                self.membership.tick(cx);
+                self.distribution.tick(cx, &self.membership);
+            }
+            Event::PeerConnected { peer } => {
+                self.membership.peer_connected(cx, peer);
+                self.distribution.peer_connected(cx, &self.membership, peer);
+            }
+            Event::PeerDisconnected { peer } => {
+                self.membership.peer_disconnected(cx, peer);
+                self.distribution.peer_disconnected(cx, &self.membership, peer);
+            }
+            Event::PeerMessage { from, message } => match message {
+                PeerMessage::Membership(message) => self.membership.step(cx, from, message),
+                PeerMessage::Distribution(message) => {
+                    self.distribution.step(cx, &self.membership, from, message);
+                }
+                _ => {}
+            },
+            _ => {}
+        }
+    }
+
+    fn settle(&mut self, now_us: u64, effects: &mut Vec<Effect>) {
+        self.with_context(now_us, effects, |process, cx| {
+            for change in process.membership.take_changes() {
+                let MembershipChange::Target(_) = change else {
+                    process.distribution.membership_changed(cx, &process.membership, &change);
+                    continue;
+                };
+            }
+            process.distribution.take_applied();
+            if let Some(progress) = process.distribution.take_progress() {
+                process.progress = Some(progress);
+            }
+        });
+    }
+}
+
+/// A version with these services, each last changed by the version given with it.
+pub fn configuration(version: u64, services: &[(String, u64)]) -> Arc<Configuration> {
+    let stored = services.iter().map(|(service, changed)| {
+        let resource = Arc::new(Resource::Service(Service::new(name(service))));
+        (resource.key(), StoredResource { version: Version(*changed), resource })
+    });
+    Arc::new(Configuration::new(Version(version), stored.collect()))
+}
+
+/// A run of versions, each of which adds a service, and every third of which
+/// deletes an older one.
+pub fn versions(count: u64) -> Vec<Arc<Configuration>> {
+    let mut services: Vec<(String, u64)> = Vec::new();
+    let mut versions = Vec::new();
+    for version in 1..=count {
+        services.push((format!("service-{version}"), version));
+        if version % 3 == 0 {
+            services.remove(services.len() / 2);
+        }
+        versions.push(configuration(version, &services));
+    }
+    versions
+}
--- /dev/null
+++ b/crates/core/tests/mesh/traffic.rs
@@ -0,0 +1,64 @@
+//! Messages and bytes between processes, as they are on the wire.
+
+use std::collections::BTreeMap;
+
+use fireflylug_core::context::Identity;
+use fireflylug_core::ids::{Name, NodeId};
+use fireflylug_core::message::PeerMessage;
+
+/// Mean length of the header of a WebSocket frame of up to 125 bytes; dialers mask theirs.
+const HEADER_BYTES: u64 = 4;
+
+/// Messages and bytes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Count {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+impl Count {
+    fn add(&mut self, bytes: u64) {
+        self.messages += 1;
+        self.bytes += bytes;
+    }
+}
+
+/// What crossed since the last [`Traffic::reset`].
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// By sender and kind.
+    pub sent: BTreeMap<(NodeId, &'static str), Count>,
+    /// By regions of sender and receiver, and kind.
+    pub between_regions: BTreeMap<(Name, Name, &'static str), Count>,
+}
+
+impl Traffic {
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+
+    pub fn count(&mut self, from: &Identity, to: &Identity, message: &PeerMessage) {
+        let kind: &'static str = message.into();
+        let bytes = fireflylug_wire::encode(message).len() as u64 + HEADER_BYTES;
+        self.sent.entry((from.id, kind)).or_default().add(bytes);
+        if from.locality.region != to.locality.region {
+            let regions = (from.locality.region.clone(), to.locality.region.clone(), kind);
+            self.between_regions.entry(regions).or_default().add(bytes);
+        }
+    }
+
+    /// What a process sent of one kind.
+    pub fn sent_by(&self, id: NodeId, kind: &str) -> Count {
+        let rows = self.sent.iter().filter(|((sender, k), _)| *sender == id && *k == kind);
+        rows.map(|(_, count)| *count).next().unwrap_or_default()
+    }
+
+    /// What everybody sent of one kind.
+    pub fn total(&self, kind: &str) -> Count {
+        let rows = self.sent.iter().filter(|((_, k), _)| *k == kind);
+        rows.fold(Count::default(), |sum, (_, count)| Count {
+            messages: sum.messages + count.messages,
+            bytes: sum.bytes + count.bytes,
+        })
+    }
+}
