Control replicas: notice an older or foreign disk, hand the lead over on a graceful stop

A voter that starts asks the others what they heard from its storage, and neither votes nor acknowledges before a majority answered. One that holds less starts from nothing under a new identity and is let in like a blank one. The leader tells followers once a second what each voter acknowledged, so that this also works where the leader is the host that was lost. A data folder whose last user in this program is still closing is retried for 2 s.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::entry::{Payload, Voter};
-use super::message::{ConsensusMessage, VoteRequest, VoteResponse};
+use super::message::{ConsensusMessage, Floor, VoteRequest, VoteResponse};
 use super::peer::Peer;
 use super::replica::ControlReplica;
 use super::role::{Leadership, Role};
@@ -17,7 +17,7 @@
     pub(super) fn campaign(&mut self, cx: &mut Context<'_>) {
         self.leader = None;
         let me = self.me(cx);
-        if !self.is_voter(me) {
+        if !self.is_voter(me) || !self.floors.is_confirmed() {
             self.role = Role::Follower;
             self.role_deadline = self.election_deadline(cx);
             self.greet_in_time(cx);
@@ -87,7 +87,7 @@
         from: NodeId,
         request: VoteRequest,
     ) {
-        if matches!(self.role, Role::Blank(_)) {
+        if matches!(self.role, Role::Blank(_)) || !self.floors.is_confirmed() {
             return;
         }
         if request.pre {
@@ -160,6 +160,10 @@
             }
             return;
         }
+        if !vote.pre {
+            let (term, generation) = (vote.term, vote.generation);
+            self.raise_floor(from, vote.disk, Floor { term, generation, match_index: 0 });
+        }
         let asked_term = self.hard_state.term + u64::from(vote.pre);
         let voter = Voter { node: from, disk: vote.disk };
         match &mut self.role {
--- a/crates/core/src/consensus/entry.rs
+++ b/crates/core/src/consensus/entry.rs
@@ -49,6 +49,11 @@
         self.0.binary_search(&voter).is_ok()
     }
 
+    /// Whether any process votes with this storage.
+    pub fn contains_disk(&self, disk: DiskId) -> bool {
+        self.0.iter().any(|voter| voter.disk == disk)
+    }
+
     /// The storage with which a process votes.
     pub fn disk_of(&self, node: NodeId) -> Option<DiskId> {
         self.0.iter().find(|voter| voter.node == node).map(|voter| voter.disk)
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -43,6 +43,7 @@
             self.answer_leader(cx, Some(rejected));
             return;
         }
+        self.take_acknowledged(&append.acknowledged);
         let last = append.entries.last().map_or(append.prev_index, |entry| entry.index);
         self.take_entries(cx, append.entries);
         self.verified = self.verified.max(last);
@@ -137,6 +138,7 @@
         // What is not promised on disk must not be said; it is said once it is.
         if let Some(leader) = self.leader
             && self.storage.is_hard_state_synced()
+            && self.floors.is_confirmed()
         {
             self.answer(cx, leader, self.leader_round, rejected);
         }
--- a/crates/core/src/consensus/formation.rs
+++ b/crates/core/src/consensus/formation.rs
@@ -11,7 +11,7 @@
 use super::disk::DiskWrite;
 use super::entry::{Voter, VoterSet};
 use super::machine::Machine;
-use super::message::{ConsensusMessage, Hello};
+use super::message::{ConsensusMessage, Floor, Hello};
 use super::replica::ControlReplica;
 use super::role::{Formation, Role};
 use super::snapshot::Snapshot;
@@ -37,16 +37,23 @@
         let known: BTreeSet<_> =
             voters.chain(self.settings.initial_voters.iter().copied()).chain(self.leader).collect();
         for node in known.into_iter().filter(|node| *node != cx.me.id) {
-            self.send_hello(cx, node, true);
+            self.send_hello(cx, node, true, None);
         }
     }
 
-    fn send_hello(&self, cx: &mut Context<'_>, to: NodeId, wants_answer: bool) {
+    fn send_hello(
+        &self,
+        cx: &mut Context<'_>,
+        to: NodeId,
+        wants_answer: bool,
+        floor: Option<Floor>,
+    ) {
         let hello = Hello {
             disk: self.disk,
             generation: self.generation,
             blank: matches!(self.role, Role::Blank(_)),
             wants_answer,
+            floor,
             leader: self.leader,
             heard: self.heard(),
         };
@@ -65,7 +72,11 @@
 
     pub(super) fn take_hello(&mut self, cx: &mut Context<'_>, from: NodeId, hello: Hello) {
         if hello.wants_answer {
-            self.send_hello(cx, from, false);
+            self.send_hello(cx, from, false, self.floors.get(hello.disk));
+            let heard = Floor { generation: hello.generation, ..Floor::default() };
+            self.raise_floor(from, hello.disk, heard);
+        } else {
+            self.take_floor(cx, from, &hello);
         }
         match &mut self.role {
             Role::Blank(formation) => {
@@ -106,7 +117,7 @@
         cx.log(LogLevel::Info, LogPart::Consensus, text);
         for voter in voters.voters().iter().filter(|voter| voter.node != cx.me.id) {
             // The others may wait for this last agreement.
-            self.send_hello(cx, voter.node, false);
+            self.send_hello(cx, voter.node, false, None);
         }
         let snapshot = std::sync::Arc::new(Snapshot::initial(voters.clone()));
         self.machine = Machine::from_snapshot(&snapshot);
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -6,7 +6,7 @@
 
 use super::disk::DiskWrite;
 use super::entry::{DiskId, Entry, Payload, Voter, VoterSet};
-use super::message::{Append, AppendResponse, ConsensusMessage, InstallSnapshot};
+use super::message::{Append, AppendResponse, ConsensusMessage, Floor, InstallSnapshot};
 use super::peer::{MAX_APPEND_BYTES, Peer, Sending};
 use super::replica::ControlReplica;
 use super::role::Role;
@@ -104,6 +104,7 @@
         entries: Vec<Arc<Entry>>,
         bytes: usize,
     ) {
+        let acknowledged = self.acknowledged();
         let Role::Leader(leadership) = &mut self.role else { return };
         let Some(peer) = leadership.peers.get_mut(&node) else { return };
         let prev_index = match peer.sending {
@@ -133,6 +134,7 @@
             commit: self.commit,
             round: leadership.round,
             entries,
+            acknowledged,
         };
         cx.send(node, ConsensusMessage::Append(append));
     }
@@ -156,11 +158,17 @@
             self.follow(cx, response.term, None);
             return;
         }
-        let Role::Leader(leadership) = &mut self.role else { return };
-        let Some(peer) = leadership.peers.get_mut(&from) else { return };
         if response.term < self.hard_state.term {
             return;
         }
+        let heard = Floor {
+            generation: response.generation,
+            term: response.term,
+            match_index: response.match_index,
+        };
+        self.raise_floor(from, response.disk, heard);
+        let Role::Leader(leadership) = &mut self.role else { return };
+        let Some(peer) = leadership.peers.get_mut(&from) else { return };
         peer.set_disk((response.disk, response.generation));
         peer.heard_at = cx.now;
         peer.acked_round = peer.acked_round.max(response.round);
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -60,12 +60,25 @@
     pub blank: bool,
     /// Whether the receiver should answer.
     pub wants_answer: bool,
+    /// In an answer: the most that the sender heard from the receiver's storage.
+    pub floor: Option<Floor>,
     /// The leader that the sender follows.
     pub leader: Option<NodeId>,
     /// From a blank replica: the blank initial voters that it has heard of, itself included.
     pub heard: Vec<Voter>,
 }
 
+/// What a storage was once heard to hold. One that holds less now is an older copy.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Floor {
+    /// How often the storage was opened.
+    pub generation: u64,
+    /// Newest term in which it promised something.
+    pub term: u64,
+    /// Last entry that it acknowledged.
+    pub match_index: u64,
+}
+
 /// Asks for a vote.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct VoteRequest {
@@ -117,6 +130,9 @@
     /// The entries.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<Arc<Entry>>,
+    /// Now and then, the last entry that each voter's storage acknowledged.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub acknowledged: Vec<(DiskId, u64)>,
 }
 
 /// Answers an append or a snapshot.
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -11,6 +11,7 @@
 mod disk;
 mod election;
 mod entry;
+mod floors;
 mod follower;
 mod formation;
 mod leader;
@@ -36,7 +37,7 @@
 pub use disk::{DiskCommand, DiskEvent, DiskWrite, RecoveredDisk};
 pub use entry::{DiskId, Entry, HardState, Payload, Voter, VoterSet};
 pub use message::{
-    Append, AppendResponse, ConsensusMessage, Hello, InstallSnapshot, Rejected, VoteRequest,
+    Append, AppendResponse, ConsensusMessage, Floor, Hello, InstallSnapshot, Rejected, VoteRequest,
     VoteResponse,
 };
 pub use outcomes::{MAX_OUTCOME_AGE_MS, MAX_OUTCOMES, OutcomeRecord};
--- a/crates/core/src/consensus/peer.rs
+++ b/crates/core/src/consensus/peer.rs
@@ -67,9 +67,10 @@
         }
     }
 
-    /// Takes note of the storage. What was known of another storage is forgotten.
+    /// Takes note of the storage. What was known of another one, or of an earlier start, is
+    /// forgotten.
     pub(super) fn set_disk(&mut self, disk: (DiskId, u64)) {
-        if self.disk.is_some_and(|known| known.0 != disk.0) {
+        if self.disk.is_some_and(|known| known != disk) {
             self.match_index = 0;
             self.probe(self.next_index);
         }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -7,6 +7,7 @@
 
 use super::disk::{DiskEvent, DiskWrite, RecoveredDisk};
 use super::entry::{DiskId, HardState, Voter, VoterSet};
+use super::floors::Floors;
 use super::log::Log;
 use super::machine::Machine;
 use super::message::{ConsensusMessage, VoteResponse};
@@ -46,6 +47,7 @@
     /// The first set of voters, while nothing is compacted.
     pub(super) first_voters: VoterSet,
     pub(super) storage: Storage,
+    pub(super) floors: Floors,
     /// Votes that are given once a command is synced.
     pub(super) unsent_votes: VecDeque<(u64, NodeId, VoteResponse)>,
     pub(super) waiting: Waiting,
@@ -98,6 +100,7 @@
             leader_round: 0,
             first_voters,
             storage: Storage::new(log.last_index()),
+            floors: Floors::default(),
             log,
             machine,
             unsent_votes: VecDeque::new(),
@@ -226,9 +229,15 @@
             self.begin_formation(cx);
             return;
         }
-        // A voter alone has no leader to wait for.
-        let alone = self.newest_voters().voters().len() == 1;
-        self.role_deadline = if alone { cx.now } else { self.election_deadline(cx) };
+        self.floors.ask();
+        self.confirm_when_answered(cx);
+        // A voter alone has nobody to ask and no leader to wait for.
+        if self.floors.is_confirmed() {
+            self.role_deadline = cx.now;
+        } else {
+            self.role_deadline = self.election_deadline(cx);
+            self.greet(cx);
+        }
     }
 
     /// Drops what the folder holds and takes a new storage identity: promises
@@ -246,6 +255,7 @@
         self.commit = 0;
         self.verified = 0;
         self.first_voters = VoterSet::default();
+        self.floors = Floors::default();
         self.unsent_votes.clear();
         self.outputs.clear();
         self.hello_at = cx.now;
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -81,6 +81,9 @@
         Event::Call(event) => state.routing.step(&mut cx, &mut state.slo, event),
         Event::Stop => {
             state.stopping = true;
+            if let Some(control) = &mut state.control {
+                control.stop(&mut cx);
+            }
             state.membership.stop(&mut cx);
             state.routing.stop(&mut cx);
         }
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -174,6 +174,60 @@
     assert!(cluster.configuration(repaired).get(&service_key("seatdesk")).is_some());
 }
 
+#[test]
+fn older_copy_of_a_disk_does_not_count_until_it_is_let_in() {
+    let (mut cluster, leader) = led_cluster(3, 13);
+    let [restored, lost] = followers(3, leader)[..] else { panic!("three replicas") };
+    let copy = cluster.nodes[restored].disk.clone();
+    let old_id = copy.id;
+    cluster.isolate(lost);
+    let outcome = propose(&mut cluster, leader, "seatdesk");
+    cluster.run_for(1_500);
+    cluster.crash(restored);
+    cluster.nodes[restored].disk = copy;
+
+    cluster.start(restored);
+    cluster.run_for(1_000);
+    let new_id = cluster.nodes[restored].disk.id;
+    let role = cluster.status(restored).expect("it runs").role;
+    let led_without = cluster.leader();
+    cluster.heal();
+    cluster.run_for(2_000);
+
+    assert!(is_accepted(&outcome));
+    assert_ne!(new_id, old_id);
+    assert_eq!(role, ControlRole::Blank);
+    assert_eq!(led_without, None);
+    assert!(cluster.is_voting(restored));
+}
+
+#[test]
+fn disk_of_another_host_is_started_from_nothing() {
+    let (mut cluster, leader) = led_cluster(3, 14);
+    let [swapped, other] = followers(3, leader)[..] else { panic!("three replicas") };
+    propose(&mut cluster, leader, "seatdesk");
+    cluster.crash(swapped);
+    cluster.nodes[swapped].disk = cluster.nodes[other].disk.clone();
+
+    cluster.start(swapped);
+    cluster.run_for(2_000);
+
+    assert_ne!(cluster.nodes[swapped].disk.id, cluster.nodes[other].disk.id);
+    assert!(cluster.is_voting(swapped));
+    assert_eq!(cluster.configuration(swapped), cluster.configuration(leader));
+}
+
+#[test]
+fn stopping_leader_hands_over_at_once() {
+    let (mut cluster, leader) = led_cluster(3, 15);
+
+    cluster.stop(leader);
+    let handed_over =
+        cluster.run_until(200, |cluster| cluster.leader().is_some_and(|next| next != leader));
+
+    assert!(handed_over);
+}
+
 #[test]
 fn failed_sync_silences_the_replica() {
     let (mut cluster, leader) = led_cluster(3, 9);
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -170,6 +170,10 @@
         origin
     }
 
+    pub fn stop(&mut self, node: usize) {
+        self.drive(node, |replica, cx| replica.stop(cx));
+    }
+
     pub fn replace_voter(&mut self, node: usize, old: usize, new: usize) -> Origin {
         let origin = self.next_origin(node);
         let (old, new) = (self.id(old), self.id(new));
--- a/crates/daemon/src/disk/mod.rs
+++ b/crates/daemon/src/disk/mod.rs
@@ -7,13 +7,19 @@
 use eyre::WrapErr;
 use fireflylug_core::Event;
 use fireflylug_core::consensus::{DiskCommand, DiskEvent, RecoveredDisk};
-use fireflylug_store::Store;
+use fireflylug_store::{Store, StoreError};
 
 use crate::Runtime;
 
 /// Most commands that share one sync.
 const MAX_BATCH: usize = 1024;
 
+/// How often a locked folder is tried again.
+const MAX_LOCK_TRIES: u32 = 40;
+
+/// Time between tries of a locked folder.
+const LOCK_RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
 /// Takes commands to the disk without blocking.
 #[derive(Clone, Debug)]
 pub struct DiskHandle {
@@ -36,12 +42,26 @@
 
 /// Opens or makes the data folder and reads what it holds.
 pub fn open(data_dir: &Path) -> eyre::Result<(DiskHandle, Disk, RecoveredDisk)> {
-    let (store, recovered) = Store::open(data_dir)
+    let (store, recovered) = open_store(data_dir)
         .wrap_err_with(|| format!("cannot use the data folder {}", data_dir.display()))?;
     let (commands, receiver) = channel();
     Ok((DiskHandle { commands }, Disk { commands: receiver, store }, recovered))
 }
 
+/// Opens the folder, also where a replica that just ended in this program still closes it.
+fn open_store(data_dir: &Path) -> Result<(Store, RecoveredDisk), StoreError> {
+    let mut tries = 0;
+    loop {
+        match Store::open(data_dir) {
+            Err(StoreError::Locked { .. }) if tries < MAX_LOCK_TRIES => {
+                tries += 1;
+                std::thread::sleep(LOCK_RETRY_PAUSE);
+            }
+            opened => return opened,
+        }
+    }
+}
+
 impl Disk {
     /// Starts the thread. It ends when every handle is dropped or the runtime is gone.
     pub fn start(self, runtime: Arc<Runtime>) {
