--- a/crates/measure/src/calls/added_latency.rs
+++ b/crates/measure/src/calls/added_latency.rs
@@ -1,8 +1,121 @@
 //! Time added to a call.
+//!
+//! Callers at moderate load call a target directly and through two proxies
+//! (ingress and owner) in turn. What the mesh adds is given twice: as the
+//! difference of the 99th percentiles, and as the 99th percentile through the
+//! mesh less the median of direct calls. The second holds the machine's own
+//! noise against the mesh.
 
-use crate::{Options, Report};
+use std::time::{Duration, Instant};
+
+use fireflylug_core::resource::{Resource, Route, Service};
+use fireflylug_fault::{TargetOptions, TargetStandIn};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::load::{Call, Callee, Callers, Tally};
+use super::mesh::{Announced, Mesh, name};
+use crate::{Bound, Figure, Options, Report};
+
+/// Most time that the mesh may add to 99 calls in 100, in milliseconds.
+const MAX_ADDED_MS: f64 = 0.6;
+/// Runs, of which the median counts.
+const RUNS: u64 = 5;
+/// Length of a run.
+const RUN_LENGTH: Duration = Duration::from_secs(4);
+/// Time before a run that does not count: connections open, estimates settle.
+const WARM_UP: Duration = Duration::from_millis(500);
+/// Callers at once.
+const CALLERS: u64 = 6;
+/// Time between two calls of a caller, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 1..5;
+
+const CALL: Call = Call { line: "GET /seats", give_up_ms: 5_000 };
 
 /// Runs the measurement.
 pub async fn run(options: &Options) -> eyre::Result<Report> {
-    eyre::bail!("{} is not built yet", options.measurement)
+    let target = TargetStandIn::start(TargetOptions::new().with_body_bytes(512)).await?;
+    let mut mesh = Mesh::start(2).await?;
+    mesh.configure([
+        Resource::Service(Service::new(name("seatdesk"))),
+        Resource::Route(Route::new(name("seats"), "/", name("seatdesk"))),
+    ]);
+    mesh.announce(1, Announced::new("seatdesk", "t1", target.address()));
+    mesh.wait_for_targets(1).await?;
+    let direct = Callers::new(Callee::Random(vec![target.address()]));
+    let owner = Callers::new(Callee::Mesh(vec![mesh.calls(1)]));
+    let both = Callers::new(Callee::Mesh(vec![mesh.calls(0)]));
+
+    alternate([&direct, &owner, &both], WARM_UP, options.seed).await;
+    let (mut added, mut strict, mut p50, mut p99, mut one_hop, mut direct_p99) =
+        (vec![], vec![], vec![], vec![], vec![], vec![]);
+    let mut failed = 0;
+    let mut calls = 0;
+    for run in 0..RUNS {
+        let seed = options.seed + 1_000 * run;
+        let [direct, owner, both] = alternate([&direct, &owner, &both], RUN_LENGTH, seed).await;
+        added.push(both.good_ms(99.0) - direct.good_ms(99.0));
+        strict.push(both.good_ms(99.0) - direct.good_ms(50.0));
+        one_hop.push(owner.good_ms(99.0) - direct.good_ms(99.0));
+        p50.push(both.good_ms(50.0) - direct.good_ms(50.0));
+        p99.push(both.good_ms(99.0));
+        direct_p99.push(direct.good_ms(99.0));
+        failed += both.calls() - both.good.len();
+        calls = direct.calls() + owner.calls() + both.calls();
+    }
+    let baseline = Figure::new("", "ms", &direct_p99).median;
+    let rate = calls as f64 / RUN_LENGTH.as_secs_f64();
+    Ok(Report::new(options)
+        .with_figure(
+            Figure::new("added by two proxies, 99 in 100 calls", "ms", &added)
+                .with_bound(Bound::AtMost(MAX_ADDED_MS)),
+        )
+        .with_figure(
+            Figure::new("the same, against the direct median", "ms", &strict)
+                .with_bound(Bound::AtMost(MAX_ADDED_MS)),
+        )
+        .with_figure(Figure::new("added by the owner alone, 99 in 100 calls", "ms", &one_hop))
+        .with_figure(Figure::new("added by two proxies, median", "ms", &p50))
+        .with_figure(Figure::new("whole call, 99 in 100 calls", "ms", &p99).with_baseline(baseline))
+        .with_figure(
+            Figure::new("calls not answered well", "calls", &[failed as f64])
+                .with_bound(Bound::AtMost(0.0)),
+        )
+        .with_note(format!(
+            "{rate:.0} calls a second in all, a third of each kind; baseline: direct calls."
+        ))
+        .with_note("Callers, both proxies and the target share one machine and one scheduler."))
+}
+
+/// Each caller calls each callee in turn, with random pauses.
+async fn alternate<const N: usize>(
+    callees: [&Callers; N],
+    length: Duration,
+    seed: u64,
+) -> [Tally; N] {
+    let until = Instant::now() + length;
+    let one = |caller| {
+        let callees = callees.map(Callers::clone);
+        let mut rng = SmallRng::seed_from_u64(seed + caller);
+        tokio::spawn(async move {
+            let mut tallies: [Tally; N] = std::array::from_fn(|_| Tally::default());
+            while Instant::now() < until {
+                for (callee, tally) in callees.iter().zip(&mut tallies) {
+                    let pause_ms = rng.random_range(PAUSE_MS);
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    let (fate, us) = callee.call(CALL, &mut rng).await;
+                    tally.count(fate, us);
+                }
+            }
+            tallies
+        })
+    };
+    let callers: Vec<_> = (0..CALLERS).map(one).collect();
+    let mut all: [Tally; N] = std::array::from_fn(|_| Tally::default());
+    for caller in callers {
+        if let Ok(tallies) = caller.await {
+            all.iter_mut().zip(&tallies).for_each(|(all, tally)| all.add(tally));
+        }
+    }
+    all
 }
--- a/crates/measure/src/calls/mod.rs
+++ b/crates/measure/src/calls/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod added_latency;
 pub mod chain;
+pub mod load;
 pub mod mesh;
 pub mod overload;
 pub mod payments;
