--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -21,6 +21,7 @@
     Serialize,
     Deserialize,
     strum::Display,
+    strum::EnumIter,
     strum::EnumString,
     strum::IntoStaticStr,
 )]
--- a/crates/daemon/src/api/server.rs
+++ b/crates/daemon/src/api/server.rs
@@ -23,6 +23,7 @@
 use super::Answers;
 use super::parse::{Endpoint, MAX_BODY_BYTES, Parsed, RequestHead, parse};
 use super::respond::{self, Reply, ReplyBody};
+use crate::metrics::Metrics;
 use crate::{Runtime, SharedKey};
 
 /// Time in which a client must send the head of a request.
@@ -37,6 +38,7 @@
 pub(super) struct ApiContext {
     pub(super) runtime: Arc<Runtime>,
     pub(super) answers: Answers,
+    metrics: Arc<Metrics>,
     key: Option<SharedKey>,
     stopped: Arc<AtomicBool>,
 }
@@ -54,11 +56,17 @@
         runtime: Arc<Runtime>,
         answers: Answers,
         listener: TcpListener,
+        metrics: Metrics,
         key: Option<SharedKey>,
     ) -> eyre::Result<Self> {
         let stopped = Arc::new(AtomicBool::new(false));
-        let context =
-            ApiContext { runtime, answers: answers.clone(), key, stopped: Arc::clone(&stopped) };
+        let context = ApiContext {
+            runtime,
+            answers: answers.clone(),
+            metrics: Arc::new(metrics),
+            key,
+            stopped: Arc::clone(&stopped),
+        };
         let app = App::new()
             .with_state(context)
             .at("/", fn_service(handle))
@@ -130,7 +138,10 @@
 async fn answer(context: &ApiContext, head: &RequestHead, body: RequestBody) -> Reply {
     match checked(context, head, body).await {
         Ok(Parsed::Reducer(request)) => respond::ask(context, request).await,
-        Ok(Parsed::Metrics) => respond::text(200, ""),
+        Ok(Parsed::Metrics) => match context.metrics.scrape(&context.runtime) {
+            Ok(text) => respond::text(200, &text),
+            Err(error) => respond::text(500, &format!("the metrics cannot be read: {error}\n")),
+        },
         Ok(Parsed::Health) => respond::text(200, "alive\n"),
         Ok(Parsed::Ready) => respond::ready(context),
         Err(error) => respond::error(&error),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::api::{Answers, ApiServer};
 use crate::calls::{CallHandle, CallSettings};
 use crate::disk::Disk;
+use crate::metrics::Metrics;
 use crate::peers::{PeerHandle, PeerSettings};
 use crate::runtime::Edges;
 use crate::{Runtime, SharedKey, Translation, calls, disk, peers};
@@ -59,6 +60,7 @@
         let state = State::new(me.clone(), core_settings(&settings), recovered, seed);
 
         let (peer_handle, peer_commands) = PeerHandle::new();
+        let metrics = Metrics::new(Arc::clone(peer_handle.stats()))?;
         let call_handle = CallHandle::new();
         let answers = Answers::new();
         let edges = Edges {
@@ -89,7 +91,7 @@
             listeners.forward,
             call_settings,
         ));
-        let api = ApiServer::start(Arc::clone(&runtime), answers, listeners.api, key)?;
+        let api = ApiServer::start(Arc::clone(&runtime), answers, listeners.api, metrics, key)?;
         tasks.spawn({
             let runtime = Arc::clone(&runtime);
             async move { runtime.run_timer().await }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod key;
 pub mod log;
 pub mod main_loop;
+pub mod metrics;
 pub mod peers;
 pub mod runtime;
 pub mod translation;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,269 @@
+//! Metrics of one daemon, through opentelemetry, in the Prometheus text form.
+//!
+//! A scrape takes one snapshot of the state under one lock; the instruments
+//! read the snapshot. Per-target series are left out on purpose: their number
+//! would grow with the square of the mesh.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use eyre::WrapErr;
+use fireflylug_core::State;
+use fireflylug_core::membership::{MemberStatus, TargetState};
+use fireflylug_core::routing::{Outcome, RoutingMetrics};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use strum::IntoEnumIterator;
+
+use crate::Runtime;
+use crate::peers::{PeerStats, TrafficRow};
+
+/// Metrics of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    snapshot: Arc<Mutex<Snapshot>>,
+    peers: Arc<PeerStats>,
+    /// Holds the instruments.
+    _provider: SdkMeterProvider,
+}
+
+/// What the instruments read.
+#[derive(Default)]
+struct Snapshot {
+    version: u64,
+    ready: bool,
+    stopping: bool,
+    members: BTreeMap<(String, MemberStatus), u64>,
+    targets: BTreeMap<(String, &'static str), u64>,
+    routing: RoutingMetrics,
+    traffic: Vec<TrafficRow>,
+    resident_bytes: u64,
+}
+
+type Rows = Vec<(u64, Vec<KeyValue>)>;
+
+impl Metrics {
+    /// Makes the instruments. `peers` counts the traffic between processes.
+    pub fn new(peers: Arc<PeerStats>) -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("fireflylug")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .wrap_err("cannot make the metrics exporter")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let snapshot = Arc::new(Mutex::new(Snapshot::default()));
+        let instruments =
+            Instruments { meter: provider.meter("fireflylug"), snapshot: Arc::clone(&snapshot) };
+        instruments.of_process();
+        instruments.of_mesh();
+        instruments.of_calls();
+        instruments.of_peers();
+        Ok(Self { registry, snapshot, peers, _provider: provider })
+    }
+
+    /// The metrics as they are now, in the Prometheus text form.
+    pub fn scrape(&self, runtime: &Runtime) -> eyre::Result<String> {
+        let mut taken = runtime.inspect(Snapshot::take);
+        taken.traffic = self.peers.rows();
+        taken.resident_bytes = resident_bytes();
+        *lock(&self.snapshot) = taken;
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8(text)?)
+    }
+}
+
+impl Snapshot {
+    fn take(state: &State) -> Self {
+        let mut snapshot = Self {
+            version: state.distribution().current().version().0,
+            ready: state.distribution().is_ready(),
+            stopping: state.is_stopping(),
+            routing: state.routing().metrics(),
+            ..Self::default()
+        };
+        for member in state.membership().members() {
+            let zone = member.locality.availability_zone.to_string();
+            *snapshot.members.entry((zone, member.status)).or_default() += 1;
+        }
+        for target in state.membership().targets() {
+            let service = target.target.service.to_string();
+            *snapshot.targets.entry((service, state_name(target.state))).or_default() += 1;
+        }
+        snapshot
+    }
+}
+
+/// Makes instruments that read the snapshot.
+struct Instruments {
+    meter: Meter,
+    snapshot: Arc<Mutex<Snapshot>>,
+}
+
+impl Instruments {
+    fn of_process(&self) {
+        self.gauge("config.version", "Configuration version in force here", |s| one(s.version));
+        self.gauge("ready", "1 where this process may be given calls", |s| {
+            one((s.ready && !s.stopping).into())
+        });
+        self.gauge("resident_bytes", "Resident memory of the program", |s| one(s.resident_bytes));
+    }
+
+    fn of_mesh(&self) {
+        self.gauge("members", "Processes by availability zone and status", |s| {
+            let rows = s.members.iter();
+            rows.map(|((zone, status), count)| {
+                let status = KeyValue::new("status", status.to_string());
+                (*count, vec![KeyValue::new("availability_zone", zone.clone()), status])
+            })
+            .collect()
+        });
+        self.gauge("targets", "Targets by service and state", |s| {
+            let rows = s.targets.iter();
+            rows.map(|((service, state), count)| {
+                (*count, vec![of_service(service), KeyValue::new("state", *state)])
+            })
+            .collect()
+        });
+    }
+
+    fn of_calls(&self) {
+        self.counter("calls", "Calls from callers that ended, by outcome", |s| {
+            let mut rows = Rows::new();
+            for (service, counts) in &s.routing.services {
+                for outcome in Outcome::iter() {
+                    let label = KeyValue::new("outcome", outcome.to_string());
+                    let labels = vec![of_service(service.as_str()), label];
+                    rows.push((counts.ended[outcome as usize], labels));
+                }
+                let label = KeyValue::new("outcome", "cancelled");
+                rows.push((counts.cancelled, vec![of_service(service.as_str()), label]));
+            }
+            rows
+        });
+        self.counter("attempts", "Attempts at targets begun here", |s| {
+            by_service(s, |counts| counts.attempts)
+        });
+        self.counter("retries", "Attempts after the first of their call", |s| {
+            by_service(s, |counts| counts.retries)
+        });
+        self.counter("retries_denied", "Attempts that the retry budget forbade", |s| {
+            by_service(s, |counts| counts.retries_denied)
+        });
+        self.gauge("calls_in_flight", "Calls in flight, forwarded ones included", |s| {
+            by_service(s, |counts| counts.in_flight.into())
+        });
+        self.counter("refusals", "Answers that the mesh gave itself, by code", |s| {
+            let rows = s.routing.refusals.iter();
+            rows.map(|(code, count)| (*count, vec![KeyValue::new("code", code.to_string())]))
+                .collect()
+        });
+        self.gauge("targets_ejected", "Targets ejected here, by service", |s| {
+            over_targets(s, |target| target.is_ejected.into())
+        });
+        self.gauge("calls_queued", "Calls that wait here for a slot, by service", |s| {
+            over_targets(s, |target| target.queued.into())
+        });
+    }
+
+    fn of_peers(&self) {
+        self.counter("peer.sent_bytes", "Bytes to other processes", |s| {
+            by_traffic(s, |row| row.traffic.sent_bytes)
+        });
+        self.counter("peer.received_bytes", "Bytes from other processes", |s| {
+            by_traffic(s, |row| row.traffic.received_bytes)
+        });
+        self.counter("peer.sent_messages", "Messages to other processes", |s| {
+            by_traffic(s, |row| row.traffic.sent_messages)
+        });
+        self.counter("peer.received_messages", "Messages from other processes", |s| {
+            by_traffic(s, |row| row.traffic.received_messages)
+        });
+    }
+
+    fn gauge(&self, name: &'static str, help: &'static str, rows: fn(&Snapshot) -> Rows) {
+        let snapshot = Arc::clone(&self.snapshot);
+        let instrument = self.meter.u64_observable_gauge(name).with_description(help);
+        instrument
+            .with_callback(move |observer| {
+                for (value, labels) in rows(&lock(&snapshot)) {
+                    observer.observe(value, &labels);
+                }
+            })
+            .build();
+    }
+
+    fn counter(&self, name: &'static str, help: &'static str, rows: fn(&Snapshot) -> Rows) {
+        let snapshot = Arc::clone(&self.snapshot);
+        let instrument = self.meter.u64_observable_counter(name).with_description(help);
+        instrument
+            .with_callback(move |observer| {
+                for (value, labels) in rows(&lock(&snapshot)) {
+                    observer.observe(value, &labels);
+                }
+            })
+            .build();
+    }
+}
+
+fn one(value: u64) -> Rows {
+    vec![(value, Vec::new())]
+}
+
+fn of_service(service: &str) -> KeyValue {
+    KeyValue::new("service", service.to_owned())
+}
+
+fn by_service(
+    snapshot: &Snapshot,
+    value: impl Fn(&fireflylug_core::routing::ServiceCounts) -> u64,
+) -> Rows {
+    let services = snapshot.routing.services.iter();
+    services.map(|(name, counts)| (value(counts), vec![of_service(name.as_str())])).collect()
+}
+
+/// Adds up over the targets of each service.
+fn over_targets(
+    snapshot: &Snapshot,
+    value: impl Fn(&fireflylug_core::routing::TargetMetrics) -> u64,
+) -> Rows {
+    let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+    for target in &snapshot.routing.targets {
+        *sums.entry(target.target.service.as_str()).or_default() += value(target);
+    }
+    sums.into_iter().map(|(service, sum)| (sum, vec![of_service(service)])).collect()
+}
+
+fn by_traffic(snapshot: &Snapshot, value: impl Fn(&TrafficRow) -> u64) -> Rows {
+    let rows = snapshot.traffic.iter();
+    rows.map(|row| {
+        let region = KeyValue::new("region", row.region.to_string());
+        (value(row), vec![region, KeyValue::new("kind", row.kind.to_string())])
+    })
+    .collect()
+}
+
+fn state_name(state: TargetState) -> &'static str {
+    match state {
+        TargetState::Ready => "ready",
+        TargetState::Draining => "draining",
+        TargetState::Gone => "gone",
+    }
+}
+
+/// Resident memory of the program, in bytes; 0 where the system does not tell.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
+    kib.unwrap_or(0) * 1024
+}
+
+fn lock(snapshot: &Mutex<Snapshot>) -> MutexGuard<'_, Snapshot> {
+    snapshot.lock().unwrap_or_else(PoisonError::into_inner)
+}
