--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -21,6 +21,8 @@
     settle(state, now, &mut effects);
     if state.stopping && !state.exited && state.routing.is_idle() {
         state.exited = true;
+        let mut cx = Context { now, rng: &mut state.rng, me: &state.me, effects: &mut effects };
+        state.membership.left(&mut cx);
         effects.push(Effect::Exit);
     }
     effects
@@ -81,6 +83,9 @@
         Event::Call(event) => state.routing.step(&mut cx, &mut state.slo, event),
         Event::Stop => {
             state.stopping = true;
+            if let Some(control) = &mut state.control {
+                control.stop(&mut cx);
+            }
             state.membership.stop(&mut cx);
             state.routing.stop(&mut cx);
         }
