Distribution: tree with relays, deltas, summed acknowledgements, progress, readiness

One relay for each availability zone takes versions from the nearest control replica or the hub of its region; a tree of fan-out 8 passes them on. Holders are reported as a count and a sum over (key, incarnation), so that a set that misses one or counts one twice is never taken for the whole. Peers are asked where an update is late. A restarted process waits for what its neighbours remember.

--- /dev/null
+++ b/crates/core/src/distribution/children.rs
@@ -0,0 +1,205 @@
+//! Who takes updates from this process, and what they hold.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use super::Distribution;
+use super::message::{DistributionMessage, Holders, Report, Status};
+use crate::context::Context;
+use crate::ids::{NodeId, Version};
+use crate::membership::Membership;
+use crate::time::Instant;
+
+/// Most children of one process. More are told that it is busy.
+const MAX_CHILDREN: usize = 128;
+
+/// Time without a report after which a child is dropped, in milliseconds.
+const CHILD_LAPSES_AFTER_MS: u64 = 3 * super::REFRESH_EVERY_MS;
+
+/// Most large transfers served at once.
+pub const MAX_TRANSFERS: usize = 8;
+
+/// Length above which a transfer counts as large, in bytes.
+const LARGE_BYTES: usize = 16 * 1024;
+
+/// Time after which a transfer that was not acknowledged counts as lost, in milliseconds.
+const TRANSFER_TIMEOUT_MS: u64 = 2_000;
+
+/// Bounds of the wait that a process is told which cannot be served, in milliseconds.
+const RETRY_AFTER_MS: std::ops::Range<u32> = 50..250;
+
+/// One process that takes updates from this one.
+struct Child {
+    version: Version,
+    is_relay: bool,
+    holders: Holders,
+    heard_at: Instant,
+    /// The version that was sent, and when that counts as lost.
+    sent: Option<(Version, Instant)>,
+}
+
+/// Every child, and the large transfers to children and others.
+pub(super) struct Children {
+    children: BTreeMap<NodeId, Child>,
+    transfers: BTreeMap<NodeId, Instant>,
+    pub serve_at: Instant,
+}
+
+impl Children {
+    pub fn new() -> Self {
+        Self { children: BTreeMap::new(), transfers: BTreeMap::new(), serve_at: Instant::NEVER }
+    }
+
+    pub fn len(&self) -> usize {
+        self.children.len()
+    }
+
+    /// Adds what the children below hold of `version` or a later one.
+    pub fn add_to(&self, holders: &mut Holders, version: Version) {
+        let counted = self.children.values().filter(|c| !c.is_relay && c.version >= version);
+        counted.for_each(|child| holders.add(&child.holders));
+    }
+
+    /// Whether every child that is counted holds `version`.
+    pub fn all_hold(&self, version: Version) -> bool {
+        self.children.values().all(|child| child.is_relay || child.version >= version)
+    }
+
+    /// Removes a child. Returns whether there was one.
+    pub fn remove(&mut self, id: NodeId) -> bool {
+        self.transfers.remove(&id);
+        self.children.remove(&id).is_some()
+    }
+
+    /// Removes children that have not reported for too long. Returns whether there was one.
+    pub fn lapse(&mut self, now: Instant) -> bool {
+        let before = self.children.len();
+        self.children.retain(|_, child| now.since_ms(child.heard_at) < CHILD_LAPSES_AFTER_MS);
+        self.children.len() != before
+    }
+
+    /// Takes a slot for a large transfer. False where all are taken.
+    fn admit(&mut self, now: Instant, to: NodeId) -> bool {
+        self.transfers.retain(|_, deadline| *deadline > now);
+        if self.transfers.len() >= MAX_TRANSFERS && !self.transfers.contains_key(&to) {
+            return false;
+        }
+        self.transfers.insert(to, now.plus_ms(TRANSFER_TIMEOUT_MS));
+        true
+    }
+
+    /// A process holds a version: what was sent to it has arrived.
+    pub fn holds(&mut self, now: Instant, id: NodeId, version: Version) {
+        if let Some(child) = self.children.get_mut(&id) {
+            child.version = child.version.max(version);
+            if child.sent.is_some_and(|(sent, _)| sent <= version) {
+                child.sent = None;
+            }
+        }
+        if self.transfers.remove(&id).is_some() && self.serve_at != Instant::NEVER {
+            self.serve_at = now;
+        }
+    }
+}
+
+impl Distribution {
+    /// A child reported.
+    pub(super) fn take_report(
+        &mut self,
+        cx: &mut Context<'_>,
+        membership: &Membership,
+        from: NodeId,
+        report: Report,
+    ) {
+        self.remember(cx, membership, from, report.version);
+        let known = self.children.children.contains_key(&from);
+        if !known && self.children.len() >= MAX_CHILDREN {
+            self.send_busy(cx, from);
+            return;
+        }
+        let sent = self.children.children.get(&from).and_then(|child| child.sent);
+        let child = Child {
+            version: report.version,
+            is_relay: report.is_relay,
+            holders: report.holders,
+            heard_at: cx.now,
+            sent,
+        };
+        self.children.children.insert(from, child);
+        self.children.holds(cx.now, from, report.version);
+        if report.asks {
+            let version = self.current.version();
+            let control_age_ms = self.control_age_ms(cx);
+            cx.send(from, DistributionMessage::Status(Status { version, control_age_ms }));
+        }
+        self.note_newer(cx, membership, from, report.version);
+        self.serve(cx);
+        self.holders_changed(cx, membership);
+    }
+
+    /// Sends the present version to every child that lacks it.
+    pub(super) fn serve(&mut self, cx: &mut Context<'_>) {
+        let version = self.current.version();
+        self.children.serve_at = Instant::NEVER;
+        // Relays go first: whole availability zones wait for them.
+        let mut lacking: Vec<(bool, NodeId)> = self
+            .children
+            .children
+            .iter()
+            .filter(|(_, child)| child.version < version)
+            .map(|(id, child)| (!child.is_relay, *id))
+            .collect();
+        lacking.sort();
+        for (_, id) in lacking {
+            self.serve_child(cx, id);
+        }
+    }
+
+    fn serve_child(&mut self, cx: &mut Context<'_>, id: NodeId) {
+        let version = self.current.version();
+        let Some(child) = self.children.children.get(&id) else { return };
+        if let Some((sent, lost_at)) = child.sent
+            && sent == version
+            && lost_at > cx.now
+        {
+            self.children.serve_at = self.children.serve_at.min(lost_at);
+            return;
+        }
+        let update = self.history.update(&self.current, Some(child.version));
+        let lost_at = cx.now.plus_ms(TRANSFER_TIMEOUT_MS);
+        self.children.serve_at = self.children.serve_at.min(lost_at);
+        if update.body.len() > LARGE_BYTES && !self.children.admit(cx.now, id) {
+            return;
+        }
+        if let Some(child) = self.children.children.get_mut(&id) {
+            child.sent = Some((version, lost_at));
+        }
+        cx.send(id, DistributionMessage::Update((*update).clone()));
+    }
+
+    /// A process asks for a newer version than it holds.
+    pub(super) fn take_fetch(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: NodeId,
+        held: Version,
+        whole: bool,
+    ) {
+        if self.current.version() <= held {
+            self.send_holds(cx, from);
+            return;
+        }
+        let update = self.history.update(&self.current, (!whole).then_some(held));
+        if update.body.len() > LARGE_BYTES && !self.children.admit(cx.now, from) {
+            self.send_busy(cx, from);
+            return;
+        }
+        cx.send(from, DistributionMessage::Update((*update).clone()));
+    }
+
+    fn send_busy(&mut self, cx: &mut Context<'_>, to: NodeId) {
+        let retry_after_ms = cx.rng.random_range(RETRY_AFTER_MS);
+        cx.send(to, DistributionMessage::Busy { retry_after_ms });
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -143,7 +143,7 @@
 
 /// Hash of the content of a configuration version.
 #[derive(Clone, Copy, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-pub struct ContentHash(pub [u8; 16]);
+pub struct ContentHash(#[serde(with = "serde_bytes")] pub [u8; 16]);
 
 impl fmt::Debug for ContentHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/core/src/membership/health.rs
+++ b/crates/core/src/membership/health.rs
@@ -167,9 +167,7 @@
         };
         self.dial_at = cx.now.plus_ms(wait_ms);
         for address in &self.settings.seeds {
-            if *address != cx.me.addresses.peers {
-                cx.emit(Effect::Dial { address: *address });
-            }
+            cx.emit(Effect::Dial { address: *address });
         }
     }
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -90,7 +90,8 @@
 
 impl Membership {
     /// Makes a view that knows only this process.
-    pub fn new(settings: MembershipSettings, me: &Identity) -> Self {
+    pub fn new(mut settings: MembershipSettings, me: &Identity) -> Self {
+        settings.seeds.retain(|seed| *seed != me.addresses.peers);
         let mut view = View::default();
         view.merge_member(Instant::ZERO, Member::of(me));
         view.take_changes();
@@ -164,7 +165,6 @@
         self.topology.hub(region)
     }
 
-    #[allow(dead_code)]
     pub(crate) fn topology(&self) -> &Topology {
         &self.topology
     }
--- /dev/null
+++ b/crates/core/tests/distribution.rs
@@ -0,0 +1,343 @@
+//! Versions over failures: spread, progress, relays that die, cuts, restarts.
+
+mod mesh;
+
+use std::sync::Arc;
+
+use fireflylug_core::config::Configuration;
+use fireflylug_core::distribution::{DistributionMessage, Update};
+use fireflylug_core::ids::Version;
+use mesh::{Faults, Mesh, configuration, name, two_regions, versions, zone};
+use rstest::rstest;
+
+fn all_hold(mesh: &Mesh, version: u64) -> bool {
+    mesh.running().all(|(_, process)| process.version() >= version)
+}
+
+fn all_ready(mesh: &Mesh) -> bool {
+    mesh.running().all(|(_, process)| process.distribution.is_ready())
+}
+
+/// Control replicas that say that `version` is in force.
+fn say_in_force(mesh: &Mesh, version: u64) -> Vec<usize> {
+    let running = mesh.running().filter(|(_, process)| {
+        process
+            .progress
+            .as_ref()
+            .is_some_and(|progress| progress.version.0 >= version && progress.is_in_force())
+    });
+    running.map(|(host, _)| host).collect()
+}
+
+fn all_say_in_force(mesh: &Mesh, version: u64) -> bool {
+    say_in_force(mesh, version).len() == mesh.controls().len()
+}
+
+/// A mesh whose hosts all hold the first of some versions.
+fn mesh_with_first(zones: &[mesh::Zone], seed: u64) -> (Mesh, Vec<Arc<Configuration>>) {
+    let mut mesh = Mesh::started(zones, seed);
+    let versions = versions(600);
+    mesh.publish(&versions[0]);
+    mesh.run_until("the first version is in force", 30, |mesh| {
+        all_hold(mesh, 1) && all_ready(mesh) && all_say_in_force(mesh, 1)
+    });
+    (mesh, versions)
+}
+
+#[rstest]
+#[case::one_host(vec![zone("kochi", "kochi-aluva", 1, 1)], 1)]
+#[case::users_size(two_regions(4), 2)]
+#[case::deep_tree(two_regions(30), 3)]
+fn version_reaches_everybody_and_all_replicas_say_so(
+    #[case] zones: Vec<mesh::Zone>,
+    #[case] seed: u64,
+) {
+    let (mut mesh, versions) = mesh_with_first(&zones, seed);
+
+    mesh.publish(&versions[1]);
+
+    let held_ms = mesh.run_until("held", 5, |mesh| all_hold(mesh, 2));
+    let said_ms = mesh.run_until("said", 5, |mesh| all_say_in_force(mesh, 2));
+    println!("{} hosts: held after {held_ms} ms, said {said_ms} ms later", mesh.len());
+}
+
+/// Looks at every moment whether "in force" is said while a process that runs
+/// holds less.
+fn run_checking(mesh: &mut Mesh, ms: u64) {
+    let mut seen: Vec<u64> = Vec::new();
+    for _ in 0..ms {
+        mesh.run_ms(1);
+        let least = mesh.running().map(|(_, p)| ready_version(p)).min().unwrap_or(0);
+        for version in 1..=600 {
+            if version > least && !say_in_force(mesh, version).is_empty() {
+                panic!("version {version} is said to be in force, but one serves {least}");
+            }
+            if version > least {
+                break;
+            }
+        }
+        let now: Vec<u64> = (0..mesh.len()).map(|host| version_of(mesh, host)).collect();
+        for (host, version) in now.iter().enumerate() {
+            let before = seen.get(host).copied().unwrap_or(0);
+            assert!(*version >= before || *version == 0, "host {host} went back");
+        }
+        seen = now;
+    }
+}
+
+/// The version with which a process serves; one that is not ready serves nothing.
+fn ready_version(process: &mesh::Process) -> u64 {
+    if process.distribution.is_ready() { process.version() } else { u64::MAX }
+}
+
+fn version_of(mesh: &Mesh, host: usize) -> u64 {
+    mesh.running().find(|(running, _)| *running == host).map_or(0, |(_, p)| p.version())
+}
+
+#[rstest]
+#[case(Faults::default(), 1)]
+#[case(Faults { drop_percent: 10, double_percent: 10, delay_us: 80_000 }, 2)]
+#[case(Faults { drop_percent: 30, double_percent: 30, delay_us: 300_000 }, 3)]
+fn in_force_is_never_said_early(#[case] faults: Faults, #[case] seed: u64) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(6), seed);
+    mesh.faults = faults;
+
+    for round in 1..6u64 {
+        mesh.publish(&versions[round as usize]);
+        run_checking(&mut mesh, 150);
+        let host = (round * 7) as usize % mesh.len();
+        mesh.crash(host);
+        run_checking(&mut mesh, 60);
+        mesh.start(host);
+        run_checking(&mut mesh, 400);
+    }
+    mesh.faults = Faults::default();
+
+    mesh.run_until("said in the end", 40, |mesh| all_hold(mesh, 6) && all_say_in_force(mesh, 6));
+}
+
+#[rstest]
+fn relay_that_dies_while_it_passes_a_version_on_is_replaced() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(12), 4);
+    let zone = mesh.zone_hosts("kzd-mavoor");
+    let relay = mesh.process(0).membership.relay(&name("kzd-mavoor")).unwrap();
+    let relay = mesh.host_of(relay);
+
+    mesh.faults.delay_us = 200_000;
+    mesh.publish(&versions[1]);
+    mesh.run_until("the relay holds it", 2, |mesh| version_of(mesh, relay) == 2);
+    let before = zone.iter().filter(|host| version_of(&mesh, **host) == 2).count();
+    mesh.crash(relay);
+    mesh.faults = Faults::default();
+
+    assert!(before < zone.len() / 2, "{before} hold it already");
+    let took_ms = mesh.run_until("all hold it", 3, |mesh| all_hold(mesh, 2));
+    println!("{} hosts hold it {took_ms} ms after their relay died", zone.len());
+    assert!(say_in_force(&mesh, 2).is_empty());
+    mesh.start(relay);
+    mesh.run_until("said", 20, |mesh| all_say_in_force(mesh, 2));
+}
+
+#[rstest]
+fn versions_that_cross_and_double_never_go_back() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(6), 5);
+    mesh.faults = Faults { drop_percent: 0, double_percent: 50, delay_us: 200_000 };
+
+    for version in &versions[1..40] {
+        mesh.publish(version);
+        run_checking(&mut mesh, 20);
+    }
+
+    mesh.run_until("all hold the last", 10, |mesh| all_hold(mesh, 40));
+}
+
+#[rstest]
+fn delta_whose_base_is_missing_is_not_applied_and_a_fitting_one_is_fetched() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(4), 6);
+    mesh.publish(&versions[1]);
+    mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 2));
+    let (sender, receiver) = (mesh.identity(1).id, 2);
+    let last = &versions[9];
+    let update = Update {
+        base: Some(Version(9)),
+        version: last.version(),
+        hash: last.hash(),
+        body: vec![0],
+    };
+
+    mesh.at(receiver, |process, cx| {
+        let message = DistributionMessage::Update(update);
+        process.distribution.step(cx, &process.membership, sender, message);
+    });
+
+    assert_eq!(version_of(&mesh, receiver), 2);
+    mesh.publish(last);
+    mesh.run_until("all hold the last", 5, |mesh| all_hold(mesh, 10));
+}
+
+#[rstest]
+#[case::garbage(vec![1, 2, 3])]
+#[case::empty_delta(vec![0x4b, 0x4c, 0x03, 0x00])]
+fn update_with_another_hash_is_not_applied(#[case] body: Vec<u8>) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
+    let sender = mesh.identity(1).id;
+    let last = &versions[9];
+    let update =
+        Update { base: Some(Version(1)), version: last.version(), hash: last.hash(), body };
+
+    mesh.at(2, |process, cx| {
+        let message = DistributionMessage::Update(update);
+        process.distribution.step(cx, &process.membership, sender, message);
+    });
+    mesh.run_ms(500);
+
+    assert_eq!(version_of(&mesh, 2), 1);
+}
+
+#[rstest]
+fn zone_that_is_cut_off_is_named_and_comes_back_forward_only() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(5), 8);
+    let zone = mesh.zone_hosts("kzd-mavoor");
+    let others = mesh.others(&zone);
+
+    mesh.set_cut(&zone, &others, true);
+    mesh.publish(&versions[1]);
+    run_checking(&mut mesh, 25_000);
+    let progress = mesh.process(mesh.controls()[0]).progress.clone().unwrap();
+    let row = progress.zones.iter().find(|z| z.availability_zone == name("kzd-mavoor")).unwrap();
+    let cut_since = zone.iter().map(|host| {
+        let now = fireflylug_core::Instant::from_us(mesh.now_us);
+        mesh.process(*host).distribution.cut_off_since(now, false)
+    });
+
+    assert!(row.cut_off && row.in_force == 0 && row.unreachable.len() == zone.len(), "{row:?}");
+    assert!(cut_since.into_iter().all(|since| since.is_some()));
+    assert!(zone.iter().all(|host| version_of(&mesh, *host) == 1));
+    mesh.set_cut(&zone, &others, false);
+    run_checking(&mut mesh, 5_000);
+    mesh.run_until("all hold it", 15, |mesh| all_hold(mesh, 2));
+    mesh.run_until("said", 15, |mesh| all_say_in_force(mesh, 2));
+}
+
+#[rstest]
+fn half_of_the_hosts_restarted_at_once_are_current_and_never_serve_less() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(12), 9);
+    mesh.publish(&versions[1]);
+    mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 2));
+    let half: Vec<usize> =
+        (0..mesh.len()).filter(|host| host % 2 == 1 && !mesh.identity(*host).control).collect();
+
+    half.iter().for_each(|host| mesh.crash(*host));
+    mesh.run_ms(100);
+    half.iter().for_each(|host| mesh.start(*host));
+
+    let mut served = Vec::new();
+    let took_ms = mesh.run_until("all are current and ready", 5, |mesh| {
+        served.extend(mesh.running().map(|(_, process)| ready_version(process)));
+        all_hold(mesh, 2) && all_ready(mesh)
+    });
+    assert!(served.into_iter().all(|version| version >= 2));
+    println!("{} of {} hosts back after {took_ms} ms", half.len(), mesh.len());
+    mesh.run_until("said", 20, |mesh| all_say_in_force(mesh, 2));
+}
+
+#[rstest]
+fn restarted_host_is_not_ready_below_what_its_neighbours_remember() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(6), 10);
+    let zone = mesh.zone_hosts("kzd-mavoor");
+    let others = mesh.others(&zone);
+    mesh.publish(&versions[1]);
+    mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 2));
+    mesh.set_cut(&zone, &others, true);
+    let seeds = vec![mesh.identity(zone[0]).addresses.peers];
+    let restarted = *zone.last().unwrap();
+    mesh.crash(restarted);
+    mesh.set_seeds(restarted, seeds);
+
+    mesh.start(restarted);
+    let mut served = Vec::new();
+    mesh.run_until("ready", 10, |mesh| {
+        served.push(ready_version(mesh.process(restarted)));
+        mesh.process(restarted).distribution.is_ready()
+    });
+
+    assert!(served.into_iter().all(|version| version >= 2));
+}
+
+#[rstest]
+fn five_hundred_missed_changes_are_caught_up_by_one_update() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(5), 11);
+    let missing = *mesh.zone_hosts("kzd-feroke").last().unwrap();
+    let others = mesh.others(&[missing]);
+    mesh.set_cut(&[missing], &others, true);
+    for version in &versions[1..501] {
+        mesh.publish(version);
+        mesh.run_ms(40);
+    }
+    mesh.run_until("the others hold it", 5, |mesh| {
+        others.iter().all(|host| version_of(mesh, *host) == 501)
+    });
+    assert_eq!(version_of(&mesh, missing), 1);
+
+    mesh.set_cut(&[missing], &others, false);
+
+    mesh.run_until("reconnected", 15, |mesh| {
+        mesh.member_at(0, missing).unwrap().status.is_reachable()
+    });
+    let took_ms = mesh.run_until("current", 3, |mesh| all_hold(mesh, 501));
+    println!("500 changes caught up {took_ms} ms after the reconnect");
+}
+
+#[rstest]
+fn host_that_joins_while_a_version_spreads_is_waited_for() {
+    let zones = two_regions(6);
+    let mut mesh = Mesh::new(&zones, 12);
+    let late = *mesh.zone_hosts("kzd-mavoor").last().unwrap();
+    mesh.others(&[late]).into_iter().for_each(|host| mesh.start(host));
+    let versions = versions(3);
+    mesh.run_ms(5_000);
+    mesh.publish(&versions[0]);
+    mesh.run_until("in force", 20, |mesh| all_hold(mesh, 1) && all_say_in_force(mesh, 1));
+
+    for step_ms in [0, 5, 20, 60, 200] {
+        mesh.start(late);
+        mesh.run_ms(step_ms);
+        mesh.publish(&versions[1]);
+        run_checking(&mut mesh, 1_500);
+        mesh.run_until("said", 20, |mesh| all_hold(mesh, 2) && all_say_in_force(mesh, 2));
+        mesh.crash(late);
+        mesh.run_ms(20);
+    }
+}
+
+#[rstest]
+fn replica_that_was_restarted_says_nothing_before_it_knows_the_others() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(6), 13);
+    let cut = mesh.zone_hosts("kzd-mavoor");
+    let others = mesh.others(&cut);
+    mesh.set_cut(&cut, &others, true);
+    mesh.publish(&versions[1]);
+    mesh.run_ms(10_000);
+    let replica = mesh.controls()[1];
+    mesh.crash(replica);
+
+    mesh.start(replica);
+    mesh.publish_at(replica, &versions[1]);
+
+    run_checking(&mut mesh, 10_000);
+    assert!(say_in_force(&mesh, 2).is_empty());
+}
+
+#[rstest]
+fn versions_with_one_number_and_two_contents_are_not_mixed() {
+    let (mut mesh, _) = mesh_with_first(&two_regions(2), 14);
+    let one = configuration(2, &[("one".into(), 2)]);
+    let two = configuration(2, &[("two".into(), 2)]);
+
+    mesh.publish_at(0, &one);
+    mesh.run_until("all hold one", 5, |mesh| all_hold(mesh, 2));
+    mesh.publish_at(mesh.controls()[1], &two);
+    mesh.run_ms(2_000);
+
+    assert!(mesh.running().all(|(_, p)| p.distribution.current().hash() == one.hash()));
+}
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -283,6 +283,11 @@
         }
     }
 
+    /// Sets the addresses through which a host joins when it starts next.
+    pub fn set_seeds(&mut self, host: usize, seeds: Vec<SocketAddr>) {
+        self.hosts[host].seeds = seeds;
+    }
+
     /// Hosts outside of an availability zone.
     pub fn others(&self, zone: &[usize]) -> Vec<usize> {
         (0..self.len()).filter(|host| !zone.contains(host)).collect()
