--- a/crates/core/src/distribution/codec.rs
+++ b/crates/core/src/distribution/codec.rs
@@ -121,7 +121,7 @@
         }
         let update = match base {
             Some(base) => self.delta(current, base),
-            None => Arc::new(snapshot(current)),
+            None => Arc::new(Update::snapshot(current)),
         };
         self.encoded.insert(base, Arc::clone(&update));
         update
@@ -148,9 +148,12 @@
     old.resources().keys().filter(|key| !kept.contains(key)).cloned().collect()
 }
 
-fn snapshot(current: &Configuration) -> Update {
-    let puts = current.resources().values().cloned().collect();
-    update(current, None, &Body { puts, deletes: Vec::new() })
+impl Update {
+    /// Makes an update that holds a whole version.
+    pub fn snapshot(current: &Configuration) -> Self {
+        let puts = current.resources().values().cloned().collect();
+        update(current, None, &Body { puts, deletes: Vec::new() })
+    }
 }
 
 fn update(current: &Configuration, base: Option<Version>, body: &Body) -> Update {
--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -86,6 +86,8 @@
     links: BTreeMap<NodeId, Link>,
     contacts: BTreeMap<Group, Contact>,
     stranger_heard_at: Option<Instant>,
+    /// When any process was heard.
+    heard_at: Instant,
 }
 
 impl Links {
@@ -116,6 +118,14 @@
 
     /// A message came from a process.
     pub fn heard(&mut self, now: Instant, peer: NodeId) {
+        if is_silent(now, self.heard_at) {
+            // This process was cut off. The others get time to be heard again.
+            let excused_at = Instant::from_ms(now.as_ms().saturating_sub(HEARS_WITHIN_MS));
+            for link in self.links.values_mut() {
+                link.heard_at = link.heard_at.max(excused_at);
+            }
+        }
+        self.heard_at = now;
         if let Some(link) = self.links.get_mut(&peer) {
             link.heard_at = now;
             link.disconnects = 0;
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -126,8 +126,8 @@
 }
 
 #[rstest]
-fn isolated_host_accuses_nobody_when_it_returns() {
-    let mut mesh = Mesh::started(&two_regions(6), 8);
+fn isolated_host_accuses_nobody_when_it_returns(#[values(8, 21, 22, 23, 24, 25)] seed: u64) {
+    let mut mesh = Mesh::started(&two_regions(6), seed);
     let isolated = 9;
     let others = mesh.others(&[isolated]);
     let before: Vec<u64> =
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -7,8 +7,8 @@
 use eyre::{WrapErr, eyre};
 use fireflylug_core::Event;
 use fireflylug_core::api::ApiRequest;
-use fireflylug_core::config::StoredResource;
-use fireflylug_core::distribution::DistributionMessage;
+use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::distribution::{DistributionMessage, Update};
 use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, TargetId, Version};
 use fireflylug_core::membership::TargetAnnouncement;
 use fireflylug_core::resource::Resource;
@@ -119,12 +119,11 @@
 
     /// Brings the configuration into force at one daemon.
     pub fn install(&self, daemon: &Daemon) {
-        let snapshot = DistributionMessage::Snapshot {
-            version: self.version,
-            resources: self.resources.clone(),
-        };
+        let keyed = self.resources.iter().map(|stored| (stored.resource.key(), stored.clone()));
+        let configuration = Configuration::new(self.version, keyed.collect());
+        let message = DistributionMessage::Update(Update::snapshot(&configuration)).into();
         let from = NodeId::of_host(&name("source"));
-        daemon.runtime().submit(Event::PeerMessage { from, message: snapshot.into() });
+        daemon.runtime().submit(Event::PeerMessage { from, message });
     }
 
     /// Announces a target at the daemon of its host.
