--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -123,6 +123,7 @@
             let excused_at = Instant::from_ms(now.as_ms().saturating_sub(HEARS_WITHIN_MS));
             for link in self.links.values_mut() {
                 link.heard_at = link.heard_at.max(excused_at);
+                link.disconnects = 0;
             }
         }
         self.heard_at = now;
