--- a/crates/fault/src/client.rs
+++ b/crates/fault/src/client.rs
@@ -75,7 +75,17 @@
 
     /// Sends a request without a body and reads the answer line by line.
     pub async fn lines(&self, address: SocketAddr, line: &str) -> io::Result<Lines> {
-        let response = self.start(address, line, &[], Bytes::new()).await?;
+        self.lines_with(address, line, &[]).await
+    }
+
+    /// Sends a request with headers and without a body, and reads the answer line by line.
+    pub async fn lines_with(
+        &self,
+        address: SocketAddr,
+        line: &str,
+        headers: &[(&str, &str)],
+    ) -> io::Result<Lines> {
+        let response = self.start(address, line, headers, Bytes::new()).await?;
         let status = response.status();
         Ok(Lines { status, body: response.into_body(), buffer: BytesMut::new() })
     }
--- a/examples/minibus.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! The Malabar deployment on loopback inside one process.
-
-fn main() {}
