--- a/examples/minibus/mesh.rs
+++ b/examples/minibus/mesh.rs
@@ -57,6 +57,7 @@
     service: &'static str,
     daemon: Option<Daemon>,
     target: Arc<TargetStandIn>,
+    draining: Arc<AtomicBool>,
     announcing: JoinHandle<()>,
 }
 
@@ -85,9 +86,17 @@
             let target = Arc::new(TargetStandIn::start(target_options(service)).await?);
             let api = daemon.addresses().api;
             let path = target_path(service, host);
-            let announcing = tokio::spawn(announce(http.clone(), api, path, target.address()));
+            let draining = Arc::new(AtomicBool::new(false));
+            let announcing = Announcing {
+                http: http.clone(),
+                api,
+                path,
+                address: target.address(),
+                draining: Arc::clone(&draining),
+            };
+            let announcing = tokio::spawn(announcing.run());
             let daemon = Some(daemon);
-            hosts.insert(host, Host { region, service, daemon, target, announcing });
+            hosts.insert(host, Host { region, service, daemon, target, draining, announcing });
         }
         let went_back = Arc::new(AtomicBool::new(false));
         let runtimes = hosts.values().flat_map(|host| &host.daemon);
@@ -130,18 +139,14 @@
     /// Returns the calls that it was given later than the departure limit.
     pub async fn drain_target(&self, name: &str) -> eyre::Result<u64> {
         let host = self.host(name)?;
-        host.announcing.abort();
+        host.draining.store(true, Ordering::Relaxed);
         let path = target_path(host.service, name);
-        let address = host.target.address();
-        self.put(host.api()?, &path, announcement(address, true)).await?;
-        let late_after = Instant::now() + DEPARTURE_LIMIT;
-        while Instant::now() < late_after {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
+        tokio::time::sleep(DEPARTURE_LIMIT).await;
         let runs = host.target.total_runs();
         while host.target.running() > 0 {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
+        host.announcing.abort();
         let answer = self.http.send(host.api()?, &format!("DELETE {path}"), &AUTH, "").await?;
         ensure!(answer.status.is_success(), "the target could not leave: {}", answer.text());
         Ok(host.target.total_runs() - runs)
@@ -238,12 +243,6 @@
         Ok(serde_json::from_str(&answer.text())?)
     }
 
-    async fn put(&self, api: SocketAddr, path: &str, body: Value) -> eyre::Result<()> {
-        let answer = self.http.send(api, &format!("PUT {path}"), &AUTH, body.to_string()).await?;
-        ensure!(answer.status.is_success(), "PUT {path}: {}", answer.text());
-        Ok(())
-    }
-
     fn host(&self, name: &str) -> eyre::Result<&Host> {
         self.hosts.get(name).ok_or_else(|| eyre!("no host {name}"))
     }
@@ -293,23 +292,31 @@
     format!("/v1/targets/{service}/{host}")
 }
 
-fn announcement(address: SocketAddr, draining: bool) -> Value {
-    json!({
-        "address": address,
-        "slots": 12,
-        "connections": 120,
-        "lease_ms": LEASE_MS,
-        "draining": draining,
-    })
+/// A target that announces itself to the proxy of its host.
+struct Announcing {
+    http: HttpClient,
+    api: SocketAddr,
+    path: String,
+    address: SocketAddr,
+    draining: Arc<AtomicBool>,
 }
 
-/// Renews the lease of a target, as the target itself would.
-async fn announce(http: HttpClient, api: SocketAddr, path: String, address: SocketAddr) {
-    loop {
-        let body = announcement(address, false).to_string();
-        // A lost renewal is followed by the next one before the lease lapses.
-        let _ = http.send(api, &format!("PUT {path}"), &AUTH, body).await;
-        tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+impl Announcing {
+    /// Renews the lease of the target, as the target itself would.
+    async fn run(self) {
+        loop {
+            let body = json!({
+                "address": self.address,
+                "slots": 12,
+                "connections": 120,
+                "lease_ms": LEASE_MS,
+                "draining": self.draining.load(Ordering::Relaxed),
+            });
+            let line = format!("PUT {}", self.path);
+            // A lost renewal is followed by the next one before the lease lapses.
+            let _ = self.http.send(self.api, &line, &AUTH, body.to_string()).await;
+            tokio::time::sleep(ANNOUNCE_INTERVAL).await;
+        }
     }
 }
 
