--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -49,7 +49,7 @@
     options: &ChangeOptions,
     form: Output,
 ) -> Result<(), CliError> {
-    let answer = send(client, call).await?;
+    let answer = send_change(client, call).await?;
     let version = answer["version"].as_u64().unwrap_or_default();
     match form {
         Output::Json => output::json(&answer),
@@ -62,7 +62,7 @@
 }
 
 /// Sends a change, and again after a lost answer. The key makes that safe.
-async fn send(client: &mut Client, call: &ApiCall) -> Result<Value, CliError> {
+pub async fn send_change(client: &mut Client, call: &ApiCall) -> Result<Value, CliError> {
     let mut sent = false;
     let mut failures = Vec::new();
     for attempt in 0..MAX_ROUNDS * client.address_count() {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -16,6 +16,7 @@
 use std::process::ExitCode;
 
 use args::{Action, Command};
+pub use change::send_change;
 use client::Client;
 pub use error::{CliError, ExitStatus};
 pub use input::change_set;
