--- a/crates/core/src/routing/budget.rs
+++ b/crates/core/src/routing/budget.rs
@@ -3,7 +3,7 @@
 /// One retry, in the unit of the tokens.
 const RETRY: u64 = 100;
 /// Retries that may be saved up.
-const MAX_SAVED: u64 = 20 * RETRY;
+const MAX_SAVED: u64 = 10 * RETRY;
 
 /// Token bucket that first attempts fill and retries empty.
 #[derive(Clone, Copy, Debug)]
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -79,13 +79,24 @@
 
     /// Starts one more daemon, or in the place of one that was stopped.
     pub async fn add_daemon(&mut self) -> eyre::Result<()> {
+        self.add_daemon_with(|settings| settings).await
+    }
+
+    /// Starts a daemon whose settings are changed first.
+    pub async fn add_daemon_with(
+        &mut self,
+        change: impl FnOnce(Settings) -> Settings,
+    ) -> eyre::Result<()> {
         let place = self.daemons.iter().position(Option::is_none);
         let index = place.unwrap_or(self.daemons.len());
         let locality = Locality { region: name("kochi"), availability_zone: name("kochi-aluva") };
         let seeds = self.running().map(|daemon| daemon.addresses().peers).collect();
         let settings =
             Settings::loopback(name(&format!("host-{index}")), locality).with_seeds(seeds);
-        let daemon = Daemon::start(settings).await?;
+        let daemon = Daemon::start(change(settings)).await?;
+        if self.version > Version(0) {
+            self.install(&daemon);
+        }
         match place {
             Some(place) => self.daemons[place] = Some(daemon),
             None => self.daemons.push(Some(daemon)),
@@ -93,6 +104,14 @@
         Ok(())
     }
 
+    /// Stops a daemon gracefully. Returns whether it finished everything in time.
+    pub async fn stop(&mut self, index: usize) -> bool {
+        match self.daemons[index].take() {
+            Some(daemon) => daemon.stop().await,
+            None => true,
+        }
+    }
+
     /// The daemons that run.
     pub fn running(&self) -> impl Iterator<Item = &Daemon> {
         self.daemons.iter().flatten()
@@ -141,9 +160,9 @@
         self.announced.push(announcement);
     }
 
-    /// Announces again, at a daemon that was started again, what had this id.
+    /// Announces again what was last announced under this id, as ready or draining.
     pub fn announce_again(&self, index: usize, id: &str, draining: bool) {
-        let known = self.announced.iter().find(|known| known.target.id.as_str() == id);
+        let known = self.announced.iter().rfind(|known| known.target.id.as_str() == id);
         if let Some(known) = known {
             let announcement = TargetAnnouncement { draining, ..known.clone() };
             self.tell(index, ApiRequest::Announce(announcement));
