Distribution: control replicas are leaves, herds leave the source alone, lagging zones are told

A zone whose replica lags hears of a version from the hub of its region. A process serves 300 ms after it knew the others, so that they know it too.

--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -145,14 +145,12 @@
 
     /// When [`Distribution::tick`] is due.
     pub fn next_deadline(&self) -> Instant {
-        let ready_at =
-            if self.readiness.is_ready() { Instant::NEVER } else { self.readiness.give_up_at };
         self.upstream
             .next_deadline()
             .min(self.children.serve_at)
             .min(self.fetcher.ask_at)
             .min(self.reporter.next_deadline())
-            .min(ready_at)
+            .min(self.readiness.next_deadline())
     }
 
     /// Does what is due.
@@ -320,6 +318,7 @@
         self.fetched(cx.now);
         self.serve(cx);
         self.holders_changed(cx, membership);
+        self.nudge_later(cx.now);
         for neighbour in membership.topology().neighbours() {
             self.send_holds(cx, *neighbour);
         }
--- a/crates/core/src/distribution/ready.rs
+++ b/crates/core/src/distribution/ready.rs
@@ -13,13 +13,20 @@
 /// do not say what they remember of it, in milliseconds.
 const NEIGHBOURS_TIMEOUT_MS: u64 = 2_000;
 
+/// Time after the others were first known before a process serves, in
+/// milliseconds. In it they all hear of this process, so that none says that
+/// a version is in force everywhere without it.
+const KNOWN_TO_OTHERS_AFTER_MS: u64 = 300;
+
 /// What a process waits for before it serves.
 pub(super) struct Readiness {
     is_ready: bool,
     floor: Version,
     heard: BTreeSet<NodeId>,
     /// When neighbours are waited for no longer.
-    pub give_up_at: Instant,
+    give_up_at: Instant,
+    /// When to look again whether something is still waited for.
+    look_at: Instant,
 }
 
 impl Readiness {
@@ -29,9 +36,15 @@
             floor: Version(0),
             heard: BTreeSet::new(),
             give_up_at: Instant::NEVER,
+            look_at: Instant::NEVER,
         }
     }
 
+    /// When [`Readiness::update`] is due.
+    pub fn next_deadline(&self) -> Instant {
+        if self.is_ready { Instant::NEVER } else { self.look_at }
+    }
+
     pub fn is_ready(&self) -> bool {
         self.is_ready
     }
@@ -54,6 +67,8 @@
             self.give_up_at = now.plus_ms(NEIGHBOURS_TIMEOUT_MS);
         }
         if held < self.floor {
+            // The update that lifts it above the floor comes as an event.
+            self.look_at = Instant::NEVER;
             return;
         }
         let alive = |id: &NodeId| {
@@ -61,10 +76,24 @@
         };
         let neighbours = membership.topology().neighbours().iter();
         let mut alive = neighbours.filter(|id| alive(id));
-        let all_heard = membership.synced_at().is_some() && alive.all(|id| self.heard.contains(id));
-        if all_heard || now >= self.give_up_at {
+        let all_heard = alive.all(|id| self.heard.contains(id));
+        let known_at = known_to_others_at(membership);
+        if now >= self.give_up_at || (all_heard && now >= known_at) {
             self.is_ready = true;
             self.heard.clear();
+        } else if known_at > now {
+            self.look_at = known_at.min(self.give_up_at);
+        } else {
+            self.look_at = self.give_up_at;
         }
     }
 }
+
+fn known_to_others_at(membership: &Membership) -> Instant {
+    match membership.synced_at() {
+        // Nobody else is there to know it.
+        Some(Instant::ZERO) => Instant::ZERO,
+        Some(synced_at) => synced_at.plus_ms(KNOWN_TO_OTHERS_AFTER_MS),
+        None => Instant::NEVER,
+    }
+}
--- a/crates/core/src/distribution/reports.rs
+++ b/crates/core/src/distribution/reports.rs
@@ -25,6 +25,10 @@
 /// Time between two repetitions of reports, which heal lost ones, in milliseconds.
 const REPEAT_EVERY_MS: u64 = 10_000;
 
+/// Time after which a hub tells the relays that are still behind of a version,
+/// in milliseconds. They may take updates from a replica that is cut off.
+const NUDGE_AFTER_MS: u64 = 500;
+
 /// Time in which changes of the progress are gathered, in milliseconds.
 const PROGRESS_MS: u64 = 10;
 
@@ -40,6 +44,8 @@
     pub repeat_at: Instant,
     /// When to send the region's reports to other regions.
     pub far_at: Instant,
+    /// When to tell relays of the region that are still behind.
+    pub nudge_at: Instant,
     /// When to add up the progress.
     pub progress_at: Instant,
     last: Option<(NodeId, ZoneReport)>,
@@ -54,6 +60,7 @@
             report_at: Instant::NEVER,
             repeat_at: Instant::ZERO,
             far_at: Instant::NEVER,
+            nudge_at: Instant::NEVER,
             progress_at: Instant::NEVER,
             last: None,
             region: BTreeMap::new(),
@@ -63,7 +70,8 @@
     }
 
     pub fn next_deadline(&self) -> Instant {
-        self.report_at.min(self.repeat_at).min(self.far_at).min(self.progress_at)
+        let own = self.report_at.min(self.repeat_at).min(self.progress_at);
+        own.min(self.far_at).min(self.nudge_at)
     }
 }
 
@@ -183,6 +191,21 @@
         }
     }
 
+    /// A version came into force: look later who is behind.
+    pub(super) fn nudge_later(&mut self, now: Instant) {
+        self.reporter.nudge_at = now.plus_ms(NUDGE_AFTER_MS);
+    }
+
+    fn nudge(&mut self, cx: &mut Context<'_>, membership: &Membership) {
+        self.reporter.nudge_at = Instant::NEVER;
+        if membership.hub(&cx.me.locality.region) != Some(cx.me.id) {
+            return;
+        }
+        for report in self.reporter.region.values() {
+            self.tell_of_newer(cx, report.relay, std::slice::from_ref(report));
+        }
+    }
+
     /// Sends the region's reports to the hubs of the regions with a control replica.
     fn report_far(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         self.reporter.far_at = Instant::NEVER;
@@ -222,6 +245,9 @@
         if cx.now >= self.reporter.far_at {
             self.report_far(cx, membership);
         }
+        if cx.now >= self.reporter.nudge_at {
+            self.nudge(cx, membership);
+        }
         if cx.now >= self.reporter.progress_at {
             self.add_up_progress(cx, membership);
         }
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -79,7 +79,8 @@
     /// Follows a new view of the members.
     pub(super) fn follow(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         let generation = membership.generation();
-        if self.upstream.generation == Some(generation) {
+        // A process that knows only its seeds would take itself for a relay.
+        if self.upstream.generation == Some(generation) || membership.synced_at().is_none() {
             return;
         }
         self.upstream.generation = Some(generation);
--- a/crates/core/src/membership/topology.rs
+++ b/crates/core/src/membership/topology.rs
@@ -18,7 +18,7 @@
 pub(crate) struct ZoneOrder {
     /// Region.
     pub region: Option<Name>,
-    /// Live members by rank; the first is the relay.
+    /// Live members by rank, control replicas last; the first is the relay.
     pub order: Vec<NodeId>,
 }
 
@@ -98,8 +98,10 @@
             zone.order.push(member.id);
         }
     }
+    // Control replicas come last: they have other work than to relay.
+    let is_control = |id: NodeId| view.member(id).is_some_and(|member| member.control);
     for zone in zones.values_mut() {
-        zone.order.sort_by_cached_key(|id| rank(*id));
+        zone.order.sort_by_cached_key(|id| (is_control(*id), rank(*id)));
     }
     zones
 }
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -241,6 +241,40 @@
     mesh.run_until("said", 20, |mesh| all_say_in_force(mesh, 2));
 }
 
+/// A configuration whose snapshot counts as a large transfer.
+fn large_configuration() -> Arc<Configuration> {
+    let names = (0..6_000u64).map(|index| (format!("s{:x}", index * 7_919_993 % 1_000_003), 1));
+    configuration(1, &names.collect::<Vec<_>>())
+}
+
+#[rstest]
+fn herd_of_restarts_takes_large_snapshots_from_peers() {
+    let zones = two_regions(20);
+    let mut mesh = Mesh::started(&zones, 15);
+    mesh.publish(&large_configuration());
+    mesh.run_until("all hold it", 20, |mesh| all_hold(mesh, 1) && all_ready(mesh));
+    let herd: Vec<usize> =
+        (0..mesh.len()).filter(|host| host % 2 == 1 && !mesh.identity(*host).control).collect();
+    herd.iter().for_each(|host| mesh.crash(*host));
+    mesh.run_ms(100);
+    mesh.traffic.reset();
+
+    herd.iter().for_each(|host| mesh.start(*host));
+    let took_ms = mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 1) && all_ready(mesh));
+
+    let from_source: u64 = mesh
+        .controls()
+        .into_iter()
+        .map(|host| mesh.traffic.large_sent_by(mesh.identity(host).id))
+        .sum();
+    println!(
+        "{} of {} back after {took_ms} ms, {from_source} from the source",
+        herd.len(),
+        mesh.len()
+    );
+    assert!(from_source <= 3 * zones.len() as u64, "{from_source} snapshots from the source");
+}
+
 #[rstest]
 fn restarted_host_is_not_ready_below_what_its_neighbours_remember() {
     let (mut mesh, versions) = mesh_with_first(&two_regions(6), 10);
@@ -328,6 +362,18 @@
     assert!(say_in_force(&mesh, 2).is_empty());
 }
 
+#[rstest]
+#[case::users_size(4, 16)]
+#[case::larger(12, 17)]
+fn zones_whose_replica_lags_get_the_version_from_others(#[case] hosts: usize, #[case] seed: u64) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(hosts), seed);
+
+    mesh.publish_at(0, &versions[1]);
+
+    let took_ms = mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 2));
+    println!("all hold it {took_ms} ms after one replica did");
+}
+
 #[rstest]
 fn versions_with_one_number_and_two_contents_are_not_mixed() {
     let (mut mesh, _) = mesh_with_first(&two_regions(2), 14);
--- a/crates/core/tests/mesh/traffic.rs
+++ b/crates/core/tests/mesh/traffic.rs
@@ -30,6 +30,8 @@
     pub sent: BTreeMap<(NodeId, &'static str), Count>,
     /// By regions of sender and receiver, and kind.
     pub between_regions: BTreeMap<(Name, Name, &'static str), Count>,
+    /// Messages of distribution above 16 KiB, by sender.
+    pub large: BTreeMap<NodeId, u64>,
 }
 
 impl Traffic {
@@ -40,6 +42,9 @@
     pub fn count(&mut self, from: &Identity, to: &Identity, message: &PeerMessage) {
         let kind: &'static str = message.into();
         let bytes = fireflylug_wire::encode(message).len() as u64 + HEADER_BYTES;
+        if bytes > 16 * 1024 && kind == "distribution" {
+            *self.large.entry(from.id).or_default() += 1;
+        }
         self.sent.entry((from.id, kind)).or_default().add(bytes);
         if from.locality.region != to.locality.region {
             let regions = (from.locality.region.clone(), to.locality.region.clone(), kind);
@@ -47,6 +52,11 @@
         }
     }
 
+    /// Large messages of distribution that a process sent.
+    pub fn large_sent_by(&self, id: NodeId) -> u64 {
+        self.large.get(&id).copied().unwrap_or(0)
+    }
+
     /// What a process sent of one kind.
     pub fn sent_by(&self, id: NodeId, kind: &str) -> Count {
         let rows = self.sent.iter().filter(|((sender, k), _)| *sender == id && *k == kind);
