--- a/crates/measure/src/calls/added_latency.rs
+++ b/crates/measure/src/calls/added_latency.rs
@@ -15,6 +15,7 @@
 
 use super::load::{Call, Callee, Callers, Tally};
 use super::mesh::{Announced, Mesh, name};
+use super::reducer_cost;
 use crate::{Bound, Figure, Options, Report};
 
 /// Most time that the mesh may add to 99 calls in 100, in milliseconds.
@@ -64,6 +65,8 @@
         calls = direct.calls() + owner.calls() + both.calls();
     }
     let baseline = Figure::new("", "ms", &direct_p99).median;
+    let cost: Vec<f64> =
+        (0..RUNS).map(|run| reducer_cost::ingress_us(options.seed + run)).collect();
     let rate = calls as f64 / RUN_LENGTH.as_secs_f64();
     Ok(Report::new(options)
         .with_figure(
@@ -77,6 +80,7 @@
         .with_figure(Figure::new("added by the owner alone, 99 in 100 calls", "ms", &one_hop))
         .with_figure(Figure::new("added by two proxies, median", "ms", &p50))
         .with_figure(Figure::new("whole call, 99 in 100 calls", "ms", &p99).with_baseline(baseline))
+        .with_figure(Figure::new("reducer's time for a call at its ingress", "us", &cost))
         .with_figure(
             Figure::new("calls not answered well", "calls", &[failed as f64])
                 .with_bound(Bound::AtMost(0.0)),
--- a/crates/measure/src/calls/mod.rs
+++ b/crates/measure/src/calls/mod.rs
@@ -6,5 +6,6 @@
 pub mod mesh;
 pub mod overload;
 pub mod payments;
+pub mod reducer_cost;
 pub mod rolling;
 pub mod stall;
