--- a/crates/measure/src/args.rs
+++ b/crates/measure/src/args.rs
@@ -56,6 +56,8 @@
     Rolling,
     /// Calls that may not be repeated, under faults.
     Payments,
+    /// Which targets an ingress chooses, in simulated time.
+    Selection,
 }
 
 /// Checked options of one run.
--- a/crates/measure/src/calls/mod.rs
+++ b/crates/measure/src/calls/mod.rs
@@ -8,4 +8,5 @@
 pub mod payments;
 pub mod reducer_cost;
 pub mod rolling;
+pub mod selection;
 pub mod stall;
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -72,7 +72,7 @@
     }
 }
 
-fn identity(host: &str) -> Identity {
+pub(super) fn identity(host: &str) -> Identity {
     let any = SocketAddr::from(([127, 0, 0, 1], 1));
     Identity {
         id: NodeId::of_host(&name(host)),
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -56,5 +56,6 @@
         Measurement::Chain => calls::chain::run(options).await,
         Measurement::Rolling => calls::rolling::run(options).await,
         Measurement::Payments => calls::payments::run(options).await,
+        Measurement::Selection => calls::selection::run(options).await,
     }
 }
