Choice: draw two different targets

With replacement, a bad target was drawn against itself in 1 of 36 draws of six and kept 16% of a fair share.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -59,7 +59,7 @@
         Some(target)
     }
 
-    /// Draws two targets of a tier at random and takes the better one.
+    /// Draws two different targets of a tier at random and takes the better one.
     fn draw_two(
         &self,
         cx: &mut Context<'_>,
@@ -70,17 +70,21 @@
         let state = &self.services[service];
         let tier = &state.tiers[tier];
         let call = &self.calls[&call];
-        let usable = |t: &TargetKey| !self.targets[*t].health.is_ejected() && !call.was_tried(*t);
-        let mut draw = || {
-            let start = cx.rng.random_range(0..tier.len());
-            let (head, tail) = tier.split_at(start);
-            tail.iter().chain(head).copied().find(usable)
-        };
         if tier.is_empty() {
             return None;
         }
-        let (first, second) = (draw()?, draw()?);
-        let score = |t: TargetKey| self.targets[t].score(cx.now, state.slow_start_ms);
+        let mut draw = |not: Option<TargetKey>| {
+            let (head, tail) = tier.split_at(cx.rng.random_range(0..tier.len()));
+            let usable = |key: &TargetKey| {
+                let is_ejected = self.targets[*key].health.is_ejected();
+                Some(*key) != not && !is_ejected && !call.was_tried(*key)
+            };
+            tail.iter().chain(head).copied().find(usable)
+        };
+        let first = draw(None)?;
+        // The same target twice would give a bad one a share of its own.
+        let Some(second) = draw(Some(first)) else { return Some(first) };
+        let score = |key: TargetKey| self.targets[key].score(cx.now, state.slow_start_ms);
         Some(if score(second) < score(first) { second } else { first })
     }
 
--- a/crates/core/tests/routing/choice.rs
+++ b/crates/core/tests/routing/choice.rs
@@ -163,6 +163,7 @@
         if begun.target == target {
             return begun.call;
         }
+        bench.pass_ms(2);
         bench.complete(begun.call, begun.attempt);
         bench.take();
     }
