--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -1,8 +1,8 @@
 //! Operators' requests: changes, reads, watches and status.
 //!
 //! A request may arrive at any process. Changes and current reads are passed
-//! on to the leader ([`forward`]); watches are served by control replicas from
-//! a bounded history ([`watch`]), without load on the log.
+//! on to the leader (`forward`); watches are served by control replicas from
+//! a bounded history (`watch`), without load on the log.
 
 mod error;
 mod forward;
--- a/crates/core/src/api/status.rs
+++ b/crates/core/src/api/status.rs
@@ -67,7 +67,7 @@
     pub leaving: u32,
     /// Given up, or stopped.
     pub dead: u32,
-    /// Hosts that are suspect or given up, at most [`MAX_NAMED_HOSTS`].
+    /// Hosts that are suspect or given up, at most `MAX_NAMED_HOSTS`.
     pub unreachable: Vec<Name>,
 }
 
--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -1,7 +1,7 @@
 //! The resource API, announcements, metrics and health over HTTP.
 //!
 //! [`parse`] checks a request into an [`fireflylug_core::api::ApiRequest`],
-//! the reducer answers it through [`Answers`], and [`respond`] makes HTTP of
+//! the reducer answers it through [`Answers`], and `respond` makes HTTP of
 //! the answer. [`ApiServer`] serves them through xitca-web.
 
 mod answers;
