--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -97,6 +97,8 @@
     Apply(Apply),
     /// Delete a resource.
     Delete(Delete),
+    /// Let one control replica vote in the place of another.
+    ReplaceVoter(ReplaceVoter),
     /// Show resources.
     Get(Get),
     /// Print events.
@@ -142,6 +144,15 @@
     pub options: ChangeOptions,
 }
 
+/// Let one control replica vote in the place of another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReplaceVoter {
+    /// Host that votes no more.
+    pub old: Name,
+    /// Host that votes instead.
+    pub new: Name,
+}
+
 /// Show resources.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Get {
@@ -184,6 +195,9 @@
             resource: ResourceKey { kind: parse_kind(kind)?, name: parse_name(name)? },
             options: change_options(args)?,
         }),
+        ["replace-voter", old, new] => {
+            Action::ReplaceVoter(ReplaceVoter { old: parse_name(old)?, new: parse_name(new)? })
+        }
         ["get", kind] => {
             Action::Get(Get { kind: parse_kind(kind)?, name: None, stale: args.stale })
         }
@@ -259,14 +273,16 @@
          get KIND [NAME]     show resources; KIND is service, route or policy\n  \
          watch               print events as JSON lines until interrupted\n  \
          status              show the mesh as one process knows it\n  \
-         burn                show the service-level burn report\n\n\
+         burn                show the service-level burn report\n  \
+         replace-voter OLD NEW   let the control replica on host NEW vote instead of OLD's\n\n\
          {}\n\n\
          Examples:\n  \
          fireflylug apply routes.json --wait\n  \
          echo '{{\"kind\":\"service\",\"name\":\"seatdesk\"}}' | fireflylug apply - --if-version 0\n  \
          fireflylug get routes --output json\n  \
          fireflylug watch --from 41 --api 10.0.0.1:7312 --api 10.0.0.2:7312\n  \
-         fireflylug burn --svg burn.svg\n\n\
+         fireflylug burn --svg burn.svg\n  \
+         fireflylug replace-voter aluva-1 aluva-5\n\n\
          Exit status: 0 done, 1 refused, 2 wrong arguments or input, 3 outcome unknown (resend\n\
          with the same --key), 4 no resource API reached, 5 accepted but not in force in time",
         options_help()
--- /dev/null
+++ b/crates/cli/src/burn.rs
@@ -0,0 +1,167 @@
+//! `burn`: the service-level burn report as a table, JSON or a chart.
+
+use std::path::Path;
+
+use fireflylug_core::slo::{BurnReport, BurnRow};
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use tabled::Tabled;
+
+use crate::args::Output;
+use crate::client::Client;
+use crate::{CliError, output, read};
+
+/// Burn above which an operator must act now.
+const PAGE_BURN: f64 = 14.4;
+/// Burn above which an operator must act today.
+const TICKET_BURN: f64 = 6.0;
+/// Size of the chart, in pixels.
+const CHART_SIZE: (u32, u32) = (960, 480);
+/// Width of the bars of one objective, as a share of its place.
+const GROUP_WIDTH: f64 = 0.8;
+/// Windows of a row, with the colour of their bars.
+const WINDOWS: [(&str, RGBColor); 4] = [
+    ("5 min", RGBColor(31, 119, 180)),
+    ("30 min", RGBColor(108, 172, 216)),
+    ("1 h", RGBColor(214, 110, 39)),
+    ("6 h", RGBColor(240, 178, 122)),
+];
+
+#[derive(Tabled)]
+struct Row {
+    service: String,
+    policy: String,
+    objective: String,
+    target: String,
+    counted: u64,
+    bad: u64,
+    refused: u64,
+    #[tabled(rename = "5 min")]
+    five_minutes: String,
+    #[tabled(rename = "1 h")]
+    one_hour: String,
+    #[tabled(rename = "6 h")]
+    six_hours: String,
+    budget_left: String,
+    urgency: String,
+    worst_zone: String,
+}
+
+/// Shows the burn report, and writes it as a chart where a file is given.
+pub async fn burn(client: &mut Client, svg: Option<&Path>, form: Output) -> Result<(), CliError> {
+    let answer = client.read("/v1/burn").await?;
+    let report: BurnReport = read::decode(answer.clone())?;
+    match form {
+        Output::Json => output::json(&answer),
+        Output::Table => output::table(&report.rows.iter().map(row).collect::<Vec<_>>()),
+    }
+    if let Some(file) = svg {
+        let chart = chart(&report)?;
+        std::fs::write(file, chart).map_err(|error| {
+            CliError::Failed(format!("--svg {}: cannot be written: {error}", file.display()))
+        })?;
+    }
+    Ok(())
+}
+
+fn row(row: &BurnRow) -> Row {
+    let latency = row.latency_ms.map(|ms| format!(" within {ms} ms")).unwrap_or_default();
+    Row {
+        service: row.service.to_string(),
+        policy: row.policy.to_string(),
+        objective: row.objective.to_string(),
+        target: format!("{:.3} %{latency}", f64::from(row.target_ppm) / 10_000.0),
+        counted: row.counted,
+        bad: row.bad,
+        refused: row.refused,
+        five_minutes: times(row.burn.five_minutes_permille),
+        one_hour: times(row.burn.one_hour_permille),
+        six_hours: times(row.burn.six_hours_permille),
+        budget_left: format!("{:.1} %", row.budget_left_permille as f64 / 10.0),
+        urgency: row.urgency.to_string(),
+        worst_zone: row.worst.as_ref().map(|w| w.availability_zone.to_string()).unwrap_or_default(),
+    }
+}
+
+fn times(permille: u64) -> String {
+    format!("{:.1}", permille as f64 / 1_000.0)
+}
+
+/// Draws the burn of each objective by window, as SVG.
+pub fn chart(report: &BurnReport) -> Result<String, CliError> {
+    let mut svg = String::new();
+    let area = SVGBackend::with_string(&mut svg, CHART_SIZE).into_drawing_area();
+    let drawn = draw(&area, report).and_then(|()| area.present().map_err(|e| e.to_string()));
+    drop(area);
+    drawn.map_err(|error| CliError::Failed(format!("the chart cannot be drawn: {error}")))?;
+    Ok(svg)
+}
+
+fn draw(area: &DrawingArea<SVGBackend<'_>, Shift>, report: &BurnReport) -> Result<(), String> {
+    let text =
+        |error: DrawingAreaErrorKind<_>| -> String { DrawingAreaErrorKind::to_string(&error) };
+    area.fill(&WHITE).map_err(text)?;
+    let places = report.rows.len().max(1) as f64;
+    let top = highest(report).max(PAGE_BURN) * 1.1;
+    let mut chart = ChartBuilder::on(area)
+        .caption("Service-level burn (1 spends the budget in 30 days)", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..places, 0.0..top)
+        .map_err(text)?;
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_labels(report.rows.len().max(1) * 2 + 1)
+        .x_label_formatter(&|x| label(report, *x))
+        .y_desc("burn")
+        .draw()
+        .map_err(text)?;
+    for (index, (name, colour)) in WINDOWS.into_iter().enumerate() {
+        let bars = report.rows.iter().enumerate().map(|(place, row)| bar(place, index, row));
+        let bars = bars.map(|corners| Rectangle::new(corners, colour.filled()));
+        let series = chart.draw_series(bars).map_err(text)?;
+        series
+            .label(name)
+            .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 10, y + 5)], colour.filled()));
+    }
+    for (name, burn, colour) in [("act now", PAGE_BURN, RED), ("act today", TICKET_BURN, MAGENTA)] {
+        let line = LineSeries::new([(0.0, burn), (places, burn)], colour);
+        let series = chart.draw_series(line).map_err(text)?;
+        series.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 10, y)], colour));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw().map_err(text)
+}
+
+fn bar(place: usize, window: usize, row: &BurnRow) -> [(f64, f64); 2] {
+    let width = GROUP_WIDTH / WINDOWS.len() as f64;
+    let left = place as f64 + (1.0 - GROUP_WIDTH) / 2.0 + window as f64 * width;
+    [(left, 0.0), (left + width, burn_of(row, window))]
+}
+
+/// Burn of the window at this index of [`WINDOWS`].
+fn burn_of(row: &BurnRow, window: usize) -> f64 {
+    let burn = &row.burn;
+    let permille = match window {
+        0 => burn.five_minutes_permille,
+        1 => burn.thirty_minutes_permille,
+        2 => burn.one_hour_permille,
+        _ => burn.six_hours_permille,
+    };
+    permille as f64 / 1_000.0
+}
+
+fn highest(report: &BurnReport) -> f64 {
+    let burns = report.rows.iter().flat_map(|row| (0..WINDOWS.len()).map(|w| burn_of(row, w)));
+    burns.fold(0.0, f64::max)
+}
+
+/// The label at the middle of a row's place; nothing elsewhere.
+fn label(report: &BurnReport, x: f64) -> String {
+    if (x.fract() - 0.5).abs() > 0.01 {
+        return String::new();
+    }
+    let row = report.rows.get(x as usize);
+    row.map(|row| format!("{} {}", row.service, row.objective)).unwrap_or_default()
+}
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -1,4 +1,5 @@
-//! `apply` and `delete`: one change, resent under one key until it is answered.
+//! `apply`, `delete` and `replace-voter`: one change, resent under one key until
+//! it is answered.
 
 use std::time::Duration;
 
@@ -6,9 +7,9 @@
 use fireflylug_core::ids::Version;
 use hyper::Method;
 use rand::Rng;
-use serde_json::Value;
+use serde_json::{Value, json};
 
-use crate::args::{Apply, ChangeOptions, Delete, Output};
+use crate::args::{Apply, ChangeOptions, Delete, Output, ReplaceVoter};
 use crate::client::{ApiCall, Client, Failure};
 use crate::{CliError, input, output, read, watch};
 
@@ -43,6 +44,28 @@
     finish(client, &call, &delete.options, form).await
 }
 
+/// Lets one control replica vote in the place of another. Sent twice, it has
+/// the effect of once.
+pub async fn replace_voter(
+    client: &mut Client,
+    replace: ReplaceVoter,
+    form: Output,
+) -> Result<(), CliError> {
+    let call = ApiCall {
+        method: Method::POST,
+        path: "/v1/voters".to_owned(),
+        key: None,
+        if_version: None,
+        body: Some(json!({ "old": replace.old, "new": replace.new })),
+    };
+    let answer = send_change(client, &call).await?;
+    match form {
+        Output::Json => output::json(&answer),
+        Output::Table => println!("{} votes in the place of {}", replace.new, replace.old),
+    }
+    Ok(())
+}
+
 async fn finish(
     client: &mut Client,
     call: &ApiCall,
@@ -99,8 +122,7 @@
     failures.dedup();
     let reason = failures.join("; ");
     if sent {
-        let key = call.key.clone().unwrap_or_default();
-        return Err(CliError::Unknown { reason, key });
+        return Err(CliError::Unknown { reason, key: call.key.clone() });
     }
     Err(CliError::Unreachable(reason))
 }
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -85,18 +85,20 @@
     pub async fn read(&mut self, path: &str) -> Result<Value, CliError> {
         let call = ApiCall::get(path);
         let mut failures = Vec::new();
-        for _ in 0..self.addresses.len() {
-            match self.ask(&call).await {
-                Ok(Err(error)) if error.code == ErrorCode::Unavailable => {
-                    failures.push(format!("{}: {error}", self.address()));
-                    self.next_address();
+        let mut tried = 0;
+        while tried < self.addresses.len() {
+            tried += 1;
+            let failure = match self.ask(&call).await {
+                Ok(Err(error)) if error.code == ErrorCode::Unavailable => error.to_string(),
+                Ok(Err(error)) if error.code == ErrorCode::Misdirected => {
+                    self.learn(&error.addresses);
+                    error.to_string()
                 }
                 Ok(answer) => return answer.map_err(CliError::Refused),
-                Err(failure) => {
-                    failures.push(format!("{}: {failure}", self.address()));
-                    self.next_address();
-                }
-            }
+                Err(failure) => failure.to_string(),
+            };
+            failures.push(format!("{}: {failure}", self.address()));
+            self.next_address();
         }
         Err(CliError::Unreachable(failures.join("; ")))
     }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -33,12 +33,12 @@
     #[error("{}", shown(.0))]
     Refused(ApiError),
     /// The outcome of a change is unknown.
-    #[error("the outcome is unknown: {reason}; resend with --key {key}")]
+    #[error("the outcome is unknown: {reason}; {}", resend(.key.as_deref()))]
     Unknown {
         /// What happened.
         reason: String,
-        /// The idempotency key to resend with.
-        key: String,
+        /// The idempotency key to resend with; none where a resend needs none.
+        key: Option<String>,
     },
     /// No resource API could be reached.
     #[error("no resource API could be reached: {0}; name one with --api ADDRESS")]
@@ -70,6 +70,10 @@
     }
 }
 
+fn resend(key: Option<&str>) -> String {
+    key.map_or_else(|| "send it again".to_owned(), |key| format!("resend with --key {key}"))
+}
+
 /// An error of the resource API with a line for each finding.
 fn shown(error: &ApiError) -> String {
     let mut text = error.to_string();
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -5,6 +5,7 @@
 //! module of its own. It knows nothing but the resource API.
 
 pub mod args;
+pub mod burn;
 mod change;
 pub mod client;
 mod error;
@@ -53,9 +54,10 @@
     match command.action {
         Action::Apply(apply) => change::apply(&mut client, apply, output).await,
         Action::Delete(delete) => change::delete(&mut client, delete, output).await,
+        Action::ReplaceVoter(replace) => change::replace_voter(&mut client, replace, output).await,
         Action::Get(get) => read::get(&mut client, &get, output).await,
         Action::Status => read::status(&mut client, output).await,
-        Action::Burn { svg } => read::burn(&mut client, svg.as_deref(), output).await,
+        Action::Burn { svg } => burn::burn(&mut client, svg.as_deref(), output).await,
         Action::Watch { from } => watch::print_events(&mut client, from).await,
         Action::Help | Action::Version => Ok(()),
     }
--- a/crates/cli/src/read.rs
+++ b/crates/cli/src/read.rs
@@ -1,8 +1,6 @@
-//! `get`, `status` and `burn`.
+//! `get` and `status`.
 
-use std::path::Path;
-
-use fireflylug_core::api::StatusReport;
+use fireflylug_core::api::{ReplicaReport, StatusReport};
 use fireflylug_core::config::StoredResource;
 use fireflylug_core::ids::Name;
 use fireflylug_core::resource::ResourceKind;
@@ -109,9 +107,11 @@
         status.version,
         if status.ready { "ready" } else { "not ready" }
     );
+    if let Some(since_unix_ms) = status.cut_off_since_unix_ms {
+        println!("cut off from every control replica since Unix time {} s", since_unix_ms / 1_000);
+    }
     if let Some(control) = &status.control {
-        let leader = control.leader.as_deref().unwrap_or("none known");
-        println!("control replica: leader {leader}, committed version {}", control.committed);
+        print_replica(control);
     }
     for replica in &status.control_replicas {
         println!("control replica in reach: {} at {}", replica.host, replica.api);
@@ -121,11 +121,26 @@
     Ok(())
 }
 
+fn print_replica(replica: &ReplicaReport) {
+    println!(
+        "control replica: {} in term {}, leader {}, committed version {}, voters {}",
+        replica.role,
+        replica.term,
+        replica.leader.as_deref().unwrap_or("none known"),
+        replica.committed,
+        replica.voters.join(" ")
+    );
+    if let Some(for_ms) = replica.not_current_for_ms {
+        println!("NOT CURRENT: in touch with no quorum for {} s", for_ms / 1_000);
+    }
+}
+
 fn zone_rows(status: &StatusReport) -> Vec<ZoneRow> {
     let row = |zone: &fireflylug_core::api::ZoneMembers| {
         let hosts: Vec<&str> = zone.unreachable.iter().map(Name::as_str).collect();
+        let cut_off = if zone.cut_off { " (cut off)" } else { "" };
         ZoneRow {
-            availability_zone: zone.availability_zone.to_string(),
+            availability_zone: format!("{}{cut_off}", zone.availability_zone),
             alive: zone.alive,
             suspect: zone.suspect,
             leaving: zone.leaving,
@@ -147,14 +162,7 @@
     status.targets.iter().map(row).collect()
 }
 
-/// Shows the burn report, and writes it as a chart where a file is given.
-pub async fn burn(client: &mut Client, _svg: Option<&Path>, _form: Output) -> Result<(), CliError> {
-    let answer = client.read("/v1/burn").await?;
-    output::json(&answer);
-    Ok(())
-}
-
-fn decode<T: DeserializeOwned>(value: Value) -> Result<T, CliError> {
+pub fn decode<T: DeserializeOwned>(value: Value) -> Result<T, CliError> {
     serde_json::from_value(value)
         .map_err(|error| CliError::Failed(format!("the answer is not in form: {error}")))
 }
--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -18,7 +18,7 @@
 use crate::config::ChangeRequest;
 use crate::consensus::ChangeOutcome;
 use crate::context::{Context, Identity};
-use crate::ids::{IdempotencyKey, NodeId, RequestId};
+use crate::ids::{IdempotencyKey, Name, NodeId, RequestId};
 use crate::membership::{Member, Membership};
 use crate::time::Instant;
 
@@ -38,6 +38,13 @@
 pub(super) enum Work {
     /// A change that carries an idempotency key.
     Change(ChangeRequest),
+    /// A change of the voters. Proposed twice, it has the effect of once.
+    ReplaceVoter {
+        /// The process that votes no more.
+        old: NodeId,
+        /// The process that votes instead.
+        new: NodeId,
+    },
     /// A read.
     Read(ReadQuery),
 }
@@ -52,9 +59,14 @@
         Self::Change(change)
     }
 
+    /// Makes work of a change of the voters, by the names of the hosts.
+    pub(super) fn replace_voter(old: &Name, new: &Name) -> Self {
+        Self::ReplaceVoter { old: NodeId::of_host(old), new: NodeId::of_host(new) }
+    }
+
     fn limit_ms(&self) -> u64 {
         match self {
-            Self::Change(_) => CHANGE_LIMIT_MS,
+            Self::Change(_) | Self::ReplaceVoter { .. } => CHANGE_LIMIT_MS,
             Self::Read(_) => READ_LIMIT_MS,
         }
     }
@@ -62,6 +74,7 @@
     fn message(&self, request: RequestId) -> ApiMessage {
         match self.clone() {
             Self::Change(change) => ApiMessage::Propose { request, change },
+            Self::ReplaceVoter { old, new } => ApiMessage::ReplaceVoter { request, old, new },
             Self::Read(query) => ApiMessage::Read { request, query },
         }
     }
@@ -288,12 +301,12 @@
 
     fn timeout(self) -> ApiError {
         match self.work {
-            Work::Change(_) if !self.open.is_empty() => ApiError::new(
+            Work::Change(_) | Work::ReplaceVoter { .. } if !self.open.is_empty() => ApiError::new(
                 ErrorCode::OutcomeUnknown,
                 "no control replica said what became of the change within 6 s; it may have been \
                  accepted; resend with the same Idempotency-Key to learn the outcome",
             ),
-            Work::Change(_) => ApiError::new(
+            Work::Change(_) | Work::ReplaceVoter { .. } => ApiError::new(
                 ErrorCode::Unavailable,
                 "refused: no leader of the control replicas could be reached within 6 s, and \
                  nothing was proposed; send it again later",
--- a/crates/core/src/api/message.rs
+++ b/crates/core/src/api/message.rs
@@ -22,6 +22,15 @@
         /// The change, with an idempotency key.
         change: ChangeRequest,
     },
+    /// Please propose that one process votes in the place of another.
+    ReplaceVoter {
+        /// The request.
+        request: RequestId,
+        /// The process that votes no more.
+        old: NodeId,
+        /// The process that votes instead.
+        new: NodeId,
+    },
     /// What became of a proposed change.
     Outcome {
         /// The request.
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -17,7 +17,7 @@
 pub use error::{ApiError, ErrorCode};
 pub use message::{ApiMessage, ReadAnswer, ReadQuery};
 pub use request::{ApiRequest, ApiResponse, Freshness, WatchEvent};
-pub use status::{ControlStatus, ReplicaStatus, StatusReport, TargetCounts, ZoneMembers};
+pub use status::{ReplicaReport, ReplicaStatus, StatusReport, TargetCounts, ZoneMembers};
 pub use watch::{MAX_HISTORY_EVENTS, MAX_WATCHES};
 
 use crate::Effect;
@@ -76,6 +76,9 @@
             ApiRequest::Change(change) => {
                 return self.forward(cx, parts, request, Work::change(cx.me, request, change));
             }
+            ApiRequest::ReplaceVoter { old, new } => {
+                return self.forward(cx, parts, request, Work::replace_voter(&old, &new));
+            }
             ApiRequest::Get(key, Freshness::Held) => ReadQuery::Get(key).answer(held).into(),
             ApiRequest::List(kind, Freshness::Held) => ReadQuery::List(kind).answer(held).into(),
             ApiRequest::Get(key, Freshness::Current) => {
@@ -87,9 +90,10 @@
             ApiRequest::Watch { from } if cx.me.control => {
                 return self.watches.open(cx, request, from);
             }
-            ApiRequest::Watch { .. } => ApiResponse::Error(status::misdirected(&parts)),
+            ApiRequest::Watch { .. } => ApiResponse::Error(status::misdirected(&parts, "watches")),
             ApiRequest::Status => ApiResponse::Status(Arc::new(status::report(cx, &parts))),
-            ApiRequest::Burn => ApiResponse::Burn(parts.slo.report(cx.now)),
+            ApiRequest::Burn if cx.me.control => ApiResponse::Burn(parts.slo.report(cx.now)),
+            ApiRequest::Burn => ApiResponse::Error(status::misdirected(&parts, "burn reports")),
             ApiRequest::Announce(announcement) => {
                 parts.membership.announce(cx, announcement);
                 ApiResponse::Done
@@ -121,6 +125,13 @@
                     Err(redirect) => cx.send(from, redirect.answering(request)),
                 }
             }
+            ApiMessage::ReplaceVoter { request, old, new } => {
+                let origin = Origin { node: from, request };
+                match leading(cx, parts) {
+                    Ok(control) => control.propose_voters(cx, origin, old, new),
+                    Err(redirect) => cx.send(from, redirect.answering(request)),
+                }
+            }
             ApiMessage::Read { request, query } => {
                 let origin = Origin { node: from, request };
                 match leading(cx, parts) {
@@ -220,6 +231,7 @@
         let origin = Origin { node: cx.me.id, request };
         match work {
             Work::Change(change) => control.propose(cx, origin, change),
+            Work::ReplaceVoter { old, new } => control.propose_voters(cx, origin, old, new),
             Work::Read(query) => self.confirm_read(cx, control, origin, query),
         }
     }
--- a/crates/core/src/api/request.rs
+++ b/crates/core/src/api/request.rs
@@ -7,7 +7,7 @@
 use super::{ApiError, StatusReport};
 use crate::config::{ChangeRequest, StoredResource};
 use crate::distribution::Progress;
-use crate::ids::{TargetId, Version};
+use crate::ids::{Name, TargetId, Version};
 use crate::membership::TargetAnnouncement;
 use crate::resource::{ResourceKey, ResourceKind};
 use crate::slo::BurnReport;
@@ -17,6 +17,13 @@
 pub enum ApiRequest {
     /// Accept a change set.
     Change(ChangeRequest),
+    /// Let the control replica on one host vote in the place of another.
+    ReplaceVoter {
+        /// Host that votes no more.
+        old: Name,
+        /// Host that votes instead. Its replica must have caught up.
+        new: Name,
+    },
     /// One resource.
     Get(ResourceKey, Freshness),
     /// Every resource of a kind.
--- a/crates/core/src/api/status.rs
+++ b/crates/core/src/api/status.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ApiError, ApiParts, ErrorCode};
+use crate::consensus::{ControlRole, ControlStatus};
 use crate::context::Context;
 use crate::ids::{Name, NodeId, Version};
 use crate::membership::{Member, MemberStatus, Membership, TargetState};
@@ -25,9 +26,13 @@
     pub hash: String,
     /// Whether it may be given calls.
     pub ready: bool,
+    /// Unix time since which it has heard of no control replica, in milliseconds.
+    /// Absent while it hears of one. It goes on with the version that it holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cut_off_since_unix_ms: Option<u64>,
     /// Present where it is a control replica.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub control: Option<ControlStatus>,
+    pub control: Option<ReplicaReport>,
     /// Control replicas that it can reach, by host.
     pub control_replicas: Vec<ReplicaStatus>,
     /// Processes by availability zone.
@@ -38,11 +43,23 @@
 
 /// Status of a control replica.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct ControlStatus {
+pub struct ReplicaReport {
+    /// What it is.
+    pub role: ControlRole,
+    /// Its newest term.
+    pub term: u64,
     /// Newest version that it knows as committed.
     pub committed: Version,
     /// Host of the leader that it follows; its key where the host is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub leader: Option<String>,
+    /// Hosts of the voters; a key where the host is not known.
+    pub voters: Vec<String>,
+    /// Whether it was in touch with a quorum within the election timeout.
+    pub current: bool,
+    /// How long it has not been, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub not_current_for_ms: Option<u64>,
 }
 
 /// A control replica that can be reached.
@@ -69,6 +86,8 @@
     pub dead: u32,
     /// Hosts that are suspect or given up, at most [`MAX_NAMED_HOSTS`].
     pub unreachable: Vec<Name>,
+    /// Whether the availability zone as a whole cannot be reached from here.
+    pub cut_off: bool,
 }
 
 /// Targets of one service, by state.
@@ -92,10 +111,11 @@
 /// Reports the status.
 pub(super) fn report(cx: &Context<'_>, parts: &ApiParts<'_>) -> StatusReport {
     let held = parts.distribution.current();
-    let control = parts.control.as_ref().map(|control| ControlStatus {
-        committed: control.configuration().version(),
-        leader: control.leader().map(|leader| host_of(parts.membership, leader)),
-    });
+    let control = parts
+        .control
+        .as_ref()
+        .map(|control| replica_report(parts.membership, control.status(cx.me.id, cx.now)));
+    let cut_off_since = parts.distribution.cut_off_since(cx.now, cx.me.control);
     StatusReport {
         host: cx.me.host.clone(),
         region: cx.me.locality.region.clone(),
@@ -103,6 +123,7 @@
         version: held.version(),
         hash: held.hash().to_string(),
         ready: parts.distribution.is_ready(),
+        cut_off_since_unix_ms: cut_off_since.map(|since| cx.me.unix_ms(since)),
         control,
         control_replicas: replicas(parts.membership),
         members: members(parts.membership),
@@ -111,18 +132,31 @@
 }
 
 /// The error for a request that only control replicas serve.
-pub(super) fn misdirected(parts: &ApiParts<'_>) -> ApiError {
+pub(super) fn misdirected(parts: &ApiParts<'_>, what: &str) -> ApiError {
     let replicas = replicas(parts.membership);
     let listed: Vec<String> = replicas.iter().map(|replica| replica.api.to_string()).collect();
     let message = if listed.is_empty() {
-        "watches are served by control replicas, and none can be reached from here".to_owned()
+        format!("{what} are served by control replicas, and none can be reached from here")
     } else {
-        format!("watches are served by control replicas; ask one of {}", listed.join(", "))
+        format!("{what} are served by control replicas; ask one of {}", listed.join(", "))
     };
     ApiError::new(ErrorCode::Misdirected, message)
         .with_addresses(replicas.into_iter().map(|replica| replica.api).collect())
 }
 
+fn replica_report(membership: &Membership, status: ControlStatus) -> ReplicaReport {
+    let voters = status.voters.voters().iter();
+    ReplicaReport {
+        role: status.role,
+        term: status.term,
+        committed: status.version,
+        leader: status.leader.map(|leader| host_of(membership, leader)),
+        voters: voters.map(|voter| host_of(membership, voter.node)).collect(),
+        current: status.is_current,
+        not_current_for_ms: status.not_current_for_ms,
+    }
+}
+
 fn host_of(membership: &Membership, id: NodeId) -> String {
     membership.member(id).map_or_else(|| id.to_string(), |member| member.host.to_string())
 }
@@ -143,7 +177,11 @@
         let zone = zones.entry(name).or_insert_with(|| ZoneMembers::new(name.clone()));
         zone.count(member);
     }
-    zones.into_values().collect()
+    let mut zones: Vec<ZoneMembers> = zones.into_values().collect();
+    for zone in &mut zones {
+        zone.cut_off = membership.is_cut_off(&zone.availability_zone);
+    }
+    zones
 }
 
 fn targets(membership: &Membership) -> Vec<TargetCounts> {
@@ -158,7 +196,15 @@
 
 impl ZoneMembers {
     fn new(availability_zone: Name) -> Self {
-        Self { availability_zone, alive: 0, suspect: 0, leaving: 0, dead: 0, unreachable: vec![] }
+        Self {
+            availability_zone,
+            alive: 0,
+            suspect: 0,
+            leaving: 0,
+            dead: 0,
+            unreachable: Vec::new(),
+            cut_off: false,
+        }
     }
 
     fn count(&mut self, member: &Member) {
--- a/crates/daemon/src/api/json.rs
+++ b/crates/daemon/src/api/json.rs
@@ -1,8 +1,8 @@
 //! Reads JSON bodies, and gathers every mistake with its place.
 
-use fireflylug_core::api::{ApiError, ErrorCode};
+use fireflylug_core::api::{ApiError, ApiRequest, ErrorCode};
 use fireflylug_core::config::{ChangeSet, Finding, FindingCode, Operation};
-use fireflylug_core::ids::{TargetId, Version};
+use fireflylug_core::ids::{Name, TargetId, Version};
 use fireflylug_core::membership::TargetAnnouncement;
 use fireflylug_core::resource::{Policy, Resource, ResourceKey, ResourceKind, Route, Service};
 use serde::Deserialize;
@@ -64,6 +64,20 @@
     finish(announcement, findings)
 }
 
+/// Reads a change of the voters: `{"old": HOST, "new": HOST}`.
+pub fn replace_voter(body: &[u8]) -> Result<ApiRequest, ApiError> {
+    let mut findings = Vec::new();
+    let body: Option<VotersBody> = typed(object(body)?, "", &mut findings);
+    finish(body.map(|body| ApiRequest::ReplaceVoter { old: body.old, new: body.new }), findings)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VotersBody {
+    old: Name,
+    new: Name,
+}
+
 /// Longest lease, in milliseconds.
 const MAX_LEASE_MS: u32 = 600_000;
 
--- a/crates/daemon/src/api/parse.rs
+++ b/crates/daemon/src/api/parse.rs
@@ -40,6 +40,8 @@
     Watch,
     /// `/v1/changes`.
     Changes,
+    /// `/v1/voters`.
+    Voters,
     /// `/v1/{kind}s`.
     List(ResourceKind),
     /// `/v1/{kind}s/{name}`.
@@ -106,6 +108,7 @@
             ["v1", "burn"] => Ok(Self::Burn),
             ["v1", "watch"] => Ok(Self::Watch),
             ["v1", "changes"] => Ok(Self::Changes),
+            ["v1", "voters"] => Ok(Self::Voters),
             ["v1", "targets", service, id] => {
                 Ok(Self::Target(TargetId { service: name(service)?, id: name(id)? }))
             }
@@ -126,7 +129,7 @@
     /// The methods that the endpoint takes.
     pub fn methods(&self) -> &'static str {
         match self {
-            Self::Changes => "POST",
+            Self::Changes | Self::Voters => "POST",
             Self::Resource(_) => "GET, PUT, DELETE",
             Self::Target(_) => "PUT, DELETE",
             _ => "GET",
@@ -154,6 +157,7 @@
             change(head, vec![Operation::Delete { resource, if_version: if_version(head)? }])?
         }
         (Endpoint::Changes, &Method::POST) => change(head, json::change_set(body)?.operations)?,
+        (Endpoint::Voters, &Method::POST) => json::replace_voter(body)?,
         (Endpoint::Target(target), &Method::PUT) => {
             ApiRequest::Announce(json::announcement(body, target)?)
         }
@@ -229,7 +233,7 @@
         ErrorCode::NotFound,
         format!(
             "path {shown:?} is not known; use /v1/services, /v1/routes, /v1/policies, \
-             /v1/changes, /v1/targets/SERVICE/ID, /v1/watch, /v1/status, /v1/burn, \
+             /v1/changes, /v1/voters, /v1/targets/SERVICE/ID, /v1/watch, /v1/status, /v1/burn, \
              /metrics, /healthz or /readyz"
         ),
     )
