--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -76,18 +76,20 @@
 fn check_versions(present: &Configuration, changes: &ChangeSet, findings: &mut Vec<Finding>) {
     for (at, operation) in changes.operations.iter().enumerate() {
         let key = operation.key();
-        let found = present.get(&key).map(|stored| stored.version);
+        let stored = present.get(&key);
+        let found = stored.map(|stored| stored.version);
         if let Some(expected) = operation.if_version() {
             if found.unwrap_or(Version(0)) != expected {
                 let found = match found {
                     Some(version) => format!("{key} is at version {version}"),
                     None => format!("{key} does not exist"),
                 };
-                findings.push(Finding::new(
+                let finding = Finding::new(
                     FindingCode::VersionMismatch,
                     format!("operations[{at}].if_version"),
                     format!("{found}, not at {expected}; read it again and decide anew"),
-                ));
+                );
+                findings.push(finding.with_current(stored.cloned()));
             }
         } else if matches!(operation, Operation::Delete { .. }) && found.is_none() {
             findings.push(Finding::new(
--- a/crates/core/src/config/finding.rs
+++ b/crates/core/src/config/finding.rs
@@ -3,6 +3,8 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::StoredResource;
+
 /// What kind of mistake a finding is.
 #[derive(
     Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize, strum::Display, strum::EnumIter,
@@ -33,6 +35,9 @@
     pub place: CompactString,
     /// What is wrong, and the remedy.
     pub message: CompactString,
+    /// What the resource is now, where it is not at the expected version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub current: Option<StoredResource>,
 }
 
 impl Finding {
@@ -42,6 +47,12 @@
         place: impl Into<CompactString>,
         message: impl Into<CompactString>,
     ) -> Self {
-        Self { code, place: place.into(), message: message.into() }
+        Self { code, place: place.into(), message: message.into(), current: None }
+    }
+
+    /// Adds what the resource is now.
+    pub fn with_current(mut self, current: Option<StoredResource>) -> Self {
+        self.current = current;
+        self
     }
 }
--- a/crates/core/src/consensus/outcomes.rs
+++ b/crates/core/src/consensus/outcomes.rs
@@ -77,6 +77,8 @@
         let mut outcome = outcome.clone();
         if let ChangeOutcome::Refused(error) = &mut outcome {
             error.findings.truncate(MAX_KEPT_FINDINGS);
+            // Resources would make the outcomes large; a resend does without them.
+            error.findings.iter_mut().for_each(|finding| finding.current = None);
         }
         self.push(OutcomeRecord { key: key.clone(), hash: hash_of(changes), unix_ms, outcome });
     }
--- a/crates/daemon/tests/api.rs
+++ b/crates/daemon/tests/api.rs
@@ -6,7 +6,7 @@
 
 use fireflylug_core::ids::{Locality, Name};
 use fireflylug_daemon::Daemon;
-use fireflylug_settings::Settings;
+use fireflylug_settings::{ControlSection, Settings};
 use rstest::rstest;
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -66,8 +66,28 @@
     Answer { status, body: body.to_owned() }
 }
 
+/// A control replica that makes a mesh of one, once it takes changes.
+async fn mesh_of_one(folder: &Path) -> Daemon {
+    let mut settings = settings("alone");
+    let control = ControlSection {
+        data_dir: folder.join("data"),
+        initial_voters: vec![settings.host.clone()],
+    };
+    settings.control = Some(control);
+    let daemon = Daemon::start(settings).await.unwrap();
+    while send(&daemon, "GET /v1/services", "").await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    daemon
+}
+
+/// A head with one more header.
+fn with_header(line: &str, header: &str) -> String {
+    format!("{line} HTTP/1.1\r\n{header}\r\nx-rest:")
+}
+
 async fn get_with(daemon: &Daemon, path: &str, header: &str) -> Answer {
-    send(daemon, &format!("GET {path} HTTP/1.1\r\n{header}\r\nx-rest:"), "").await
+    send(daemon, &with_header(&format!("GET {path}"), header), "").await
 }
 
 #[rstest]
@@ -226,3 +246,59 @@
     assert!(error.contains("[listen] api"), "{error}");
     first.kill();
 }
+
+#[rstest]
+#[tokio::test]
+async fn of_two_operators_with_one_version_one_wins_and_the_other_learns_what_won() {
+    let folder = tempfile::tempdir().unwrap();
+    let daemon = mesh_of_one(folder.path()).await;
+    send(&daemon, "PUT /v1/policies/lookup", r#"{"deadline_ms": 1000}"#).await;
+    let put = with_header("PUT /v1/policies/lookup", "if-match: \"1\"");
+
+    let (first, second) = tokio::join!(
+        send(&daemon, &put, r#"{"deadline_ms": 2000}"#),
+        send(&daemon, &put, r#"{"deadline_ms": 3000}"#)
+    );
+
+    let (won, lost) = if first.status == 200 { (2000, second) } else { (3000, first) };
+    assert_eq!((lost.status, lost.code().as_str()), (409, "conflict"), "{}", lost.body);
+    let current = &lost.error()["findings"][0]["current"];
+    assert_eq!(current["resource"]["deadline_ms"], won);
+    assert_eq!(current["version"], 2);
+    daemon.kill();
+}
+
+#[rstest]
+#[tokio::test]
+async fn resent_change_gets_its_first_outcome() {
+    let folder = tempfile::tempdir().unwrap();
+    let daemon = mesh_of_one(folder.path()).await;
+    let put = with_header("PUT /v1/services/seatdesk", "idempotency-key: once\r\nif-match: 0");
+
+    let first = send(&daemon, &put, "{}").await;
+    let again = send(&daemon, &put, "{}").await;
+
+    assert_eq!((first.status, again.status), (200, 200), "{}", again.body);
+    assert_eq!(first.body, again.body);
+    daemon.kill();
+}
+
+#[rstest]
+#[tokio::test]
+async fn change_set_with_a_dangling_route_leaves_nothing_behind() {
+    let folder = tempfile::tempdir().unwrap();
+    let daemon = mesh_of_one(folder.path()).await;
+    let body = r#"{"operations": [
+        {"op": "put", "resource": {"kind": "service", "name": "seatdesk"}},
+        {"op": "put", "resource":
+            {"kind": "route", "name": "r", "path_prefix": "/r", "service": "missing"}}
+    ]}"#;
+
+    let answer = send(&daemon, "POST /v1/changes", body).await;
+    let kept = send(&daemon, "GET /v1/services/seatdesk", "").await;
+
+    assert_eq!((answer.status, answer.code().as_str()), (422, "invalid"), "{}", answer.body);
+    assert!(answer.places()[0].starts_with("operations[1]"), "{:?}", answer.places());
+    assert_eq!(kept.status, 404);
+    daemon.kill();
+}
