--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::validate::{check_fields, check_references, check_routes};
+use super::validate::{check_count, check_fields, check_references, check_routes};
 use super::{ChangeSet, Configuration, Finding, FindingCode, Operation, StoredResource};
 use crate::ids::Version;
 use crate::resource::ResourceKey;
@@ -26,6 +26,7 @@
         let next = self.carry_out(changes);
         check_references(changes, &next, &mut findings);
         check_routes(changes, &next, &mut findings);
+        check_count(&next, &mut findings);
         if !findings.is_empty() {
             return Err(findings);
         }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -13,5 +13,6 @@
 pub use configuration::{Configuration, StoredResource};
 pub use finding::{Finding, FindingCode};
 pub use validate::{
-    MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HOST_BYTES, MAX_PATH_PREFIX_BYTES, MAX_QUEUED, MAX_TIME_MS,
+    MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HOST_BYTES, MAX_PATH_PREFIX_BYTES, MAX_QUEUED, MAX_RESOURCES,
+    MAX_TIME_MS,
 };
--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -27,6 +27,9 @@
 /// Largest limit of a request body, in bytes.
 pub const MAX_BODY_BYTES: u64 = 1024 * 1024 * 1024;
 
+/// Most resources of a configuration.
+pub const MAX_RESOURCES: usize = 8_192;
+
 /// Parts per million that make a whole.
 const PPM: u32 = 1_000_000;
 
@@ -93,6 +96,15 @@
     }
 }
 
+/// Checks that the configuration does not become too large.
+pub(super) fn check_count(next: &Resources, findings: &mut Vec<Finding>) {
+    if next.len() > MAX_RESOURCES {
+        let count = next.len();
+        let message = format!("there would be {count} resources; keep to {MAX_RESOURCES}");
+        findings.push(Finding::new(FindingCode::OutOfRange, "operations", message));
+    }
+}
+
 /// Checks that no two routes match the same host and path prefix.
 pub(super) fn check_routes(changes: &ChangeSet, next: &Resources, findings: &mut Vec<Finding>) {
     let puts_route = |operation: &&Operation| {
--- a/crates/core/src/consensus/log.rs
+++ b/crates/core/src/consensus/log.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use super::encoded::encoded_bytes;
 use super::entry::{Entry, Payload, VoterSet};
 
 /// Entries after `base`, in order and without gaps.
@@ -125,23 +126,3 @@
             .collect()
     }
 }
-
-/// Counts bytes instead of keeping them.
-struct Counter(usize);
-
-impl std::io::Write for Counter {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        self.0 += bytes.len();
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
-fn encoded_bytes(entry: &Entry) -> usize {
-    let mut counter = Counter(0);
-    ciborium::into_writer(entry, &mut counter).expect("a counter takes every byte");
-    counter.0
-}
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -10,6 +10,7 @@
 
 mod disk;
 mod election;
+mod encoded;
 mod entry;
 mod floors;
 mod follower;
@@ -40,7 +41,7 @@
     Append, AppendResponse, ConsensusMessage, Floor, Hello, InstallSnapshot, Rejected, VoteRequest,
     VoteResponse,
 };
-pub use outcomes::{MAX_OUTCOME_AGE_MS, MAX_OUTCOMES, OutcomeRecord};
+pub use outcomes::{MAX_OUTCOME_AGE_MS, MAX_OUTCOME_BYTES, MAX_OUTCOMES, OutcomeRecord};
 pub use replica::ControlReplica;
 pub use snapshot::Snapshot;
 pub use status::{ControlRole, ControlStatus};
--- a/crates/core/src/consensus/outcomes.rs
+++ b/crates/core/src/consensus/outcomes.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::ChangeOutcome;
+use super::encoded::encoded_bytes;
 use crate::api::{ApiError, ErrorCode};
 use crate::collections::HashMap;
 use crate::config::ChangeSet;
@@ -20,6 +21,11 @@
 /// Longest time that an outcome is kept, in milliseconds by the log's time.
 pub const MAX_OUTCOME_AGE_MS: u64 = 24 * 60 * 60 * 1000;
 
+/// Most bytes that the kept outcomes take when encoded. The oldest goes first.
+///
+/// With [`MAX_RESOURCES`](crate::config::MAX_RESOURCES) it keeps a snapshot within one message.
+pub const MAX_OUTCOME_BYTES: usize = 1024 * 1024;
+
 /// Most findings of a refusal that are kept for a resend.
 const MAX_KEPT_FINDINGS: usize = 16;
 
@@ -36,10 +42,13 @@
     pub outcome: ChangeOutcome,
 }
 
-/// Outcomes by key, bounded by [`MAX_OUTCOMES`] and [`MAX_OUTCOME_AGE_MS`].
+/// Outcomes by key, bounded by [`MAX_OUTCOMES`], [`MAX_OUTCOME_BYTES`] and
+/// [`MAX_OUTCOME_AGE_MS`].
 #[derive(Clone, Debug, Default)]
 pub(super) struct Outcomes {
-    by_age: VecDeque<Arc<OutcomeRecord>>,
+    /// With the size of each, in bytes.
+    by_age: VecDeque<(Arc<OutcomeRecord>, usize)>,
+    bytes: usize,
     by_key: HashMap<IdempotencyKey, Arc<OutcomeRecord>>,
 }
 
@@ -53,7 +62,7 @@
     }
 
     pub(super) fn to_records(&self) -> Vec<OutcomeRecord> {
-        self.by_age.iter().map(|record| (**record).clone()).collect()
+        self.by_age.iter().map(|(record, _)| (**record).clone()).collect()
     }
 
     /// The outcome that a change set under this key has already, if any.
@@ -83,7 +92,7 @@
 
     /// Drops what is too old at this time of the log.
     pub(super) fn expire(&mut self, unix_ms: u64) {
-        let is_old = |record: &Arc<OutcomeRecord>| {
+        let is_old = |(record, _): &(Arc<OutcomeRecord>, usize)| {
             unix_ms.saturating_sub(record.unix_ms) > MAX_OUTCOME_AGE_MS
         };
         while self.by_age.front().is_some_and(is_old) {
@@ -92,16 +101,19 @@
     }
 
     fn push(&mut self, record: OutcomeRecord) {
-        if self.by_age.len() == MAX_OUTCOMES {
-            self.pop();
-        }
+        let bytes = encoded_bytes(&record);
         let record = Arc::new(record);
         self.by_key.insert(record.key.clone(), Arc::clone(&record));
-        self.by_age.push_back(record);
+        self.by_age.push_back((record, bytes));
+        self.bytes += bytes;
+        while self.by_age.len() > MAX_OUTCOMES || self.bytes > MAX_OUTCOME_BYTES {
+            self.pop();
+        }
     }
 
     fn pop(&mut self) {
-        if let Some(record) = self.by_age.pop_front() {
+        if let Some((record, bytes)) = self.by_age.pop_front() {
+            self.bytes -= bytes;
             self.by_key.remove(&record.key);
         }
     }
--- a/crates/core/src/consensus/proposals.rs
+++ b/crates/core/src/consensus/proposals.rs
@@ -26,10 +26,10 @@
         self.wait_for(cx, origin, index);
     }
 
-    /// Proposes that the storage of one process votes in the place of another's.
+    /// Proposes that one process votes in the place of another.
     ///
-    /// The new voter must have caught up as a learner. Where `old` is no
-    /// voter, the new one votes beside the others. The outcome comes as a
+    /// The new voter must run and have caught up as a learner. Accepted at
+    /// once where it has replaced the old one already. The outcome comes as a
     /// [`ControlOutput::Outcome`].
     pub fn propose_voters(
         &mut self,
@@ -38,34 +38,41 @@
         old: NodeId,
         new: NodeId,
     ) {
-        let refused = match self.why_not_leader() {
-            Some(error) => Err(error),
-            None => self
-                .replace_voter(cx, old, new)
-                .map_err(|message| ApiError::new(ErrorCode::Conflict, message)),
-        };
-        match refused {
-            Ok(index) => self.wait_for(cx, origin, index),
-            Err(error) => {
-                self.output(ControlOutput::Outcome(origin, ChangeOutcome::Refused(error)));
-            }
+        if let Some(error) = self.why_not_leader() {
+            self.output(ControlOutput::Outcome(origin, ChangeOutcome::Refused(error)));
+            return;
         }
+        let outcome = match self.replace_voter(cx, old, new) {
+            Ok(Some(index)) => return self.wait_for(cx, origin, index),
+            Ok(None) => ChangeOutcome::Accepted { version: self.configuration().version() },
+            Err(message) => ChangeOutcome::Refused(ApiError::new(ErrorCode::Conflict, message)),
+        };
+        self.output(ControlOutput::Outcome(origin, outcome));
     }
 
+    /// Returns the index of the entry; none where nothing is left to do.
     fn replace_voter(
         &mut self,
         cx: &mut Context<'_>,
         old: NodeId,
         new: NodeId,
-    ) -> Result<u64, &'static str> {
+    ) -> Result<Option<u64>, &'static str> {
         let Role::Leader(leadership) = &self.role else { return Err("this replica is no leader") };
+        let committed = self.machine.voters();
+        let is_voter = |node| committed.disk_of(node).is_some();
+        if is_voter(new) && !is_voter(old) && self.pending_voters.is_empty() {
+            return Ok(None);
+        }
+        if is_voter(new) || !is_voter(old) {
+            return Err("name a host that is a voter, and one that is none to take its place");
+        }
         let peer = leadership.peers.get(&new);
         let ready = peer.filter(|peer| peer.match_index + MAX_LAG_ENTRIES >= self.commit);
         let Some((disk, _)) = ready.and_then(|peer| peer.disk) else {
             return Err("the new voter has not caught up; start it and ask again");
         };
         let voters = self.newest_voters().with_replaced(old, Voter { node: new, disk });
-        self.append_voters(cx, voters)
+        self.append_voters(cx, voters).map(Some)
     }
 
     fn why_not_leader(&self) -> Option<ApiError> {
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use fireflylug_core::config::{ChangeSet, Configuration, FindingCode, Operation};
+use fireflylug_core::config::{ChangeSet, Configuration, FindingCode, MAX_RESOURCES, Operation};
 use fireflylug_core::ids::{Name, Version};
 use fireflylug_core::resource::{
     Objective, Policy, Resource, ResourceKey, ResourceKind, Route, Service,
@@ -157,6 +157,15 @@
     assert_eq!(found, [(code, place.to_owned())]);
 }
 
+#[test]
+fn configuration_is_bounded() {
+    let services = (0..=MAX_RESOURCES).map(|at| put(service(&format!("s-{at}"))));
+
+    let found = findings(services.collect());
+
+    assert_eq!(found, [(FindingCode::OutOfRange, "operations".to_owned())]);
+}
+
 #[test]
 fn all_mistakes_are_found_together() {
     let found = findings(vec![
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -2,7 +2,7 @@
 
 use fireflylug_core::api::ErrorCode;
 use fireflylug_core::consensus::{
-    ChangeOutcome, ControlRole, ELECTION_TIMEOUT_MAX_MS, PROPOSAL_TIMEOUT_MS,
+    ChangeOutcome, ControlRole, ELECTION_TIMEOUT_MAX_MS, MAX_OUTCOMES, PROPOSAL_TIMEOUT_MS,
 };
 use fireflylug_core::ids::Version;
 use rstest::rstest;
@@ -336,6 +336,26 @@
     assert!(cluster.configuration(behind).version() >= Version(4_999));
 }
 
+#[test]
+fn oldest_outcome_is_forgotten_first() {
+    let (mut cluster, leader) = led_cluster(1, 17);
+    propose(&mut cluster, leader, "first");
+    propose(&mut cluster, leader, "second");
+    for filler in 1..MAX_OUTCOMES as u32 {
+        let key = format!("filler-{filler}");
+        cluster.propose(leader, put_service_at("filler", filler, None, &key));
+    }
+    cluster.run_for(1_000);
+
+    // Under a kept key, another change set is a conflict; under a forgotten one it is new.
+    let forgotten = cluster.propose(leader, put_service_at("third", 0, None, "first"));
+    let kept = cluster.propose(leader, put_service_at("third", 0, None, "filler-1"));
+    cluster.run_for(1_000);
+
+    assert!(is_accepted(&cluster.outcomes[&forgotten]));
+    assert!(matches!(&cluster.outcomes[&kept], ChangeOutcome::Refused(_)));
+}
+
 #[test]
 fn heartbeat_is_small() {
     let (mut cluster, _) = led_cluster(3, 12);
