--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use super::validate::{check_fields, check_references, check_routes};
+use super::validate::{check_count, check_fields, check_references, check_routes};
 use super::{ChangeSet, Configuration, Finding, FindingCode, Operation, StoredResource};
 use crate::ids::Version;
 use crate::resource::ResourceKey;
@@ -26,6 +26,7 @@
         let next = self.carry_out(changes);
         check_references(changes, &next, &mut findings);
         check_routes(changes, &next, &mut findings);
+        check_count(&next, &mut findings);
         if !findings.is_empty() {
             return Err(findings);
         }
@@ -76,18 +77,20 @@
 fn check_versions(present: &Configuration, changes: &ChangeSet, findings: &mut Vec<Finding>) {
     for (at, operation) in changes.operations.iter().enumerate() {
         let key = operation.key();
-        let found = present.get(&key).map(|stored| stored.version);
+        let stored = present.get(&key);
+        let found = stored.map(|stored| stored.version);
         if let Some(expected) = operation.if_version() {
             if found.unwrap_or(Version(0)) != expected {
                 let found = match found {
                     Some(version) => format!("{key} is at version {version}"),
                     None => format!("{key} does not exist"),
                 };
-                findings.push(Finding::new(
+                let finding = Finding::new(
                     FindingCode::VersionMismatch,
                     format!("operations[{at}].if_version"),
                     format!("{found}, not at {expected}; read it again and decide anew"),
-                ));
+                );
+                findings.push(finding.with_current(stored.cloned()));
             }
         } else if matches!(operation, Operation::Delete { .. }) && found.is_none() {
             findings.push(Finding::new(
