--- a/crates/daemon/src/api/answers.rs
+++ b/crates/daemon/src/api/answers.rs
@@ -2,8 +2,9 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use fireflylug_core::api::ApiResponse;
+use fireflylug_core::api::{ApiResponse, MAX_HISTORY_EVENTS};
 use fireflylug_core::collections::HashMap;
 use fireflylug_core::ids::RequestId;
 use fireflylug_core::{Event, api::ApiRequest};
@@ -11,8 +12,11 @@
 
 use crate::Runtime;
 
-/// Answers that may wait for a slow watcher before it is dropped.
-const MAX_WAITING_ANSWERS: usize = 256;
+/// Answers that may wait for a slow watcher before it is dropped. A watch that
+/// resumes is given the whole history at once.
+pub const MAX_WAITING_ANSWERS: usize = 2 * MAX_HISTORY_EVENTS;
+/// Time between two looks at the requests that wait.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Requests that wait for answers. Clones share one table.
 #[derive(Clone, Debug, Default)]
@@ -23,7 +27,14 @@
 #[derive(Debug, Default)]
 struct Table {
     next_id: AtomicU64,
-    waiting: Mutex<HashMap<RequestId, Sender<ApiResponse>>>,
+    waiting: Mutex<HashMap<RequestId, Waiting>>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    answers: Sender<ApiResponse>,
+    /// Whether the request is a watch, which ends only with its client.
+    is_watch: bool,
 }
 
 impl Answers {
@@ -35,8 +46,9 @@
     /// Submits a request and returns its answers. Dropping them closes the request.
     pub fn ask(&self, runtime: &Arc<Runtime>, body: ApiRequest) -> AnswerStream {
         let request = RequestId(self.table.next_id.fetch_add(1, Ordering::Relaxed));
-        let (sender, receiver) = channel(MAX_WAITING_ANSWERS);
-        self.lock().insert(request, sender);
+        let is_watch = matches!(body, ApiRequest::Watch { .. });
+        let (answers, receiver) = channel(if is_watch { MAX_WAITING_ANSWERS } else { 1 });
+        self.lock().insert(request, Waiting { answers, is_watch });
         let stream =
             AnswerStream { request, receiver, answers: self.clone(), runtime: Arc::clone(runtime) };
         runtime.submit(Event::ApiRequest { request, body });
@@ -49,8 +61,8 @@
     /// and it may resume from the last version that it has seen.
     pub fn answer(&self, request: RequestId, response: ApiResponse) {
         let mut waiting = self.lock();
-        if let Some(sender) = waiting.get(&request)
-            && sender.try_send(response).is_err()
+        if let Some(found) = waiting.get(&request)
+            && found.answers.try_send(response).is_err()
         {
             waiting.remove(&request);
         }
@@ -61,17 +73,21 @@
         self.lock().clear();
     }
 
-    /// Requests that wait, watches included.
-    pub fn len(&self) -> usize {
-        self.lock().len()
+    /// Requests that wait for an answer, and watches.
+    pub fn counts(&self) -> (u64, u64) {
+        let waiting = self.lock();
+        let watches = waiting.values().filter(|waiting| waiting.is_watch).count();
+        ((waiting.len() - watches) as u64, watches as u64)
     }
 
-    /// Whether no request waits.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    /// Waits until no request waits but watches.
+    pub async fn drained(&self) {
+        while self.counts().0 > 0 {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, Sender<ApiResponse>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, Waiting>> {
         self.table.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -10,6 +10,6 @@
 mod respond;
 mod server;
 
-pub use answers::{AnswerStream, Answers};
+pub use answers::{AnswerStream, Answers, MAX_WAITING_ANSWERS};
 pub use parse::{MAX_BODY_BYTES, Parsed, RequestHead, parse};
 pub use server::ApiServer;
--- a/crates/daemon/src/api/parse.rs
+++ b/crates/daemon/src/api/parse.rs
@@ -126,6 +126,11 @@
         matches!(self, Self::Health | Self::Ready)
     }
 
+    /// Whether the endpoint tells of this process alone, which it does to its end.
+    pub fn is_about_process(&self) -> bool {
+        matches!(self, Self::Health | Self::Ready | Self::Metrics)
+    }
+
     /// The methods that the endpoint takes.
     pub fn methods(&self) -> &'static str {
         match self {
--- a/crates/daemon/src/api/server.rs
+++ b/crates/daemon/src/api/server.rs
@@ -85,9 +85,19 @@
         Ok(Self { handle, answers, stopped })
     }
 
+    /// Refuses new requests, but for health and metrics.
+    pub fn refuse(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until every request but watches is answered.
+    pub async fn drained(&self) {
+        self.answers.drained().await;
+    }
+
     /// Ends the watches and closes every connection.
     pub fn stop(&self) {
-        self.stopped.store(true, Ordering::Relaxed);
+        self.refuse();
         self.answers.close();
         self.handle.stop(false);
     }
@@ -138,7 +148,7 @@
 async fn answer(context: &ApiContext, head: &RequestHead, body: RequestBody) -> Reply {
     match checked(context, head, body).await {
         Ok(Parsed::Reducer(request)) => respond::ask(context, request).await,
-        Ok(Parsed::Metrics) => match context.metrics.scrape(&context.runtime) {
+        Ok(Parsed::Metrics) => match context.metrics.scrape(&context.runtime, &context.answers) {
             Ok(text) => respond::text(200, &text),
             Err(error) => respond::text(500, &format!("the metrics cannot be read: {error}\n")),
         },
@@ -158,7 +168,7 @@
         authorize(context, head)?;
     }
     let endpoint = endpoint?;
-    if context.stopped.load(Ordering::Relaxed) {
+    if context.stopped.load(Ordering::Relaxed) && !endpoint.is_about_process() {
         return Err(ApiError::new(ErrorCode::Unavailable, "the process is stopping"));
     }
     let body = tokio::time::timeout(BODY_LIMIT, read_body(body)).await.map_err(|_| {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -55,53 +55,17 @@
         let listeners = Listeners::bind(&settings.listen).await?;
         let listening = listeners.addresses()?;
         let me = identity(&settings, listening)?;
-        let (disk_handle, opened, recovered) = open_disk(&settings)?;
-        let seed = rand::random();
-        let state = State::new(me.clone(), core_settings(&settings), recovered, seed);
-
-        let (peer_handle, peer_commands) = PeerHandle::new();
-        let metrics = Metrics::new(Arc::clone(peer_handle.stats()))?;
-        let call_handle = CallHandle::new();
-        let answers = Answers::new();
-        let edges = Edges {
-            peers: peer_handle,
-            disk: disk_handle,
-            answers: answers.clone(),
-            calls: call_handle.clone(),
-        };
-        let runtime = Runtime::new(state, edges);
-        let translation = translation(&settings);
-
+        let wiring = Wiring::new(&settings, &me)?;
+        let runtime = Arc::clone(&wiring.runtime);
+        let calls = wiring.calls.clone();
+        let security = Security { key, translation: translation(&settings) };
         let mut tasks = JoinSet::new();
-        if let Some(disk) = opened {
-            disk.start(Arc::clone(&runtime));
-        }
-        let peer_settings = PeerSettings { me, key: key.clone(), translation: translation.clone() };
-        tasks.spawn(peers::run(
-            Arc::clone(&runtime),
-            peer_commands,
-            listeners.peers,
-            peer_settings,
-        ));
-        let call_settings = CallSettings { key: key.clone(), translation };
-        tasks.spawn(calls::run(
-            Arc::clone(&runtime),
-            call_handle.clone(),
-            listeners.calls,
-            listeners.forward,
-            call_settings,
-        ));
-        let api = ApiServer::start(Arc::clone(&runtime), answers, listeners.api, metrics, key)?;
-        tasks.spawn({
-            let runtime = Arc::clone(&runtime);
-            async move { runtime.run_timer().await }
-        });
-
+        let api = wiring.spawn(&mut tasks, listeners, me, security)?;
         if let Some(file) = &settings.addresses_file {
             write_addresses(file, listening)?;
         }
         let stop_limit = Duration::from_millis(settings.stop_limit_ms);
-        Ok(Self { addresses: listening, runtime, tasks, api, calls: call_handle, stop_limit })
+        Ok(Self { addresses: listening, runtime, tasks, api, calls, stop_limit })
     }
 
     /// Where the daemon listens, with the ports that the system chose.
@@ -125,10 +89,12 @@
     /// Returns false where the limit of the settings passed before everything
     /// in flight was finished; what was left is then cut off.
     pub async fn stop(mut self) -> bool {
+        self.api.refuse();
         self.runtime.submit(Event::Stop);
         let finish = async {
             self.runtime.exited().await;
             self.calls.drained().await;
+            self.api.drained().await;
         };
         let finished = tokio::time::timeout(self.stop_limit, finish).await.is_ok();
         if finished {
@@ -155,6 +121,71 @@
 /// Time in which the last messages leave after a graceful stop.
 const FAREWELL: Duration = Duration::from_millis(50);
 
+/// What every edge needs for its connections.
+struct Security {
+    key: Option<SharedKey>,
+    translation: Translation,
+}
+
+/// The reducer with the ends of the edges that are not served yet.
+struct Wiring {
+    runtime: Arc<Runtime>,
+    peers: peers::PeerCommands,
+    calls: CallHandle,
+    answers: Answers,
+    metrics: Metrics,
+}
+
+impl Wiring {
+    /// Reads the data folder, makes the reducer and starts the disk's thread.
+    fn new(settings: &Settings, me: &Identity) -> eyre::Result<Self> {
+        let (disk_handle, opened, recovered) = open_disk(settings)?;
+        let seed = rand::random();
+        let state = State::new(me.clone(), core_settings(settings), recovered, seed);
+        let (peer_handle, peers) = PeerHandle::new();
+        let metrics = Metrics::new(Arc::clone(peer_handle.stats()))?;
+        let calls = CallHandle::new();
+        let answers = Answers::new();
+        let edges = Edges {
+            peers: peer_handle,
+            disk: disk_handle,
+            answers: answers.clone(),
+            calls: calls.clone(),
+        };
+        let runtime = Runtime::new(state, edges);
+        if let Some(disk) = opened {
+            disk.start(Arc::clone(&runtime));
+        }
+        Ok(Self { runtime, peers, calls, answers, metrics })
+    }
+
+    /// Serves every edge.
+    fn spawn(
+        self,
+        tasks: &mut JoinSet<()>,
+        listeners: Listeners,
+        me: Identity,
+        security: Security,
+    ) -> eyre::Result<ApiServer> {
+        let runtime = self.runtime;
+        let Security { key, translation } = security;
+        let settings = PeerSettings { me, key: key.clone(), translation: translation.clone() };
+        tasks.spawn(peers::run(Arc::clone(&runtime), self.peers, listeners.peers, settings));
+        let settings = CallSettings { key: key.clone(), translation };
+        tasks.spawn(calls::run(
+            Arc::clone(&runtime),
+            self.calls,
+            listeners.calls,
+            listeners.forward,
+            settings,
+        ));
+        let api =
+            ApiServer::start(Arc::clone(&runtime), self.answers, listeners.api, self.metrics, key)?;
+        tasks.spawn(async move { runtime.run_timer().await });
+        Ok(api)
+    }
+}
+
 impl Listeners {
     async fn bind(listen: &Addresses) -> eyre::Result<Self> {
         Ok(Self {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,6 +20,7 @@
 use strum::IntoEnumIterator;
 
 use crate::Runtime;
+use crate::api::Answers;
 use crate::peers::{PeerStats, TrafficRow};
 
 /// Metrics of one daemon.
@@ -44,6 +45,8 @@
     control: Option<ControlStatus>,
     cut_off_ms: u64,
     zones_cut_off: u64,
+    api_waiting: u64,
+    watches: u64,
     resident_bytes: u64,
 }
 
@@ -73,10 +76,11 @@
     }
 
     /// The metrics as they are now, in the Prometheus text form.
-    pub fn scrape(&self, runtime: &Runtime) -> eyre::Result<String> {
+    pub fn scrape(&self, runtime: &Runtime, answers: &Answers) -> eyre::Result<String> {
         let now = runtime.now();
         let mut taken = runtime.inspect(|state| Snapshot::take(state, now));
         taken.traffic = self.peers.rows();
+        (taken.api_waiting, taken.watches) = answers.counts();
         taken.resident_bytes = resident_bytes();
         *lock(&self.snapshot) = taken;
         let mut text = Vec::new();
@@ -126,6 +130,10 @@
         self.gauge("ready", "1 where this process may be given calls", |s| {
             one((s.ready && !s.stopping).into())
         });
+        self.gauge("api.waiting", "Requests at the resource API that wait for an answer", |s| {
+            one(s.api_waiting)
+        });
+        self.gauge("api.watches", "Watches that run here", |s| one(s.watches));
         self.gauge("resident_bytes", "Resident memory of the program", |s| one(s.resident_bytes));
     }
 
--- a/crates/daemon/tests/api.rs
+++ b/crates/daemon/tests/api.rs
@@ -4,8 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use fireflylug_core::ids::{Locality, Name};
+use fireflylug_core::api::{ApiRequest, ApiResponse, WatchEvent};
+use fireflylug_core::ids::{Locality, Name, RequestId, Version};
 use fireflylug_daemon::Daemon;
+use fireflylug_daemon::api::{Answers, MAX_WAITING_ANSWERS};
 use fireflylug_settings::{ControlSection, Settings};
 use rstest::rstest;
 use serde_json::Value;
@@ -302,3 +304,45 @@
     assert_eq!(kept.status, 404);
     daemon.kill();
 }
+
+#[rstest]
+#[tokio::test]
+async fn watcher_that_reads_too_slowly_is_dropped_and_memory_stays_bounded() {
+    let folder = tempfile::tempdir().unwrap();
+    let daemon = mesh_of_one(folder.path()).await;
+    let answers = Answers::new();
+    let event = WatchEvent::Started { version: Version(1), in_force: Version(0) };
+    let mut watch = answers.ask(daemon.runtime(), ApiRequest::Watch { from: None });
+
+    for _ in 0..2 * MAX_WAITING_ANSWERS {
+        answers.answer(RequestId(0), ApiResponse::Watch(event.clone()));
+    }
+    let mut received = 0;
+    while watch.next().await.is_some() {
+        received += 1;
+    }
+
+    assert_eq!(received, MAX_WAITING_ANSWERS);
+    daemon.kill();
+}
+
+#[rstest]
+#[tokio::test]
+async fn graceful_stop_answers_a_change_that_waits() {
+    // No replica is in reach, so the change waits for its time to be up.
+    let daemon = Daemon::start(settings("lonely")).await.unwrap();
+    let api = daemon.addresses().api;
+    let mut stream = TcpStream::connect(api).await.unwrap();
+    let request = "DELETE /v1/routes/r HTTP/1.1\r\nconnection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.unwrap();
+    while !send(&daemon, "GET /metrics", "").await.body.contains("fireflylug_api_waiting 1") {}
+
+    let (finished, answer) = tokio::join!(daemon.stop(), async {
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        answer
+    });
+
+    assert!(finished);
+    assert!(answer.contains("refused: no leader"), "{answer}");
+}
