--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -31,8 +31,11 @@
 
 /// One process that takes updates from this one.
 struct Child {
+    /// The newest version that it is known to hold.
     version: Version,
     is_relay: bool,
+    /// The version of its last report, and who held that then.
+    reported: Version,
     holders: Holders,
     heard_at: Instant,
     /// The version that was sent, and when that counts as lost.
@@ -57,13 +60,13 @@
 
     /// Adds what the children below hold of `version` or a later one.
     pub fn add_to(&self, holders: &mut Holders, version: Version) {
-        let counted = self.children.values().filter(|c| !c.is_relay && c.version >= version);
+        let counted = self.children.values().filter(|c| !c.is_relay && c.reported >= version);
         counted.for_each(|child| holders.add(&child.holders));
     }
 
-    /// Whether every child that is counted holds `version`.
-    pub fn all_hold(&self, version: Version) -> bool {
-        self.children.values().all(|child| child.is_relay || child.version >= version)
+    /// Whether every child that is counted reported `version`.
+    pub fn all_reported(&self, version: Version) -> bool {
+        self.children.values().all(|child| child.is_relay || child.reported >= version)
     }
 
     /// Removes a child. Returns whether there was one.
@@ -122,6 +125,7 @@
         let child = Child {
             version: report.version,
             is_relay: report.is_relay,
+            reported: report.version,
             holders: report.holders,
             heard_at: cx.now,
             sent,
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -133,7 +133,13 @@
     }
 
     /// Takes the version that came into force at this process since the last call.
+    ///
+    /// None before the process is ready: calls must not be served by a version
+    /// that may be older than one that it served by before a restart.
     pub fn take_applied(&mut self) -> Option<Arc<Configuration>> {
+        if !self.is_ready() {
+            return None;
+        }
         std::mem::take(&mut self.applied).then(|| Arc::clone(&self.current))
     }
 
--- a/crates/core/src/distribution/reports.rs
+++ b/crates/core/src/distribution/reports.rs
@@ -93,7 +93,7 @@
 
     /// The holders below this process changed: report, at once where all hold it.
     pub(super) fn holders_changed(&mut self, cx: &mut Context<'_>, membership: &Membership) {
-        if self.children.all_hold(self.current.version()) {
+        if self.children.all_reported(self.current.version()) {
             self.report(cx, membership, false);
         } else {
             self.report_soon(cx.now);
--- a/crates/core/src/membership/beats.rs
+++ b/crates/core/src/membership/beats.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 
+use super::hash::stable_hash;
 use super::message::{Beat, ZoneReach};
 use super::topology::Topology;
 use super::view::View;
@@ -104,7 +105,9 @@
     /// Takes in what a relay of this zone told. False where it is no news.
     pub fn told(&mut self, now: Instant, view: &mut View, told: &ZoneReach) -> bool {
         let old = self.reach.get(&told.availability_zone);
-        if old.is_some_and(|old| old.told.number >= told.number) {
+        // Of two relays that counted alike, the one that reaches the zone is right.
+        let rank = |told: &ZoneReach| (told.number, !told.cut_off);
+        if old.is_some_and(|old| rank(&old.told) >= rank(told)) {
             return false;
         }
         view.set_cut_off(&told.availability_zone, told.cut_off);
@@ -118,6 +121,15 @@
         self.reach.values().map(|reach| reach.told.clone()).collect()
     }
 
+    /// Hash of everything that this zone was told, equal where the same was told.
+    pub fn reach_digest(&self) -> u64 {
+        self.reach.values().fold(0, |sum, reach| {
+            let told = &reach.told;
+            let hash = stable_hash((&told.availability_zone, told.number, told.cut_off));
+            sum.wrapping_add(hash)
+        })
+    }
+
     /// Availability zones that have been cut off for so long that they are forgotten.
     pub fn forgotten(&self, now: Instant) -> Vec<Name> {
         let cut_off = self.reach.iter().filter(|(_, reach)| reach.told.cut_off);
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -146,6 +146,9 @@
 
     fn take_heartbeat(&mut self, cx: &mut Context<'_>, from: NodeId, heartbeat: Heartbeat) {
         self.beats.take(cx.now, heartbeat.beats);
+        if heartbeat.reach.is_some_and(|reach| reach != self.beats.reach_digest()) {
+            cx.send(from, MembershipMessage::Reach(self.beats.reach()));
+        }
         let same = heartbeat.digest == self.view.digest();
         if same {
             self.synced_at.get_or_insert(cx.now);
@@ -253,8 +256,10 @@
         let member = self.view.member(to);
         let same_zone = member.is_some_and(|member| member.locality.availability_zone == *own);
         let beats = if same_zone { Vec::new() } else { self.beats.outgoing() };
+        let reach = same_zone.then(|| self.beats.reach_digest());
         let digest = self.view.digest();
-        cx.send(to, MembershipMessage::Heartbeat(Heartbeat { digest, is_reply, beats }));
+        let heartbeat = Heartbeat { digest, reach, is_reply, beats };
+        cx.send(to, MembershipMessage::Heartbeat(heartbeat));
     }
 }
 
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -61,6 +61,9 @@
     /// Hash of every record that the sender holds, but for the dead and gone.
     #[serde(rename = "d")]
     pub digest: u64,
+    /// Within an availability zone: hash of what is known of the reach of the others.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub reach: Option<u64>,
     /// Whether this answers a heartbeat and wants no answer.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_reply: bool,
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -220,3 +220,21 @@
         zone[survivors..].iter().all(|host| status_everywhere(m, *host, MemberStatus::Dead))
     });
 }
+
+#[rstest]
+fn host_that_missed_the_end_of_a_cut_hears_of_it_later(#[values(13, 14, 15)] seed: u64) {
+    let mut mesh = Mesh::started(&two_regions(5), seed);
+    let zone = mesh.zone_hosts("kzd-mavoor");
+    let others = mesh.others(&zone);
+    mesh.set_cut(&zone, &others, true);
+    mesh.run_ms(20_000);
+
+    mesh.set_cut(&zone, &others, false);
+    mesh.faults = Faults { drop_percent: 60, ..Faults::default() };
+    mesh.run_ms(4_000);
+    mesh.faults = Faults::default();
+
+    mesh.run_until("healed", 20, |m| {
+        m.running().all(|(_, process)| m.alive_at(process) == m.len())
+    });
+}
--- /dev/null
+++ b/crates/core/tests/readiness.rs
@@ -0,0 +1,126 @@
+//! A restarted process serves no call by a version below one that it had
+//! acknowledged before.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::consensus::RecoveredDisk;
+use fireflylug_core::context::{Addresses, Context, Identity};
+use fireflylug_core::distribution::{
+    Distribution, DistributionMessage, DistributionSettings, Holds,
+};
+use fireflylug_core::ids::{CallId, ContentHash, Locality, Name, NodeId, Version};
+use fireflylug_core::membership::{Membership, MembershipSettings};
+use fireflylug_core::message::PeerMessage;
+use fireflylug_core::resource::{Resource, Route, Service};
+use fireflylug_core::routing::{CallEffect, CallEvent, CallHead, CallOrigin, Chain, RefusalCode};
+use fireflylug_core::state::{CoreSettings, State};
+use fireflylug_core::{Effect, Event, Instant, reduce};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn identity(host: &str) -> Identity {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let locality = Locality { region: name("kochi"), availability_zone: name("kochi-aluva") };
+    Identity {
+        id: NodeId::of_host(&name(host)),
+        host: name(host),
+        locality,
+        incarnation: 1,
+        started_unix_ms: 1,
+        addresses: Addresses { peers: address, forward: address, api: address, calls: address },
+        control: false,
+    }
+}
+
+fn configuration(version: u64) -> Arc<Configuration> {
+    let service = Resource::Service(Service::new(name("seatdesk")));
+    let route = Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk")));
+    let stored = |resource: Resource| {
+        let key = resource.key();
+        (key, StoredResource { version: Version(version), resource: Arc::new(resource) })
+    };
+    let resources = BTreeMap::from([stored(service), stored(route)]);
+    Arc::new(Configuration::new(Version(version), resources))
+}
+
+/// The snapshot of a version, as a neighbour sends it.
+fn update(version: u64) -> DistributionMessage {
+    let me = identity("neighbour");
+    let membership = Membership::new(MembershipSettings::default(), &me);
+    let mut neighbour = Distribution::new(DistributionSettings::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut effects = Vec::new();
+    let now = Instant::from_ms(1);
+    let mut cx = Context { now, rng: &mut rng, me: &me, effects: &mut effects };
+    neighbour.publish(&mut cx, configuration(version));
+    let fetch = DistributionMessage::Fetch { version: Version(0), whole: true };
+    neighbour.step(&mut cx, &membership, NodeId::of_host(&name("restarted")), fetch);
+    let sent = effects.into_iter().find_map(|effect| match effect {
+        Effect::Send { message: PeerMessage::Distribution(message), .. } => match message {
+            DistributionMessage::Update(_) => Some(message),
+            _ => None,
+        },
+        _ => None,
+    });
+    sent.expect("the neighbour sends its snapshot")
+}
+
+fn restarted() -> State {
+    State::new(identity("restarted"), CoreSettings::default(), RecoveredDisk::default(), 1)
+}
+
+fn hear(state: &mut State, message: DistributionMessage, now_ms: u64) {
+    let from = NodeId::of_host(&name("neighbour"));
+    let event = Event::PeerMessage { from, message: PeerMessage::Distribution(message) };
+    reduce(state, event, Instant::from_ms(now_ms));
+}
+
+fn remembers(version: u64) -> DistributionMessage {
+    DistributionMessage::Holds(Holds {
+        version: Version(version),
+        hash: ContentHash::default(),
+        remembered: Some(Version(version)),
+    })
+}
+
+/// Refusals of a call that arrives now.
+fn refusal(state: &mut State, call: u64, now_ms: u64) -> Option<RefusalCode> {
+    let head = CallHead {
+        origin: CallOrigin::Caller,
+        host: "any".into(),
+        path: "/seats/1".into(),
+        is_safe_method: true,
+        body_bytes: Some(0),
+        is_replayable: true,
+        chain: Chain::default(),
+    };
+    let event = Event::Call(CallEvent::Arrived { call: CallId(call), head });
+    let effects = reduce(state, event, Instant::from_ms(now_ms));
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Call(CallEffect::Refuse { refusal, .. }) => Some(refusal.code),
+        _ => None,
+    })
+}
+
+#[rstest]
+fn calls_are_not_served_below_the_version_that_neighbours_remember() {
+    let mut state = restarted();
+    hear(&mut state, remembers(5), 10);
+
+    hear(&mut state, update(3), 20);
+    reduce(&mut state, Event::Tick, Instant::from_ms(10_000));
+    let below = refusal(&mut state, 1, 10_001);
+    hear(&mut state, update(5), 10_002);
+    reduce(&mut state, Event::Tick, Instant::from_ms(20_000));
+    let at = refusal(&mut state, 2, 20_001);
+
+    assert_eq!(below, Some(RefusalCode::NoConfiguration));
+    assert_eq!(at, Some(RefusalCode::NoTarget), "no target is announced, but the route is held");
+}
--- a/crates/daemon/src/api/json.rs
+++ b/crates/daemon/src/api/json.rs
@@ -3,7 +3,7 @@
 use fireflylug_core::api::{ApiError, ApiRequest, ErrorCode};
 use fireflylug_core::config::{ChangeSet, Finding, FindingCode, Operation};
 use fireflylug_core::ids::{Name, TargetId, Version};
-use fireflylug_core::membership::TargetAnnouncement;
+use fireflylug_core::membership::{MAX_LEASE_MS, TargetAnnouncement};
 use fireflylug_core::resource::{Policy, Resource, ResourceKey, ResourceKind, Route, Service};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -78,9 +78,6 @@
     new: Name,
 }
 
-/// Longest lease, in milliseconds.
-const MAX_LEASE_MS: u32 = 600_000;
-
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct AnnouncementBody {
@@ -102,11 +99,8 @@
     };
     check(announcement.slots > 0, "slots", "a target runs at least 1 call at once");
     check(announcement.connections > 0, "connections", "a target takes at least 1 connection");
-    check(
-        (1..=MAX_LEASE_MS).contains(&announcement.lease_ms),
-        "lease_ms",
-        "use 1 to 600000 milliseconds",
-    );
+    let lease = format!("use 1 to {MAX_LEASE_MS} milliseconds");
+    check((1..=MAX_LEASE_MS).contains(&announcement.lease_ms), "lease_ms", &lease);
     check(announcement.address.port() != 0, "address", "give the port of the target");
 }
 
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -4,13 +4,15 @@
 //! read the snapshot. Per-target series are left out on purpose: their number
 //! would grow with the square of the mesh.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use eyre::WrapErr;
-use fireflylug_core::State;
+use fireflylug_core::consensus::{ControlRole, ControlStatus};
+use fireflylug_core::ids::Name;
 use fireflylug_core::membership::{MemberStatus, TargetState};
-use fireflylug_core::routing::{Outcome, RoutingMetrics};
+use fireflylug_core::routing::{Outcome, RoutingMetrics, ServiceCounts, TargetMetrics};
+use fireflylug_core::{Instant, State};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -39,6 +41,9 @@
     targets: BTreeMap<(String, &'static str), u64>,
     routing: RoutingMetrics,
     traffic: Vec<TrafficRow>,
+    control: Option<ControlStatus>,
+    cut_off_ms: u64,
+    zones_cut_off: u64,
     resident_bytes: u64,
 }
 
@@ -60,6 +65,7 @@
         let instruments =
             Instruments { meter: provider.meter("fireflylug"), snapshot: Arc::clone(&snapshot) };
         instruments.of_process();
+        instruments.of_control();
         instruments.of_mesh();
         instruments.of_calls();
         instruments.of_peers();
@@ -68,7 +74,8 @@
 
     /// The metrics as they are now, in the Prometheus text form.
     pub fn scrape(&self, runtime: &Runtime) -> eyre::Result<String> {
-        let mut taken = runtime.inspect(Snapshot::take);
+        let now = runtime.now();
+        let mut taken = runtime.inspect(|state| Snapshot::take(state, now));
         taken.traffic = self.peers.rows();
         taken.resident_bytes = resident_bytes();
         *lock(&self.snapshot) = taken;
@@ -79,18 +86,26 @@
 }
 
 impl Snapshot {
-    fn take(state: &State) -> Self {
+    fn take(state: &State, now: Instant) -> Self {
+        let me = state.identity();
+        let cut_off_since = state.distribution().cut_off_since(now, me.control);
         let mut snapshot = Self {
             version: state.distribution().current().version().0,
             ready: state.distribution().is_ready(),
             stopping: state.is_stopping(),
             routing: state.routing().metrics(),
+            control: state.control().map(|control| control.status(me.id, now)),
+            cut_off_ms: cut_off_since.map_or(0, |since| now.since_ms(since)),
             ..Self::default()
         };
         for member in state.membership().members() {
             let zone = member.locality.availability_zone.to_string();
             *snapshot.members.entry((zone, member.status)).or_default() += 1;
         }
+        let zones: BTreeSet<_> = snapshot.members.keys().map(|(zone, _)| zone).collect();
+        let cut_off = zones.into_iter().filter_map(|zone| Name::new(zone).ok());
+        let cut_off = cut_off.filter(|zone| state.membership().is_cut_off(zone)).count();
+        snapshot.zones_cut_off = cut_off as u64;
         for target in state.membership().targets() {
             let service = target.target.service.to_string();
             *snapshot.targets.entry((service, state_name(target.state))).or_default() += 1;
@@ -114,7 +129,33 @@
         self.gauge("resident_bytes", "Resident memory of the program", |s| one(s.resident_bytes));
     }
 
+    /// Nothing at a process that is no control replica.
+    fn of_control(&self) {
+        self.gauge("control.current", "1 while in touch with a quorum", |s| {
+            of_replica(s, |status| status.is_current.into())
+        });
+        self.gauge("control.leading", "1 at the leader", |s| {
+            of_replica(s, |status| (status.role == ControlRole::Leader).into())
+        });
+        self.gauge("control.failed", "1 after the disk failed", |s| {
+            of_replica(s, |status| (status.role == ControlRole::Failed).into())
+        });
+        self.gauge("control.term", "Newest term", |s| of_replica(s, |status| status.term));
+        self.gauge("control.commit_index", "Newest committed entry that is known", |s| {
+            of_replica(s, |status| status.commit_index)
+        });
+        self.gauge("control.voters", "Voters", |s| {
+            of_replica(s, |status| status.voters.voters().len() as u64)
+        });
+    }
+
     fn of_mesh(&self) {
+        self.gauge("cut_off_ms", "Time without word of a control replica; 0 while heard", |s| {
+            one(s.cut_off_ms)
+        });
+        self.gauge("zones_cut_off", "Availability zones that cannot be reached from here", |s| {
+            one(s.zones_cut_off)
+        });
         self.gauge("members", "Processes by availability zone and status", |s| {
             let rows = s.members.iter();
             rows.map(|((zone, status), count)| {
@@ -215,23 +256,21 @@
     vec![(value, Vec::new())]
 }
 
+fn of_replica(snapshot: &Snapshot, value: impl Fn(&ControlStatus) -> u64) -> Rows {
+    snapshot.control.iter().flat_map(|status| one(value(status))).collect()
+}
+
 fn of_service(service: &str) -> KeyValue {
     KeyValue::new("service", service.to_owned())
 }
 
-fn by_service(
-    snapshot: &Snapshot,
-    value: impl Fn(&fireflylug_core::routing::ServiceCounts) -> u64,
-) -> Rows {
+fn by_service(snapshot: &Snapshot, value: impl Fn(&ServiceCounts) -> u64) -> Rows {
     let services = snapshot.routing.services.iter();
     services.map(|(name, counts)| (value(counts), vec![of_service(name.as_str())])).collect()
 }
 
 /// Adds up over the targets of each service.
-fn over_targets(
-    snapshot: &Snapshot,
-    value: impl Fn(&fireflylug_core::routing::TargetMetrics) -> u64,
-) -> Rows {
+fn over_targets(snapshot: &Snapshot, value: impl Fn(&TargetMetrics) -> u64) -> Rows {
     let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
     for target in &snapshot.routing.targets {
         *sums.entry(target.target.service.as_str()).or_default() += value(target);
--- a/crates/fault/src/client.rs
+++ b/crates/fault/src/client.rs
@@ -118,12 +118,15 @@
 }
 
 impl Lines {
-    /// The next whole line without its end; none where the answer ended.
+    /// The next whole line without its end, empty ones left out; none where the answer ended.
     pub async fn next(&mut self) -> Option<String> {
         loop {
             if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
                 let line = self.buffer.split_to(end);
                 self.buffer.advance(1);
+                if line.is_empty() {
+                    continue;
+                }
                 return Some(String::from_utf8_lossy(&line).into_owned());
             }
             let frame = self.body.frame().await?.ok()?;
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -188,10 +188,13 @@
         .await
     }
 
-    /// Waits until every daemon knows this many targets.
+    /// Waits until every daemon serves calls and knows this many targets.
     pub async fn wait_for_targets(&self, count: usize) -> eyre::Result<()> {
-        self.wait_until("every daemon knows every target", |daemon| {
-            daemon.runtime().inspect(|state| state.routing().metrics().targets.len() == count)
+        self.wait_until("every daemon serves calls and knows every target", |daemon| {
+            daemon.runtime().inspect(|state| {
+                let targets = state.routing().metrics().targets.len();
+                state.distribution().is_ready() && targets == count
+            })
         })
         .await
     }
--- a/crates/measure/src/control/failover.rs
+++ b/crates/measure/src/control/failover.rs
@@ -1,8 +1,45 @@
 //! Time to accept a change after losing the leader.
 
-use crate::{Options, Report};
+use std::time::{Duration, Instant};
+
+use eyre::eyre;
+
+use super::mesh::{CONTROL_REPLICAS, Layout, Mesh};
+use crate::{Bound, Figure, Options, Report};
+
+/// Leaders lost one after the other.
+const LOSSES: usize = 7;
+
+/// Longest time until a change is accepted again.
+const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Runs the measurement.
 pub async fn run(options: &Options) -> eyre::Result<Report> {
-    eyre::bail!("{} is not built yet", options.measurement)
+    let mut mesh = Mesh::start(Layout::malabar()).await?;
+    let mut samples = Vec::new();
+    let mut missing = 0_u32;
+    for _ in 0..LOSSES {
+        let leader = mesh.wait_leader().await?;
+        let accepted = mesh.change(leader).await?;
+        mesh.kill(leader);
+        let killed_at = Instant::now();
+        let survivor = (leader + 1) % CONTROL_REPLICAS;
+        let next = mesh.change_until_accepted(survivor, PATIENCE).await?;
+        samples.push(killed_at.elapsed().as_secs_f64() * 1_000.0);
+        missing += u32::from(next <= accepted);
+        mesh.start_down().await?;
+        mesh.wait_in_force(next).await?;
+    }
+    let worst = samples.iter().copied().max_by(f64::total_cmp).ok_or_else(|| eyre!("no loss"))?;
+    let report = Report::new(options)
+        .with_figure(Figure::new("leader killed to next change accepted, median", "ms", &samples))
+        .with_figure(
+            Figure::new("leader killed to next change accepted, worst", "ms", &[worst])
+                .with_bound(Bound::AtMost(3_000.0)),
+        )
+        .with_figure(
+            Figure::new("accepted changes missing afterwards", "changes", &[missing.into()])
+                .with_bound(Bound::AtMost(0.0)),
+        );
+    Ok(report.with_note("Malabar's places; the leader is killed right after it accepted a change."))
 }
--- /dev/null
+++ b/tests/processes/support.rs
@@ -0,0 +1,328 @@
+//! Real daemons behind fault-injecting proxies, for the tests beside this file.
+
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fireflylug_core::context::Addresses;
+use fireflylug_core::ids::{Locality, Name};
+use fireflylug_fault::{Answer, Direction, FaultProxy, HttpClient, Lines, Link, Mode};
+use fireflylug_settings::{Advertise, ControlSection, LogLevel, Settings};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::process::{Child, Command};
+
+/// Longest wait for a condition. Generous: it bounds a failing test and decides nothing else.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Hosts with a disk: the first three.
+pub const CONTROL_HOSTS: usize = 3;
+
+/// Daemons as processes of their own, with a link between each two hosts.
+pub struct Cluster {
+    pub client: HttpClient,
+    dir: TempDir,
+    zones: Vec<usize>,
+    links: Vec<Vec<Arc<Link>>>,
+    nodes: Vec<Node>,
+}
+
+struct Node {
+    settings: Settings,
+    /// By the host that dials.
+    doors: Vec<FaultProxy>,
+    child: Option<Child>,
+    addresses: Option<Addresses>,
+}
+
+impl Cluster {
+    /// Starts a daemon for each entry of `zones`, in that availability zone.
+    pub async fn start(zones: &[usize]) -> Self {
+        let dir = TempDir::new().expect("a folder for the test");
+        let links = links(zones.len());
+        let mut doors = Vec::new();
+        for to in 0..zones.len() {
+            doors.push(doors_to(&links, to).await);
+        }
+        let settings: Vec<_> =
+            (0..zones.len()).map(|host| settings(&dir, zones, &doors, host)).collect();
+        let nodes = settings.into_iter().zip(doors).map(|(settings, doors)| Node {
+            settings,
+            doors,
+            child: None,
+            addresses: None,
+        });
+        let nodes = nodes.collect();
+        let client = HttpClient::new();
+        let mut cluster = Self { client, dir, zones: zones.to_vec(), links, nodes };
+        for host in 0..zones.len() {
+            cluster.spawn(host).await;
+        }
+        cluster
+    }
+
+    /// Starts a daemon for each entry, and declares a service with its route and policy.
+    pub async fn start_with_service(zones: &[usize]) -> Self {
+        let cluster = Self::start(zones).await;
+        let version = cluster.change(0, "first", declare("seatdesk")).await;
+        cluster.wait_in_force(version).await;
+        cluster
+    }
+
+    /// Starts the daemon of a host that is down.
+    pub async fn spawn(&mut self, host: usize) {
+        let node = &mut self.nodes[host];
+        let file = self.dir.path().join(format!("host-{host}.ini"));
+        let addresses_file = node.settings.addresses_file.clone().expect("set for each");
+        let _ = std::fs::remove_file(&addresses_file);
+        std::fs::write(&file, node.settings.to_ini()).expect("a settings file");
+        let log = std::fs::File::create(self.dir.path().join(format!("host-{host}.log")));
+        let log = log.expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_fireflylugd"))
+            .arg("--config")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn();
+        let mut child = child.expect("the daemon's binary");
+        let bytes = until("the daemon to write its addresses", || {
+            let ended = child.try_wait().expect("a child of this test");
+            assert!(ended.is_none(), "the daemon of host {host} ended: {ended:?}");
+            std::future::ready(std::fs::read(&addresses_file).ok())
+        })
+        .await;
+        node.child = Some(child);
+        let addresses: Addresses = serde_json::from_slice(&bytes).expect("addresses as JSON");
+        node.addresses = Some(addresses);
+        node.doors.iter().for_each(|door| door.set_upstream(Some(addresses.peers)));
+    }
+
+    /// Kills the daemon of a host with SIGKILL.
+    pub async fn kill(&mut self, host: usize) {
+        let node = &mut self.nodes[host];
+        node.doors.iter().for_each(|door| door.set_upstream(None));
+        if let Some(mut child) = node.child.take() {
+            child.kill().await.expect("a child of this test");
+        }
+    }
+
+    /// Asks the daemon of a host to stop with SIGTERM.
+    pub async fn terminate(&mut self, host: usize) {
+        let child = self.nodes[host].child.as_ref().expect("a daemon that runs");
+        let pid = child.id().expect("a daemon that runs").to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status().await;
+        assert!(sent.expect("kill").success());
+    }
+
+    /// Waits until the daemon of a host has ended. Returns whether it succeeded.
+    pub async fn ended(&mut self, host: usize) -> bool {
+        let mut child = self.nodes[host].child.take().expect("a daemon that runs");
+        let status = tokio::time::timeout(PATIENCE, child.wait()).await;
+        status.expect("the daemon ends in time").expect("a child of this test").success()
+    }
+
+    /// Removes the data folder of a host that is down, as a replaced disk would.
+    pub fn blank_disk(&self, host: usize) {
+        let control = self.nodes[host].settings.control.as_ref().expect("a control host");
+        std::fs::remove_dir_all(&control.data_dir).expect("a data folder");
+    }
+
+    /// Sets the mode of every link of a host.
+    pub fn isolate(&self, host: usize, mode: Mode) {
+        let others = (0..self.nodes.len()).filter(|other| *other != host);
+        others.for_each(|other| self.links[host][other].set_mode(mode));
+    }
+
+    /// Sets the mode of every link between an availability zone and the others.
+    pub fn cut_zone(&self, zone: usize, mode: Mode) {
+        let hosts = 0..self.nodes.len();
+        for (a, b) in hosts.clone().flat_map(|a| hosts.clone().map(move |b| (a, b))) {
+            if self.zones[a] == zone && self.zones[b] != zone {
+                self.links[a][b].set_mode(mode);
+            }
+        }
+    }
+
+    /// Where the daemon of a host listens.
+    pub fn addresses(&self, host: usize) -> Addresses {
+        self.nodes[host].addresses.expect("a daemon that runs")
+    }
+
+    /// Hosts whose daemon runs.
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|host| self.nodes[*host].child.is_some()).collect()
+    }
+
+    /// Sends a request to the resource API of a host.
+    pub async fn api(&self, host: usize, line: &str, body: &Value) -> std::io::Result<Answer> {
+        self.client.send(self.addresses(host).api, line, &[], body.to_string()).await
+    }
+
+    /// Sends a change set once under a key.
+    pub async fn try_change(
+        &self,
+        host: usize,
+        key: &str,
+        body: &Value,
+    ) -> std::io::Result<Answer> {
+        let headers = [("idempotency-key", key)];
+        let api = self.addresses(host).api;
+        self.client.send(api, "POST /v1/changes", &headers, body.to_string()).await
+    }
+
+    /// Sends a change set under a key until it is accepted. Returns its version.
+    pub async fn change(&self, host: usize, key: &str, body: Value) -> u64 {
+        until("the change to be accepted", async || {
+            version_of(&self.try_change(host, key, &body).await.ok()?)
+        })
+        .await
+    }
+
+    /// Version that a host holds, as its status says.
+    pub async fn held(&self, host: usize) -> Option<u64> {
+        let status = self.api(host, "GET /v1/status", &Value::Null).await.ok()?;
+        let status: Value = serde_json::from_slice(&status.body).ok()?;
+        let ready = status.get("ready").and_then(Value::as_bool) == Some(true);
+        status.get("version").and_then(Value::as_u64).filter(|_| ready)
+    }
+
+    /// Waits until every daemon that runs holds a version.
+    pub async fn wait_in_force(&self, version: u64) {
+        for host in self.running() {
+            let what = format!("host {host} to hold version {version}");
+            until(&what, async || self.held(host).await.filter(|held| *held >= version)).await;
+        }
+    }
+
+    /// Begins a watch after a version.
+    pub async fn watch(&self, host: usize, from: u64) -> Lines {
+        let line = format!("GET /v1/watch?from={from}");
+        self.client.lines(self.addresses(host).api, &line).await.expect("a watch")
+    }
+
+    /// Announces a target of a host.
+    pub async fn announce(&self, host: usize, id: &str, target: SocketAddr) {
+        let body = json!({
+            "address": target, "slots": 12, "connections": 120, "lease_ms": 60_000,
+        });
+        let line = format!("PUT /v1/targets/seatdesk/{id}");
+        let answer = self.api(host, &line, &body).await.expect("an answer");
+        assert!(answer.status.is_success(), "{}", answer.text());
+    }
+
+    /// Calls the service through a host, with a request id.
+    pub async fn call(&self, host: usize, method: &str, id: &str) -> std::io::Result<Answer> {
+        let headers = [("x-request-id", id)];
+        let calls = self.addresses(host).calls;
+        self.client.send(calls, &format!("{method} /seatdesk"), &headers, "").await
+    }
+
+    /// Waits until a call through a host reaches a target.
+    pub async fn wait_callable(&self, host: usize) {
+        until("a call to be answered", async || {
+            let answer = self.call(host, "GET", "probe").await.ok()?;
+            (answer.status == 200).then_some(())
+        })
+        .await;
+    }
+}
+
+/// The next event of a watch.
+pub async fn next_event(watch: &mut Lines) -> Value {
+    let line = tokio::time::timeout(PATIENCE, watch.next()).await.expect("an event in time");
+    serde_json::from_str(&line.expect("the watch goes on")).expect("a line of JSON")
+}
+
+/// Version in the answer to an accepted change.
+pub fn version_of(answer: &Answer) -> Option<u64> {
+    let body: Value = serde_json::from_slice(&answer.body).ok()?;
+    body.get("version").and_then(Value::as_u64).filter(|_| answer.status.is_success())
+}
+
+/// A change set that puts a service with its route and policy.
+pub fn declare(name: &str) -> Value {
+    json!({"operations": [
+        {"op": "put", "resource": {"kind": "policy", "name": name}},
+        {"op": "put", "resource": {"kind": "service", "name": name, "policy": name}},
+        {"op": "put", "resource": {
+            "kind": "route", "name": name, "path_prefix": format!("/{name}"), "service": name}},
+    ]})
+}
+
+/// A change set that puts one policy with a deadline that tells it from others.
+pub fn policy(name: &str, deadline_ms: u32) -> Value {
+    let resource = json!({"kind": "policy", "name": name, "deadline_ms": deadline_ms});
+    json!({"operations": [{"op": "put", "resource": resource}]})
+}
+
+/// Looks until there is something, and fails where that takes too long.
+pub async fn until<T, F: Future<Output = Option<T>>>(what: &str, mut look: impl FnMut() -> F) -> T {
+    let started_at = Instant::now();
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(started_at.elapsed() < PATIENCE, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn links(hosts: usize) -> Vec<Vec<Arc<Link>>> {
+    let mut links: Vec<Vec<Arc<Link>>> = Vec::new();
+    for a in 0..hosts {
+        let row = (0..hosts).map(|b| if b < a { Arc::clone(&links[b][a]) } else { Link::new() });
+        let row = row.collect();
+        links.push(row);
+    }
+    links
+}
+
+async fn doors_to(links: &[Vec<Arc<Link>>], to: usize) -> Vec<FaultProxy> {
+    let mut doors = Vec::new();
+    for (from, row) in links.iter().enumerate() {
+        let direction = if from <= to { Direction::Forward } else { Direction::Backward };
+        let door = FaultProxy::start_over(Arc::clone(&row[to]), direction).await;
+        doors.push(door.expect("loopback"));
+    }
+    doors
+}
+
+fn settings(dir: &TempDir, zones: &[usize], doors: &[Vec<FaultProxy>], host: usize) -> Settings {
+    let zone = zones[host];
+    let region = if zone < 2 { "kochi" } else { "kozhikode" };
+    let locality =
+        Locality { region: name(region), availability_zone: name(&format!("zone-{zone}")) };
+    let control_hosts = CONTROL_HOSTS.min(zones.len());
+    let seeds = (0..control_hosts).map(announced).collect();
+    let mut settings = Settings::loopback(host_name(host), locality).with_seeds(seeds);
+    settings.advertise = Advertise { peers: Some(announced(host)), ..Advertise::default() };
+    settings.addresses_file = Some(dir.path().join(format!("host-{host}.json")));
+    settings.log_level = LogLevel::Info;
+    settings.translate = doors
+        .iter()
+        .enumerate()
+        .map(|(to, doors)| (announced(to), doors[host].address()))
+        .collect();
+    if host >= control_hosts {
+        return settings;
+    }
+    let initial_voters = (0..control_hosts).map(host_name).collect();
+    let data_dir = dir.path().join(format!("data-{host}"));
+    settings.with_control(ControlSection { data_dir, initial_voters })
+}
+
+fn announced(host: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 0, 0, host as u8), 1))
+}
+
+fn host_name(host: usize) -> Name {
+    name(&format!("host-{host}"))
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("in form")
+}
