--- a/crates/core/src/api/watch.rs
+++ b/crates/core/src/api/watch.rs
@@ -64,8 +64,12 @@
 
     /// A version is committed here.
     pub(super) fn committed(&mut self, cx: &mut Context<'_>, committed: &Arc<Configuration>) {
-        let before = std::mem::replace(&mut self.latest, Arc::clone(committed));
         let version = committed.version();
+        // A replica that began anew with a blank disk hears of versions again.
+        if version <= self.latest.version() {
+            return;
+        }
+        let before = std::mem::replace(&mut self.latest, Arc::clone(committed));
         if before.version().next() != version {
             // A snapshot: what happened in between is not known.
             self.history.clear();
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -48,6 +48,10 @@
         self.take_entries(cx, append.entries);
         self.verified = self.verified.max(last);
         self.commit = self.commit.max(append.commit.min(self.verified));
+        // A leader knows what is committed once an entry of its own term is.
+        if self.commit == append.commit && self.log.term_at(self.commit) == Some(append.term) {
+            self.is_confirmed = true;
+        }
         self.apply_committed(cx);
         self.answer_leader(cx, None);
     }
@@ -169,13 +173,24 @@
                 self.set_hard_state(cx, self.hard_state.term, self.hard_state.vote);
             }
         }
+        self.begin_publishing();
         self.answer_remote_reads();
         self.compact(cx);
     }
 
+    /// Publishes what was recovered once the log has come up to what a leader knows as
+    /// committed. Published earlier, it could move the proxies that take their versions
+    /// from here, themselves restarted, back to an older version.
+    fn begin_publishing(&mut self) {
+        if self.is_confirmed && !self.is_publishing {
+            self.is_publishing = true;
+            self.announce_version(Version(0));
+        }
+    }
+
     fn announce_version(&mut self, was: Version) {
         let configuration = self.machine.configuration();
-        if configuration.version() != was {
+        if self.is_publishing && configuration.version() != was {
             let configuration = Arc::clone(configuration);
             self.output(ControlOutput::Committed(configuration));
         }
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -219,6 +219,7 @@
             return;
         }
         self.commit = index;
+        self.is_confirmed = true;
         self.apply_committed(cx);
         self.beat(cx);
         self.answer_reads(cx);
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -57,6 +57,10 @@
     /// When the role has something to do.
     pub(super) role_deadline: Instant,
     pub(super) hello_at: Instant,
+    /// Whether everything is known that was committed before this process started.
+    pub(super) is_confirmed: bool,
+    /// Whether versions are published: not before the recovered one is confirmed.
+    pub(super) is_publishing: bool,
     pub(super) outputs: Vec<ControlOutput>,
 }
 
@@ -77,10 +81,6 @@
         for entry in (base.0 + 1..=commit).filter_map(|index| log.get(index)) {
             machine.apply(entry);
         }
-        let mut outputs = Vec::new();
-        if machine.configuration().version().0 > 0 {
-            outputs.push(ControlOutput::Committed(Arc::clone(machine.configuration())));
-        }
         Self {
             settings,
             recovered: Some(Start { owner: recovered.owner, notices: recovered.notices }),
@@ -103,7 +103,9 @@
             heard_leader_at: now,
             role_deadline: now,
             hello_at: now,
-            outputs,
+            is_confirmed: false,
+            is_publishing: false,
+            outputs: Vec::new(),
         }
     }
 
--- a/crates/core/src/consensus/start.rs
+++ b/crates/core/src/consensus/start.rs
@@ -76,6 +76,8 @@
         self.first_voters = VoterSet::default();
         self.floors = Floors::default();
         self.unsent_votes.clear();
+        self.is_confirmed = false;
+        self.is_publishing = false;
         self.outputs.clear();
         self.hello_at = cx.now;
     }
