Control replicas: disks fail in the random runs; requests at a failed replica go to another one

The API of a process whose control replica had failed asked only that replica, which hears of no leader, and answered 503 after 6 s each time.

--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -221,7 +221,9 @@
 
     /// Passes a request to the leader, or to a control replica that may know it.
     fn attempt(&mut self, cx: &mut Context<'_>, parts: &mut ApiParts<'_>, request: RequestId) {
-        let leader = parts.control.as_ref().map(|control| control.leader());
+        // A replica that takes no part any more will hear of no leader: another one may.
+        let control = parts.control.as_ref().filter(|control| !control.has_failed());
+        let leader = control.map(|control| control.leader());
         let Some(work) = self.forwarded.attempt(cx, parts.membership, leader, request) else {
             return;
         };
--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -60,6 +60,11 @@
             && now.since_ms(self.current_at(now)) < ELECTION_TIMEOUT_MAX_MS
     }
 
+    /// Whether the disk failed, so that the replica takes no part any more.
+    pub fn has_failed(&self) -> bool {
+        self.storage.has_failed()
+    }
+
     /// The last time at which the replica was in touch with a quorum.
     pub(super) fn current_at(&self, now: Instant) -> Instant {
         let Role::Leader(leadership) = &self.role else { return self.heard_leader_at };
--- a/crates/core/tests/consensus/random.rs
+++ b/crates/core/tests/consensus/random.rs
@@ -99,20 +99,27 @@
 
 fn disturb(cluster: &mut Cluster) {
     let node = cluster.rng.random_range(0..cluster.nodes.len());
-    match cluster.rng.random_range(0..8) {
+    match cluster.rng.random_range(0..9) {
         0 | 1 => cluster.isolate(node),
         2 | 3 => cluster.heal(),
         4 => cluster.crash(node),
+        6 => cluster.nodes[node].disk_fails = true,
         5 if may_wipe(cluster) => {
             cluster.crash(node);
             cluster.wipe(node);
         }
-        _ => {
-            for down in 0..cluster.nodes.len() {
-                if cluster.nodes[down].replica.is_none() {
-                    cluster.start(down);
-                }
-            }
+        _ => start_all(cluster),
+    }
+}
+
+/// Starts what is down, and again what stopped taking part.
+fn start_all(cluster: &mut Cluster) {
+    for node in 0..cluster.nodes.len() {
+        if std::mem::take(&mut cluster.nodes[node].disk_fails) {
+            cluster.crash(node);
+        }
+        if cluster.nodes[node].replica.is_none() {
+            cluster.start(node);
         }
     }
 }
@@ -151,11 +158,7 @@
     }
     cluster.faults = Faults::NONE;
     cluster.heal();
-    for down in 0..count {
-        if cluster.nodes[down].replica.is_none() {
-            cluster.start(down);
-        }
-    }
+    start_all(&mut cluster);
     cluster.run_for(5_000);
     assert!(cluster.run_until(10_000, agree), "the replicas do not come to agree");
     let accepted = cluster
