--- a/crates/core/src/distribution/holders.rs
+++ b/crates/core/src/distribution/holders.rs
@@ -25,6 +25,16 @@
         Self { count: 1, sum: member_sum(id, incarnation), known }
     }
 
+    /// A set of processes that know each other and nobody else, by key and incarnation.
+    pub fn of_all(processes: impl IntoIterator<Item = (NodeId, u64)>) -> Self {
+        let mut all = Self::default();
+        for (id, incarnation) in processes {
+            all.count += 1;
+            all.sum = all.sum.wrapping_add(member_sum(id, incarnation));
+        }
+        Self { known: all.sum, ..all }
+    }
+
     /// Adds another set, which must have no process in common with this one.
     pub(super) fn add(&mut self, other: &Self) {
         self.count = self.count.saturating_add(other.count);
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use fireflylug_core::config::Configuration;
-use fireflylug_core::distribution::{DistributionMessage, Update};
+use fireflylug_core::distribution::{DistributionMessage, Holders, Holds, Update, ZoneReport};
 use fireflylug_core::ids::Version;
 use mesh::{Faults, Mesh, configuration, name, two_regions, versions, zone};
 use rand::rngs::SmallRng;
@@ -197,6 +197,101 @@
     assert_eq!(version_of(&mesh, 2), 1);
 }
 
+#[rstest]
+fn update_in_form_whose_hash_is_of_other_content_is_not_applied() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
+    let sender = mesh.identity(1).id;
+    let update = Update { hash: versions[8].hash(), ..Update::snapshot(&versions[9]) };
+
+    mesh.at(2, |process, cx| {
+        let message = DistributionMessage::Update(update);
+        process.distribution.step(cx, &process.membership, sender, message);
+    });
+    mesh.run_ms(500);
+
+    assert_eq!(version_of(&mesh, 2), 1);
+}
+
+/// Who a forged report says that holds a version.
+#[derive(Clone, Copy, Debug)]
+enum Forged {
+    Everybody,
+    EverybodyInAnEarlierStart,
+    OneTwiceInPlaceOfAnother,
+    EverybodyOfWhomOneKnewOneMore,
+}
+
+#[rstest]
+#[case(Forged::Everybody, true)]
+#[case(Forged::EverybodyInAnEarlierStart, false)]
+#[case(Forged::OneTwiceInPlaceOfAnother, false)]
+#[case(Forged::EverybodyOfWhomOneKnewOneMore, false)]
+fn zone_is_complete_only_with_exactly_its_members(#[case] forged: Forged, #[case] complete: bool) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(4), 18);
+    let replica = mesh.controls()[0];
+    let others = mesh.others(&[replica]);
+    mesh.set_cut(&[replica], &others, true);
+    mesh.publish_at(replica, &versions[1]);
+    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
+    let report = |zone: &&str| {
+        let members = mesh.zone_hosts(zone).into_iter().map(|host| {
+            let member = mesh.member_at(replica, host).unwrap();
+            (member.id, member.incarnation)
+        });
+        let mut members: Vec<_> = members.collect();
+        let all = Holders::of_all(members.iter().copied());
+        match forged {
+            Forged::Everybody | Forged::EverybodyOfWhomOneKnewOneMore => {}
+            Forged::EverybodyInAnEarlierStart => members[0].1 -= 1,
+            Forged::OneTwiceInPlaceOfAnother => members[0] = members[1],
+        }
+        let holders = Holders::of_all(members.iter().copied());
+        let known = match forged {
+            Forged::EverybodyOfWhomOneKnewOneMore => 0,
+            _ => all.known,
+        };
+        ZoneReport {
+            availability_zone: name(zone),
+            relay: members[2].0,
+            version: Version(2),
+            holders: Holders { known, ..holders },
+        }
+    };
+    let reports: Vec<ZoneReport> = zones.iter().map(report).collect();
+    let from = mesh.identity(1).id;
+
+    mesh.at(replica, |process, cx| {
+        let message = DistributionMessage::Zones(reports);
+        process.distribution.step(cx, &process.membership, from, message);
+    });
+    mesh.run_ms(100);
+
+    assert_eq!(say_in_force(&mesh, 2) == vec![replica], complete);
+}
+
+#[rstest]
+#[case::remembered_of_it(Holds { version: Version(1), hash: Default::default(), remembered: Some(Version(2)) })]
+#[case::held_by_a_neighbour(Holds { version: Version(2), hash: Default::default(), remembered: None })]
+fn process_is_ready_at_what_it_was_told_and_not_below(#[case] told: Holds) {
+    let mut mesh = Mesh::started(&two_regions(2), 19);
+    let versions = versions(2);
+    let (restarted, neighbour) = (1, mesh.identity(0).id);
+    let take = |mesh: &mut Mesh, message| {
+        mesh.at(restarted, |process, cx| {
+            process.distribution.step(cx, &process.membership, neighbour, message);
+        });
+        mesh.run_ms(5_000);
+    };
+
+    take(&mut mesh, DistributionMessage::Holds(told));
+    take(&mut mesh, DistributionMessage::Update(Update::snapshot(&versions[0])));
+    let ready_below = mesh.process(restarted).distribution.is_ready();
+    take(&mut mesh, DistributionMessage::Update(Update::snapshot(&versions[1])));
+
+    assert!(!ready_below);
+    assert!(mesh.process(restarted).distribution.is_ready());
+}
+
 #[rstest]
 fn zone_that_is_cut_off_is_named_and_comes_back_forward_only() {
     let (mut mesh, versions) = mesh_with_first(&two_regions(5), 8);
