--- a/crates/core/tests/consensus/random.rs
+++ b/crates/core/tests/consensus/random.rs
@@ -32,7 +32,8 @@
         if cluster.nodes[node].replica.is_none() {
             return;
         }
-        match cluster.rng.random_range(0..4) {
+        match cluster.rng.random_range(0..5) {
+            4 => replace_voter(cluster, node),
             0 => self.resend(cluster, node),
             1 => self.race(cluster, node),
             _ => {
@@ -84,22 +85,41 @@
     }
 }
 
+/// Lets a replica that is no voter take the place of one that is, where there is one.
+fn replace_voter(cluster: &mut Cluster, node: usize) {
+    let count = cluster.nodes.len();
+    let spare = (0..count).find(|spare| !cluster.is_voting(*spare));
+    let old = cluster.rng.random_range(0..count);
+    if let Some(spare) = spare
+        && spare != old
+    {
+        cluster.replace_voter(node, old, spare);
+    }
+}
+
 fn disturb(cluster: &mut Cluster) {
     let node = cluster.rng.random_range(0..cluster.nodes.len());
-    match cluster.rng.random_range(0..8) {
+    match cluster.rng.random_range(0..9) {
         0 | 1 => cluster.isolate(node),
         2 | 3 => cluster.heal(),
         4 => cluster.crash(node),
+        6 => cluster.nodes[node].disk_fails = true,
         5 if may_wipe(cluster) => {
             cluster.crash(node);
             cluster.wipe(node);
         }
-        _ => {
-            for down in 0..cluster.nodes.len() {
-                if cluster.nodes[down].replica.is_none() {
-                    cluster.start(down);
-                }
-            }
+        _ => start_all(cluster),
+    }
+}
+
+/// Starts what is down, and again what stopped taking part.
+fn start_all(cluster: &mut Cluster) {
+    for node in 0..cluster.nodes.len() {
+        if std::mem::take(&mut cluster.nodes[node].disk_fails) {
+            cluster.crash(node);
+        }
+        if cluster.nodes[node].replica.is_none() {
+            cluster.start(node);
         }
     }
 }
@@ -119,10 +139,10 @@
 
 #[rstest]
 fn promises_hold_under_random_faults(
-    #[values(1, 3, 5)] count: usize,
-    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 1010, 1154)] seed: u64,
+    #[values((1, 1), (3, 3), (5, 5), (4, 3))] (count, voters): (usize, usize),
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 1010, 1154, 3001)] seed: u64,
 ) {
-    let mut cluster = Cluster::new(count, count, seed);
+    let mut cluster = Cluster::new(count, voters, seed);
     let mut oracle = Oracle::default();
     cluster.run_for(1_000);
     cluster.faults =
@@ -138,11 +158,7 @@
     }
     cluster.faults = Faults::NONE;
     cluster.heal();
-    for down in 0..count {
-        if cluster.nodes[down].replica.is_none() {
-            cluster.start(down);
-        }
-    }
+    start_all(&mut cluster);
     cluster.run_for(5_000);
     assert!(cluster.run_until(10_000, agree), "the replicas do not come to agree");
     let accepted = cluster
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 
 use fireflylug_core::config::Configuration;
-use fireflylug_core::distribution::{DistributionMessage, Update};
+use fireflylug_core::distribution::{DistributionMessage, Holders, Holds, Update, ZoneReport};
 use fireflylug_core::ids::Version;
 use mesh::{Faults, Mesh, configuration, name, two_regions, versions, zone};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 fn all_hold(mesh: &Mesh, version: u64) -> bool {
@@ -194,6 +197,101 @@
     assert_eq!(version_of(&mesh, 2), 1);
 }
 
+#[rstest]
+fn update_in_form_whose_hash_is_of_other_content_is_not_applied() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
+    let sender = mesh.identity(1).id;
+    let update = Update { hash: versions[8].hash(), ..Update::snapshot(&versions[9]) };
+
+    mesh.at(2, |process, cx| {
+        let message = DistributionMessage::Update(update);
+        process.distribution.step(cx, &process.membership, sender, message);
+    });
+    mesh.run_ms(500);
+
+    assert_eq!(version_of(&mesh, 2), 1);
+}
+
+/// Who a forged report says that holds a version.
+#[derive(Clone, Copy, Debug)]
+enum Forged {
+    Everybody,
+    EverybodyInAnEarlierStart,
+    OneTwiceInPlaceOfAnother,
+    EverybodyOfWhomOneKnewOneMore,
+}
+
+#[rstest]
+#[case(Forged::Everybody, true)]
+#[case(Forged::EverybodyInAnEarlierStart, false)]
+#[case(Forged::OneTwiceInPlaceOfAnother, false)]
+#[case(Forged::EverybodyOfWhomOneKnewOneMore, false)]
+fn zone_is_complete_only_with_exactly_its_members(#[case] forged: Forged, #[case] complete: bool) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(4), 18);
+    let replica = mesh.controls()[0];
+    let others = mesh.others(&[replica]);
+    mesh.set_cut(&[replica], &others, true);
+    mesh.publish_at(replica, &versions[1]);
+    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
+    let report = |zone: &&str| {
+        let members = mesh.zone_hosts(zone).into_iter().map(|host| {
+            let member = mesh.member_at(replica, host).unwrap();
+            (member.id, member.incarnation)
+        });
+        let mut members: Vec<_> = members.collect();
+        let all = Holders::of_all(members.iter().copied());
+        match forged {
+            Forged::Everybody | Forged::EverybodyOfWhomOneKnewOneMore => {}
+            Forged::EverybodyInAnEarlierStart => members[0].1 -= 1,
+            Forged::OneTwiceInPlaceOfAnother => members[0] = members[1],
+        }
+        let holders = Holders::of_all(members.iter().copied());
+        let known = match forged {
+            Forged::EverybodyOfWhomOneKnewOneMore => 0,
+            _ => all.known,
+        };
+        ZoneReport {
+            availability_zone: name(zone),
+            relay: members[2].0,
+            version: Version(2),
+            holders: Holders { known, ..holders },
+        }
+    };
+    let reports: Vec<ZoneReport> = zones.iter().map(report).collect();
+    let from = mesh.identity(1).id;
+
+    mesh.at(replica, |process, cx| {
+        let message = DistributionMessage::Zones(reports);
+        process.distribution.step(cx, &process.membership, from, message);
+    });
+    mesh.run_ms(100);
+
+    assert_eq!(say_in_force(&mesh, 2) == vec![replica], complete);
+}
+
+#[rstest]
+#[case::remembered_of_it(Holds { version: Version(1), hash: Default::default(), remembered: Some(Version(2)) })]
+#[case::held_by_a_neighbour(Holds { version: Version(2), hash: Default::default(), remembered: None })]
+fn process_is_ready_at_what_it_was_told_and_not_below(#[case] told: Holds) {
+    let mut mesh = Mesh::started(&two_regions(2), 19);
+    let versions = versions(2);
+    let (restarted, neighbour) = (1, mesh.identity(0).id);
+    let take = |mesh: &mut Mesh, message| {
+        mesh.at(restarted, |process, cx| {
+            process.distribution.step(cx, &process.membership, neighbour, message);
+        });
+        mesh.run_ms(5_000);
+    };
+
+    take(&mut mesh, DistributionMessage::Holds(told));
+    take(&mut mesh, DistributionMessage::Update(Update::snapshot(&versions[0])));
+    let ready_below = mesh.process(restarted).distribution.is_ready();
+    take(&mut mesh, DistributionMessage::Update(Update::snapshot(&versions[1])));
+
+    assert!(!ready_below);
+    assert!(mesh.process(restarted).distribution.is_ready());
+}
+
 #[rstest]
 fn zone_that_is_cut_off_is_named_and_comes_back_forward_only() {
     let (mut mesh, versions) = mesh_with_first(&two_regions(5), 8);
@@ -387,3 +485,86 @@
 
     assert!(mesh.running().all(|(_, p)| p.distribution.current().hash() == one.hash()));
 }
+
+/// Does random things to a mesh and looks at every moment whether a promise is broken.
+#[rstest]
+fn random_failures_break_no_promise(#[values(1, 2, 5, 28, 48, 67)] seed: u64) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(4), seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
+    let mut newest = 1;
+    let mut cut: Option<Vec<usize>> = None;
+
+    for _ in 0..60 {
+        match rng.random_range(0..7) {
+            0 | 1 => {
+                newest += 1;
+                mesh.publish(&versions[newest as usize - 1]);
+            }
+            2 => {
+                newest += 1;
+                let lagging = *mesh.controls().choose(&mut rng).unwrap();
+                for control in mesh.controls().into_iter().filter(|c| *c != lagging) {
+                    publish_if_running(&mut mesh, control, &versions[newest as usize - 1]);
+                }
+            }
+            3 => {
+                let host = rng.random_range(0..mesh.len());
+                mesh.crash(host);
+                run_checking(&mut mesh, rng.random_range(0..3_000));
+                mesh.start(host);
+                publish_if_control(&mut mesh, host, &versions[newest as usize - 1]);
+            }
+            4 => {
+                let hosts: Vec<usize> =
+                    (0..mesh.len()).filter(|_| rng.random_range(0..3) == 0).collect();
+                hosts.iter().for_each(|host| mesh.crash(*host));
+                run_checking(&mut mesh, rng.random_range(0..500));
+                for host in hosts {
+                    mesh.start(host);
+                    publish_if_control(&mut mesh, host, &versions[newest as usize - 1]);
+                }
+            }
+            5 => {
+                heal(&mut mesh, &mut cut);
+                let zone = mesh.zone_hosts(zones.choose(&mut rng).unwrap());
+                let some = if rng.random() { zone } else { zone[..1].to_vec() };
+                let others = mesh.others(&some);
+                mesh.set_cut(&some, &others, true);
+                cut = Some(some);
+            }
+            _ => {
+                heal(&mut mesh, &mut cut);
+                let lossy = Faults { drop_percent: 20, double_percent: 20, delay_us: 100_000 };
+                mesh.faults = if rng.random() { lossy } else { Faults::default() };
+            }
+        }
+        run_checking(&mut mesh, rng.random_range(0..2_000));
+    }
+    heal(&mut mesh, &mut cut);
+    mesh.faults = Faults::default();
+    mesh.publish(&versions[newest as usize - 1]);
+
+    mesh.run_until("all hold the newest", 30, |mesh| all_hold(mesh, newest));
+    mesh.run_until("all are ready", 10, all_ready);
+    mesh.run_until("all say so", 60, |mesh| all_say_in_force(mesh, newest));
+}
+
+fn publish_if_running(mesh: &mut Mesh, host: usize, version: &Arc<Configuration>) {
+    if mesh.running().any(|(running, _)| running == host) {
+        mesh.publish_at(host, version);
+    }
+}
+
+fn publish_if_control(mesh: &mut Mesh, host: usize, version: &Arc<Configuration>) {
+    if mesh.identity(host).control {
+        mesh.publish_at(host, version);
+    }
+}
+
+fn heal(mesh: &mut Mesh, cut: &mut Option<Vec<usize>>) {
+    if let Some(hosts) = cut.take() {
+        let others = mesh.others(&hosts);
+        mesh.set_cut(&hosts, &others, false);
+    }
+}
--- a/crates/daemon/src/api/json.rs
+++ b/crates/daemon/src/api/json.rs
@@ -1,9 +1,9 @@
 //! Reads JSON bodies, and gathers every mistake with its place.
 
-use fireflylug_core::api::{ApiError, ErrorCode};
+use fireflylug_core::api::{ApiError, ApiRequest, ErrorCode};
 use fireflylug_core::config::{ChangeSet, Finding, FindingCode, Operation};
-use fireflylug_core::ids::{TargetId, Version};
-use fireflylug_core::membership::TargetAnnouncement;
+use fireflylug_core::ids::{Name, TargetId, Version};
+use fireflylug_core::membership::{MAX_LEASE_MS, TargetAnnouncement};
 use fireflylug_core::resource::{Policy, Resource, ResourceKey, ResourceKind, Route, Service};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -64,8 +64,19 @@
     finish(announcement, findings)
 }
 
-/// Longest lease, in milliseconds.
-const MAX_LEASE_MS: u32 = 600_000;
+/// Reads a change of the voters: `{"old": HOST, "new": HOST}`.
+pub fn replace_voter(body: &[u8]) -> Result<ApiRequest, ApiError> {
+    let mut findings = Vec::new();
+    let body: Option<VotersBody> = typed(object(body)?, "", &mut findings);
+    finish(body.map(|body| ApiRequest::ReplaceVoter { old: body.old, new: body.new }), findings)
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct VotersBody {
+    old: Name,
+    new: Name,
+}
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -88,11 +99,8 @@
     };
     check(announcement.slots > 0, "slots", "a target runs at least 1 call at once");
     check(announcement.connections > 0, "connections", "a target takes at least 1 connection");
-    check(
-        (1..=MAX_LEASE_MS).contains(&announcement.lease_ms),
-        "lease_ms",
-        "use 1 to 600000 milliseconds",
-    );
+    let lease = format!("use 1 to {MAX_LEASE_MS} milliseconds");
+    check((1..=MAX_LEASE_MS).contains(&announcement.lease_ms), "lease_ms", &lease);
     check(announcement.address.port() != 0, "address", "give the port of the target");
 }
 
