--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use super::call::{CallHead, CallOrigin, ForwardHead, Outcome, Refusal, RefusalCode};
+use super::call::{CallHead, CallOrigin, ForwardHead};
 use super::chain::Chain;
 use super::finish::Finished;
+use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Call, MAX_ATTEMPTS, Stage};
 use super::table::RouteRule;
 use super::{CallEffect, Routing, ServiceKey, TargetKey};
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -1,8 +1,9 @@
 //! Attempts of a call: at the gate, under way, failed, tried elsewhere.
 
-use super::call::{ForwardHead, GateLoad, Outcome, Refusal, RefusalCode};
+use super::call::{ForwardHead, GateLoad};
 use super::chain::Chain;
 use super::gate::Admission;
+use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
@@ -206,106 +207,6 @@
         }
     }
 
-    /// An attempt ended without an answer of a target.
-    pub(super) fn failed(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        attempt: u8,
-        refusal: Refusal,
-        replayable: bool,
-        load: Option<GateLoad>,
-    ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let (Stage::Running(running) | Stage::Cancelling(running)) = call.stage else { return };
-        if call.attempt != attempt {
-            return;
-        }
-        call.is_replayable &= replayable;
-        if call.is_ingress() {
-            self.observe_failure(cx, running, refusal, load);
-        }
-        self.release(cx, id, running, false);
-        self.attempt_failed(cx, id, refusal);
-    }
-
-    fn observe_failure(
-        &mut self,
-        cx: &Context<'_>,
-        attempt: Attempt,
-        refusal: Refusal,
-        load: Option<GateLoad>,
-    ) {
-        if let Some(load) = load {
-            self.targets[attempt.target].hear_gate(load, cx.now);
-        }
-        let says_of_target = match refusal.code {
-            RefusalCode::Overloaded | RefusalCode::ProxyBusy => false,
-            RefusalCode::DeadlineExceeded => false,
-            _ => !attempt.is_overdue,
-        };
-        if says_of_target {
-            self.note_failure(cx, attempt.target);
-        }
-    }
-
-    /// Tries a call elsewhere after a failed attempt, or refuses it.
-    pub(super) fn attempt_failed(&mut self, cx: &mut Context<'_>, id: CallId, refusal: Refusal) {
-        if !self.calls.contains_key(&id) {
-            return;
-        }
-        if self.take_failure(cx, id, refusal) {
-            self.try_next(cx, id);
-        } else {
-            self.give_up(cx, id);
-        }
-    }
-
-    /// Notes the end of an attempt. Returns whether the call is tried again.
-    fn take_failure(&mut self, cx: &mut Context<'_>, id: CallId, refusal: Refusal) -> bool {
-        let call = self.call_mut(id);
-        call.stage = Stage::Choosing;
-        call.may_have_run |= refusal.outcome != Outcome::NotRun;
-        call.last_failure = Some(refusal);
-        let is_paid = std::mem::take(&mut call.is_retry_paid);
-        let is_safe = refusal.outcome == Outcome::NotRun || call.is_repeatable;
-        let is_possible = call.is_ingress()
-            && is_safe
-            && call.is_replayable
-            && call.may_try_again()
-            && cx.now < call.deadline;
-        if !is_possible {
-            return false;
-        }
-        is_paid || self.is_free(cx, id, refusal) || self.pay_for_retry(id)
-    }
-
-    /// Whether another attempt adds no load to the targets: nothing was asked
-    /// of the last one, and another has room.
-    fn is_free(&self, cx: &Context<'_>, id: CallId, refusal: Refusal) -> bool {
-        if refusal.outcome != Outcome::NotRun {
-            return false;
-        }
-        match refusal.code {
-            RefusalCode::Overloaded | RefusalCode::ProxyBusy => self.has_spare_elsewhere(cx, id),
-            _ => true,
-        }
-    }
-
-    /// Takes a retry from the service's budget. A call that is itself a retry,
-    /// or was made for one, is not retried: a chain of calls must not multiply.
-    pub(super) fn pay_for_retry(&mut self, id: CallId) -> bool {
-        let Some(call) = self.calls.get_mut(&id) else { return false };
-        let service = &mut self.services[call.service];
-        let paid = !call.chain.retried && service.budget.spend();
-        if paid {
-            call.chain.retried = true;
-        } else {
-            service.counts.retries_denied += 1;
-        }
-        paid
-    }
-
     /// Drops an attempt; [`super::CallEvent::Failed`] follows.
     pub(super) fn cancel_attempt(&mut self, cx: &mut Context<'_>, id: CallId) {
         let call = self.call_mut(id);
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
-use super::call::{Outcome, Refusal, RefusalCode};
+use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
 use super::table::RouteRule;
 use super::{CallEffect, Routing, TargetKey};
--- a/crates/core/src/routing/metrics.rs
+++ b/crates/core/src/routing/metrics.rs
@@ -2,7 +2,7 @@
 
 use strum::IntoEnumIterator;
 
-use super::call::{Outcome, RefusalCode};
+use super::refusal::{Outcome, RefusalCode};
 use crate::ids::{Name, TargetId};
 
 /// Counters of one service at one proxy.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -15,10 +15,12 @@
 mod chain;
 mod choose;
 mod estimate;
+mod failure;
 mod finish;
 mod gate;
 mod health;
 mod metrics;
+mod refusal;
 mod state;
 mod table;
 mod target;
@@ -29,12 +31,10 @@
 
 use slotmap::SlotMap;
 
-pub use call::{
-    CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, GateLoad, Outcome, Refusal,
-    RefusalCode,
-};
+pub use call::{CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, GateLoad};
 pub use chain::{Chain, ChainError};
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
+pub use refusal::{Outcome, Refusal, RefusalCode};
 
 use crate::collections::HashMap;
 use crate::config::Configuration;
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use super::budget::RetryBudget;
-use super::call::Refusal;
 use super::chain::Chain;
 use super::estimate::Estimate;
 use super::metrics::ServiceCounts;
+use super::refusal::Refusal;
 use super::table::RouteRule;
 use super::{ServiceKey, TargetKey};
 use crate::ids::{CallId, Name};
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -11,7 +11,7 @@
 use crate::context::Context;
 use crate::ids::{CallId, Name, NodeId};
 use crate::membership::{Member, MemberStatus, MembershipChange, TargetRecord, TargetState};
-use crate::routing::call::{Outcome, Refusal, RefusalCode};
+use crate::routing::refusal::{Outcome, Refusal, RefusalCode};
 
 impl Routing {
     /// A version came into force at this process.
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -11,8 +11,9 @@
 use fireflylug_core::distribution::{DistributionMessage, Update};
 use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, TargetId, Version};
 use fireflylug_core::membership::TargetAnnouncement;
-use fireflylug_core::resource::Resource;
+use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_daemon::Daemon;
+use fireflylug_fault::TargetStandIn;
 use fireflylug_settings::Settings;
 
 /// Time for every daemon to learn what another was told.
@@ -77,6 +78,28 @@
         Ok(mesh)
     }
 
+    /// Starts `ingresses` daemons without targets, and an owner of each target of
+    /// one service, whose calls have `deadline_ms`.
+    pub async fn start_with_targets(
+        ingresses: usize,
+        deadline_ms: u64,
+        targets: &[TargetStandIn],
+    ) -> eyre::Result<Self> {
+        let mut mesh = Self::start(ingresses + targets.len()).await?;
+        let quick = Policy::new(name("quick")).with_deadline_ms(deadline_ms as u32);
+        mesh.configure([
+            Resource::Policy(quick),
+            Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+            Resource::Route(Route::new(name("seats"), "/", name("seatdesk"))),
+        ]);
+        for (index, target) in targets.iter().enumerate() {
+            let id = format!("t{index}");
+            mesh.announce(ingresses + index, Announced::new("seatdesk", &id, target.address()));
+        }
+        mesh.wait_for_targets(targets.len()).await?;
+        Ok(mesh)
+    }
+
     /// Starts one more daemon, or in the place of one that was stopped.
     pub async fn add_daemon(&mut self) -> eyre::Result<()> {
         self.add_daemon_with(|settings| settings).await
--- a/crates/measure/src/calls/overload.rs
+++ b/crates/measure/src/calls/overload.rs
@@ -7,14 +7,14 @@
 
 use std::time::Duration;
 
-use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_fault::{TargetOptions, TargetStandIn};
 
 use super::load::{Call, Callee, Callers, Tally};
-use super::mesh::{Announced, Mesh, name};
+use super::mesh::Mesh;
 use crate::{Bound, Figure, Options, Report};
 
 const TARGETS: usize = 4;
+/// Slots of each target, as [`super::mesh::Announced`] tells them.
 const SLOTS: usize = 12;
 /// Time that a target takes for each call, in microseconds.
 const SERVICE_TIME_US: u64 = 40_000;
@@ -43,7 +43,7 @@
     for _ in 0..TARGETS {
         targets.push(TargetStandIn::start(stand_in).await?);
     }
-    let mesh = start_mesh(&targets).await?;
+    let mesh = Mesh::start_with_targets(INGRESSES, CALL.give_up_ms, &targets).await?;
     let addresses: Vec<_> = targets.iter().map(TargetStandIn::address).collect();
     let baseline = Callers::new(Callee::Random(addresses));
     let proxies = (0..INGRESSES).map(|index| mesh.calls(index)).collect();
@@ -98,23 +98,6 @@
         )))
 }
 
-async fn start_mesh(targets: &[TargetStandIn]) -> eyre::Result<Mesh> {
-    let mut mesh = Mesh::start(INGRESSES + targets.len()).await?;
-    let quick = Policy::new(name("quick")).with_deadline_ms(CALL.give_up_ms as u32);
-    mesh.configure([
-        Resource::Policy(quick),
-        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
-        Resource::Route(Route::new(name("seats"), "/", name("seatdesk"))),
-    ]);
-    for (index, target) in targets.iter().enumerate() {
-        let id = format!("t{index}");
-        let announced = Announced::new("seatdesk", &id, target.address());
-        mesh.announce(INGRESSES + index, announced.with_limits(SLOTS as u32, 120));
-    }
-    mesh.wait_for_targets(targets.len()).await?;
-    Ok(mesh)
-}
-
 /// Calls a second that the targets answer when every slot is in use.
 async fn capacity(targets: &[TargetStandIn], seed: u64) -> f64 {
     let each = targets.iter().map(|target| {
--- a/crates/measure/src/calls/stall.rs
+++ b/crates/measure/src/calls/stall.rs
@@ -7,11 +7,10 @@
 
 use std::time::Duration;
 
-use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_fault::{TargetOptions, TargetStandIn};
 
 use super::load::{Call, Callee, Callers, Tally};
-use super::mesh::{Announced, Mesh, name};
+use super::mesh::Mesh;
 use crate::{Bound, Figure, Options, Report};
 
 const TARGETS: usize = 6;
@@ -64,7 +63,7 @@
     for _ in 0..TARGETS {
         targets.push(TargetStandIn::start(healthy).await?);
     }
-    let mesh = start_mesh(&targets).await?;
+    let mesh = Mesh::start_with_targets(INGRESSES, CALL.give_up_ms, &targets).await?;
     let callee = if through_mesh {
         Callee::Mesh((0..INGRESSES).map(|index| mesh.calls(index)).collect())
     } else {
@@ -83,22 +82,6 @@
     Ok((first.await?, after))
 }
 
-async fn start_mesh(targets: &[TargetStandIn]) -> eyre::Result<Mesh> {
-    let mut mesh = Mesh::start(INGRESSES + targets.len()).await?;
-    let quick = Policy::new(name("quick")).with_deadline_ms(CALL.give_up_ms as u32);
-    mesh.configure([
-        Resource::Policy(quick),
-        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
-        Resource::Route(Route::new(name("seats"), "/", name("seatdesk"))),
-    ]);
-    for (index, target) in targets.iter().enumerate() {
-        let id = format!("t{index}");
-        mesh.announce(INGRESSES + index, Announced::new("seatdesk", &id, target.address()));
-    }
-    mesh.wait_for_targets(targets.len()).await?;
-    Ok(mesh)
-}
-
 /// Share of calls that failed, were refused or were late, in percent.
 fn bad_percent(tally: &Tally) -> f64 {
     let in_time = tally.good.count_between(0, LATE_MS * 1_000);
