--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -52,8 +52,8 @@
     let answer = client.read("/v1/burn").await?;
     let report: BurnReport = read::decode(answer.clone())?;
     match form {
-        Output::Json => output::json(&answer),
-        Output::Table => output::table(&report.rows.iter().map(row).collect::<Vec<_>>()),
+        Output::Json => output::json(&answer)?,
+        Output::Table => output::table(&report.rows.iter().map(row).collect::<Vec<_>>())?,
     }
     if let Some(file) = svg {
         let chart = chart(&report)?;
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -61,9 +61,10 @@
     let answer = send_change(client, &call).await?;
     match form {
         Output::Json => output::json(&answer),
-        Output::Table => println!("{} votes in the place of {}", replace.new, replace.old),
+        Output::Table => {
+            output::line(&format!("{} votes in the place of {}", replace.new, replace.old))
+        }
     }
-    Ok(())
 }
 
 async fn finish(
@@ -75,8 +76,8 @@
     let answer = send_change(client, call).await?;
     let version = answer["version"].as_u64().unwrap_or_default();
     match form {
-        Output::Json => output::json(&answer),
-        Output::Table => println!("accepted at version {version}"),
+        Output::Json => output::json(&answer)?,
+        Output::Table => output::line(&format!("accepted at version {version}"))?,
     }
     match options.wait_limit_s {
         Some(limit_s) => watch::wait_in_force(client, Version(version), limit_s).await,
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -51,6 +51,9 @@
         /// The limit, in seconds.
         limit_s: u64,
     },
+    /// Whoever read the output wants no more of it, such as `head`.
+    #[error("the output was closed")]
+    OutputClosed,
     /// Something else failed on this side.
     #[error("{0}")]
     Failed(String),
@@ -64,6 +67,7 @@
             Self::Refused(error) if error.code == ErrorCode::OutcomeUnknown => ExitStatus::Unknown,
             Self::Refused(_) | Self::Failed(_) => ExitStatus::Refused,
             Self::Unknown { .. } => ExitStatus::Unknown,
+            Self::OutputClosed => ExitStatus::Done,
             Self::Unreachable(_) => ExitStatus::Unreachable,
             Self::NotInForce { .. } => ExitStatus::NotInForce,
         }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -26,7 +26,7 @@
 pub fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     match run(&args) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) | Err(CliError::OutputClosed) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fireflylug: {error}");
             ExitCode::from(error.exit_status() as u8)
@@ -37,8 +37,8 @@
 fn run(args: &[String]) -> Result<(), CliError> {
     let command = Command::from_args(args)?;
     match command.action {
-        Action::Help => return print(&args::help()),
-        Action::Version => return print(concat!("fireflylug ", env!("CARGO_PKG_VERSION"))),
+        Action::Help => return output::line(&args::help()),
+        Action::Version => return output::line(concat!("fireflylug ", env!("CARGO_PKG_VERSION"))),
         _ => {}
     }
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -62,8 +62,3 @@
         Action::Help | Action::Version => Ok(()),
     }
 }
-
-fn print(text: &str) -> Result<(), CliError> {
-    println!("{text}");
-    Ok(())
-}
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,18 +1,30 @@
-//! Prints tables and JSON.
+//! Prints lines, tables and JSON.
+
+use std::io::{ErrorKind, Write, stdout};
 
 use serde::Serialize;
 use tabled::settings::Style;
 use tabled::{Table, Tabled};
 
+use crate::CliError;
+
+/// Prints a line at once.
+pub fn line(text: &str) -> Result<(), CliError> {
+    let mut out = stdout().lock();
+    let written = writeln!(out, "{text}").and_then(|()| out.flush());
+    written.map_err(|error| match error.kind() {
+        ErrorKind::BrokenPipe => CliError::OutputClosed,
+        _ => CliError::Failed(format!("cannot write the output: {error}")),
+    })
+}
+
 /// Prints a value as JSON.
-pub fn json(value: &impl Serialize) {
-    match serde_json::to_string_pretty(value) {
-        Ok(text) => println!("{text}"),
-        Err(error) => eprintln!("fireflylug: the answer cannot be shown: {error}"),
-    }
+pub fn json(value: &impl Serialize) -> Result<(), CliError> {
+    let text = serde_json::to_string_pretty(value);
+    line(&text.map_err(|error| CliError::Failed(format!("cannot show the answer: {error}")))?)
 }
 
 /// Prints rows as a table.
-pub fn table<T: Tabled>(rows: &[T]) {
-    println!("{}", Table::new(rows).with(Style::sharp()));
+pub fn table<T: Tabled>(rows: &[T]) -> Result<(), CliError> {
+    line(&Table::new(rows).with(Style::sharp()).to_string())
 }
--- a/crates/cli/src/read.rs
+++ b/crates/cli/src/read.rs
@@ -38,16 +38,14 @@
     let stale = if get.stale { "?stale=true" } else { "" };
     let answer = client.read(&format!("{}{stale}", path(get.kind, get.name.as_ref()))).await?;
     if form == Output::Json {
-        output::json(&answer);
-        return Ok(());
+        return output::json(&answer);
     }
     let resources: Vec<StoredResource> = match &get.name {
         Some(_) => vec![decode(answer)?],
         None => decode(answer["resources"].clone())?,
     };
     let rows: Result<Vec<ResourceRow>, CliError> = resources.iter().map(resource_row).collect();
-    output::table(&rows?);
-    Ok(())
+    output::table(&rows?)
 }
 
 fn resource_row(stored: &StoredResource) -> Result<ResourceRow, CliError> {
@@ -95,44 +93,46 @@
 pub async fn status(client: &mut Client, form: Output) -> Result<(), CliError> {
     let answer = client.read("/v1/status").await?;
     if form == Output::Json {
-        output::json(&answer);
-        return Ok(());
+        return output::json(&answer);
     }
     let status: StatusReport = decode(answer)?;
-    println!(
+    output::line(&format!(
         "{} in {} ({}): version {}, {}",
         status.host,
         status.availability_zone,
         status.region,
         status.version,
         if status.ready { "ready" } else { "not ready" }
-    );
+    ))?;
     if let Some(since_unix_ms) = status.cut_off_since_unix_ms {
-        println!("cut off from every control replica since Unix time {} s", since_unix_ms / 1_000);
+        output::line(&format!(
+            "cut off from every control replica since Unix time {} s",
+            since_unix_ms / 1_000
+        ))?;
     }
     if let Some(control) = &status.control {
-        print_replica(control);
+        print_replica(control)?;
     }
     for replica in &status.control_replicas {
-        println!("control replica in reach: {} at {}", replica.host, replica.api);
+        output::line(&format!("control replica in reach: {} at {}", replica.host, replica.api))?;
     }
-    output::table(&zone_rows(&status));
-    output::table(&target_rows(&status));
-    Ok(())
+    output::table(&zone_rows(&status))?;
+    output::table(&target_rows(&status))
 }
 
-fn print_replica(replica: &ReplicaReport) {
-    println!(
+fn print_replica(replica: &ReplicaReport) -> Result<(), CliError> {
+    output::line(&format!(
         "control replica: {} in term {}, leader {}, committed version {}, voters {}",
         replica.role,
         replica.term,
         replica.leader.as_deref().unwrap_or("none known"),
         replica.committed,
         replica.voters.join(" ")
-    );
+    ))?;
     if let Some(for_ms) = replica.not_current_for_ms {
-        println!("NOT CURRENT: in touch with no quorum for {} s", for_ms / 1_000);
+        output::line(&format!("NOT CURRENT: in touch with no quorum for {} s", for_ms / 1_000))?;
     }
+    Ok(())
 }
 
 fn zone_rows(status: &StatusReport) -> Vec<ZoneRow> {
--- a/crates/cli/src/watch.rs
+++ b/crates/cli/src/watch.rs
@@ -10,8 +10,8 @@
 use hyper::body::Incoming;
 use serde::Deserialize;
 
-use crate::CliError;
 use crate::client::Client;
+use crate::{CliError, output};
 
 /// Time without any line, empty ones included, after which a watch counts as broken.
 const SILENCE_LIMIT: Duration = Duration::from_secs(15);
@@ -34,7 +34,7 @@
             {
                 from = from.max(Some(*version));
             }
-            println!("{line}");
+            output::line(&line)?;
         }
         eprintln!("fireflylug: the watch broke; opening it again");
         client.next_address();
