--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -5,7 +5,7 @@
 use fireflylug_core::config::{ChangeRequest, ChangeSet, Configuration, Operation};
 use fireflylug_core::consensus::{
     ChangeOutcome, ConsensusMessage, ControlOutput, ControlReplica, ControlRole, ControlSettings,
-    ControlStatus, DiskEvent, Origin, Voter,
+    ControlStatus, DiskEvent, DiskWrite, Origin, Voter,
 };
 use fireflylug_core::context::{Addresses, Context, Identity};
 use fireflylug_core::ids::{
@@ -61,6 +61,8 @@
     /// Encoded bytes of the messages that each replica sent, while they are counted.
     pub sent_bytes: Vec<usize>,
     pub counts_bytes: bool,
+    /// How often a replica started from nothing of itself.
+    pub resets: u32,
     pub max_heartbeat_bytes: usize,
     initial: Vec<NodeId>,
     queue: BTreeMap<(u64, u64), Occurrence>,
@@ -89,6 +91,7 @@
             reads: BTreeMap::new(),
             sent_bytes: vec![0; count],
             counts_bytes: false,
+            resets: 0,
             max_heartbeat_bytes: 0,
             initial,
             queue: BTreeMap::new(),
@@ -284,6 +287,7 @@
                 self.send(at, to, message);
             }
             Effect::Disk(command) => {
+                self.resets += u32::from(matches!(command.write, DiskWrite::Reset { .. }));
                 self.nodes[at].disk.write(command);
                 if !self.nodes[at].sync_under_way {
                     self.nodes[at].sync_under_way = true;
--- a/crates/core/tests/consensus/random.rs
+++ b/crates/core/tests/consensus/random.rs
@@ -167,6 +167,7 @@
         .filter(|outcome| matches!(outcome, ChangeOutcome::Accepted { .. }))
         .count();
     assert!(accepted > 20, "only {accepted} changes were accepted");
+    assert_eq!(cluster.resets, 0, "a disk was taken for an older copy of itself");
     for node in 0..count {
         oracle.check(&cluster, node);
     }
