Control replicas: what a later term dropped is no sign of an older disk copy

Cause: what a voter had acknowledged was remembered without its term. A voter whose uncommitted entries were dropped by a later leader was taken for an older copy of its disk at its next start and began from nothing, though its disk was whole (found by review, shown by a case with five replicas, which failed before). Change: the last acknowledged entry counts only within its term.

--- a/crates/core/src/consensus/floors.rs
+++ b/crates/core/src/consensus/floors.rs
@@ -45,8 +45,9 @@
     pub(super) fn raise(&mut self, disk: DiskId, heard: Floor) {
         let floor = self.by_disk.entry(disk).or_default();
         floor.generation = floor.generation.max(heard.generation);
-        floor.term = floor.term.max(heard.term);
-        floor.match_index = floor.match_index.max(heard.match_index);
+        // A later term may drop what was acknowledged in an earlier one.
+        let newest = (floor.term, floor.match_index).max((heard.term, heard.match_index));
+        (floor.term, floor.match_index) = newest;
     }
 }
 
@@ -60,11 +61,11 @@
     }
 
     /// Takes what the leader says that the voters acknowledged.
-    pub(super) fn take_acknowledged(&mut self, acknowledged: &[(DiskId, u64)]) {
+    pub(super) fn take_acknowledged(&mut self, term: u64, acknowledged: &[(DiskId, u64)]) {
         for (disk, match_index) in acknowledged {
             let is_voter = self.counting_sets().any(|set| set.contains_disk(*disk));
             if is_voter {
-                let heard = Floor { match_index: *match_index, ..Floor::default() };
+                let heard = Floor { generation: 0, term, match_index: *match_index };
                 self.floors.raise(*disk, heard);
             }
         }
@@ -76,7 +77,8 @@
         if !leadership.round.is_multiple_of(ACKNOWLEDGED_ROUNDS) {
             return Vec::new();
         }
-        let peers = leadership.peers.values();
+        // One that has not answered in this term has promised nothing in it.
+        let peers = leadership.peers.values().filter(|peer| peer.match_index > 0);
         peers.filter_map(|peer| Some((peer.disk?.0, peer.match_index))).collect()
     }
 
@@ -86,9 +88,11 @@
             return;
         }
         let floor = hello.floor.unwrap_or_default();
+        let lacks_entries =
+            floor.term == self.hard_state.term && floor.match_index > self.storage.durable_index();
         let is_older = floor.generation > self.generation
             || floor.term > self.hard_state.term
-            || floor.match_index > self.storage.durable_index();
+            || lacks_entries;
         if is_older {
             let text = "The data folder is an older copy; starting from nothing.";
             cx.log(LogLevel::Warn, LogPart::Disk, text.to_owned());
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -43,7 +43,7 @@
             self.answer_leader(cx, Some(rejected));
             return;
         }
-        self.take_acknowledged(&append.acknowledged);
+        self.take_acknowledged(append.term, &append.acknowledged);
         let last = append.entries.last().map_or(append.prev_index, |entry| entry.index);
         self.take_entries(cx, append.entries);
         self.verified = self.verified.max(last);
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -75,7 +75,7 @@
     pub generation: u64,
     /// Newest term in which it promised something.
     pub term: u64,
-    /// Last entry that it acknowledged.
+    /// Last entry that it acknowledged in that term.
     pub match_index: u64,
 }
 
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -206,6 +206,38 @@
     assert!(cluster.is_voting(restored));
 }
 
+#[test]
+fn disk_whose_uncommitted_entries_were_dropped_is_no_older_copy() {
+    let (mut cluster, leader) = led_cluster(5, 18);
+    let [minor, others @ ..] = &followers(5, leader)[..] else { panic!("five replicas") };
+    // Entries of the leader that only one follower acknowledges.
+    for other in others {
+        for side in [leader, *minor] {
+            cluster.cut.extend([(side, *other), (*other, side)]);
+        }
+    }
+    for entry in 0..10 {
+        cluster.propose(leader, put_service(&format!("dropped-{entry}")));
+    }
+    cluster.run_for(300);
+    wait_for_leader(&mut cluster, Some(leader));
+    cluster.heal();
+    cluster.run_for(1_000);
+    // Of the others, those that remember the acknowledgements answer.
+    for other in &others[1..] {
+        cluster.cut.extend([(*minor, *other), (*other, *minor)]);
+    }
+
+    cluster.crash(*minor);
+    cluster.start(*minor);
+    cluster.run_for(1_000);
+    cluster.heal();
+    cluster.run_for(1_000);
+
+    assert_eq!(cluster.resets, 0);
+    assert!(cluster.is_voting(*minor));
+}
+
 #[test]
 fn disk_of_another_host_is_started_from_nothing() {
     let (mut cluster, leader) = led_cluster(3, 14);
