Readiness waits for someone who knows what was in force; trees without cycles

A process now serves only after word of a control replica with a leader, given after its start, or beside a neighbour that serves. Word is dated by the question, not by the arrival of the answer.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -133,15 +133,20 @@
         self.children.children.insert(from, child);
         self.children.holds(cx.now, from, report.version);
         if report.asks {
-            let version = self.current.version();
-            let control_age_ms = self.control_age_ms(cx);
-            cx.send(from, DistributionMessage::Status(Status { version, control_age_ms }));
+            self.send_status(cx, from);
         }
         self.note_newer(cx, membership, from, report.version);
         self.serve(cx);
         self.holders_changed(cx, membership);
     }
 
+    fn send_status(&self, cx: &mut Context<'_>, to: NodeId) {
+        let version = self.current.version();
+        let newest = self.newest.max(version);
+        let control_age_ms = self.control_age_ms(cx);
+        cx.send(to, DistributionMessage::Status(Status { version, newest, control_age_ms }));
+    }
+
     /// Sends the present version to every child that lacks it.
     pub(super) fn serve(&mut self, cx: &mut Context<'_>) {
         let version = self.current.version();
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -56,6 +56,9 @@
     /// The newest version that the receiver acknowledged, as the sender remembers it.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub remembered: Option<Version>,
+    /// Whether the sender may serve calls.
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_ready: bool,
 }
 
 /// What a child and the children below it hold.
@@ -100,7 +103,10 @@
     /// The version in force at the parent.
     #[serde(rename = "v")]
     pub version: Version,
-    /// Time since a control replica was heard along the chain of parents, in
+    /// The newest version that was heard of along the chain of parents.
+    #[serde(rename = "n")]
+    pub newest: Version,
+    /// Time since a control replica that has a leader was heard along the chain of parents, in
     /// milliseconds; none where it never was.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub control_age_ms: Option<u64>,
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -66,6 +66,8 @@
     progress: Option<Progress>,
     /// When a control replica was last heard along the chain of parents.
     control_heard_at: Option<Instant>,
+    /// The newest version that was heard of along that chain.
+    newest: Version,
     /// Whether a version was published and not yet passed on.
     published: bool,
 }
@@ -86,6 +88,7 @@
             zone_reports: ZoneReports::default(),
             progress: None,
             control_heard_at: None,
+            newest: Version(0),
             published: false,
         }
     }
@@ -132,6 +135,12 @@
         self.children.serve_at = cx.now;
     }
 
+    /// This control replica has a leader, so that what it publishes is current.
+    pub fn leader_known(&mut self, now: Instant) {
+        self.control_heard_at = Some(now);
+        self.readiness.vouch();
+    }
+
     /// Takes the version that came into force at this process since the last call.
     ///
     /// None before the process is ready: calls must not be served by a version
@@ -266,7 +275,14 @@
             cx.log(LogLevel::Error, LogPart::Distribution, text);
         }
         self.remember(cx, membership, from, holds.version);
-        self.readiness.heard(from, holds.version, holds.remembered);
+        let own = &cx.me.locality.availability_zone;
+        let same_zone =
+            membership.member(from).is_some_and(|member| member.locality.availability_zone == *own);
+        // One that does not serve yet may have been restarted with this process.
+        if holds.is_ready && (same_zone || holds.remembered.is_some()) {
+            self.readiness.vouch();
+        }
+        self.readiness.heard(from, holds.version.max(holds.remembered.unwrap_or_default()));
         self.children.holds(cx.now, from, holds.version);
         self.note_newer(cx, membership, from, holds.version);
     }
@@ -278,14 +294,24 @@
         from: NodeId,
         status: Status,
     ) {
-        if self.upstream.parent == Some(from) {
-            self.upstream.answered();
-        }
-        if let Some(age_ms) = status.control_age_ms {
-            let heard_at = Instant::from_ms(cx.now.as_ms().saturating_sub(age_ms));
+        self.note_newer(cx, membership, from, status.version);
+        self.readiness.heard(from, status.newest);
+        self.newest = self.newest.max(status.newest);
+        let is_parent = self.upstream.parent == Some(from);
+        let asked_at = if is_parent { self.upstream.answered() } else { None };
+        if let (Some(asked_at), Some(age_ms)) = (asked_at, status.control_age_ms) {
+            // The answer was made after the question, so control was heard no
+            // earlier than this, however long the answer took to arrive.
+            let heard_at = Instant::from_ms(asked_at.as_ms().saturating_sub(age_ms));
             self.control_heard_at = self.control_heard_at.max(Some(heard_at));
+            // Word from before the start says nothing of what was in force at its end.
+            if heard_at > Instant::ZERO {
+                self.readiness.vouch();
+            }
+        }
+        if !self.readiness.is_vouched() {
+            self.upstream.ask_again_soon(cx.now);
         }
-        self.note_newer(cx, membership, from, status.version);
     }
 
     fn take_update(
@@ -336,6 +362,7 @@
             version: self.current.version(),
             hash: self.current.hash(),
             remembered: self.remembered.get(&to).copied(),
+            is_ready: self.is_ready(),
         };
         cx.send(to, DistributionMessage::Holds(holds));
     }
@@ -358,9 +385,6 @@
     }
 
     fn control_age_ms(&self, cx: &Context<'_>) -> Option<u64> {
-        if cx.me.control {
-            return Some(0);
-        }
         self.control_heard_at.map(|heard_at| cx.now.since_ms(heard_at))
     }
 
--- a/crates/core/src/distribution/ready.rs
+++ b/crates/core/src/distribution/ready.rs
@@ -22,6 +22,10 @@
 pub(super) struct Readiness {
     is_ready: bool,
     floor: Version,
+    /// Whether anybody was heard who knows what was in force before this start:
+    /// a control replica with a leader, or a neighbour that serves. Others may
+    /// have been cut off or restarted too.
+    is_vouched: bool,
     heard: BTreeSet<NodeId>,
     /// When neighbours are waited for no longer.
     give_up_at: Instant,
@@ -34,6 +38,7 @@
         Self {
             is_ready: false,
             floor: Version(0),
+            is_vouched: false,
             heard: BTreeSet::new(),
             give_up_at: Instant::NEVER,
             look_at: Instant::NEVER,
@@ -49,13 +54,21 @@
         self.is_ready
     }
 
-    /// A neighbour said what it holds and what it remembers of this process.
-    pub fn heard(&mut self, neighbour: NodeId, holds: Version, remembered: Option<Version>) {
-        if self.is_ready {
-            return;
+    /// Another process said up to which version it knows.
+    pub fn heard(&mut self, from: NodeId, version: Version) {
+        if !self.is_ready {
+            self.heard.insert(from);
+            self.floor = self.floor.max(version);
         }
-        self.heard.insert(neighbour);
-        self.floor = self.floor.max(holds).max(remembered.unwrap_or_default());
+    }
+
+    /// Someone was heard who knows what was in force before this start.
+    pub fn vouch(&mut self) {
+        self.is_vouched = true;
+    }
+
+    pub fn is_vouched(&self) -> bool {
+        self.is_vouched
     }
 
     /// Looks whether nothing is waited for any more.
@@ -66,8 +79,8 @@
         if self.give_up_at == Instant::NEVER {
             self.give_up_at = now.plus_ms(NEIGHBOURS_TIMEOUT_MS);
         }
-        if held < self.floor {
-            // The update that lifts it above the floor comes as an event.
+        if held < self.floor || !self.is_vouched {
+            // What is missing comes as an event.
             self.look_at = Instant::NEVER;
             return;
         }
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -18,6 +18,10 @@
 /// Time between two reports that ask for an answer, in milliseconds.
 pub const REFRESH_EVERY_MS: u64 = 5_000;
 
+/// The same while a process that was started waits for word of a control
+/// replica, in milliseconds.
+const ASK_AGAIN_AFTER_MS: u64 = 250;
+
 /// Time after which a parent that did not answer is replaced, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
 
@@ -28,7 +32,7 @@
 const MAX_WAIT_MS: u64 = 5_000;
 
 /// Time after which a process that took another parent tries the right one again, in milliseconds.
-const RETRY_FIRST_AFTER_MS: u64 = 30_000;
+const RETRY_FIRST_AFTER_MS: u64 = 10_000;
 
 /// Most members of the own availability zone that are tried as parents.
 const MAX_CANDIDATES: usize = 8;
@@ -69,9 +73,14 @@
         self.next_ask_at.min(timeout_at)
     }
 
-    /// The parent answered.
-    pub fn answered(&mut self) {
-        self.asked_at = None;
+    /// The parent answered. Returns when it was asked.
+    pub fn answered(&mut self) -> Option<Instant> {
+        self.asked_at.take()
+    }
+
+    /// Asks sooner than usual: this process waits for word of a control replica.
+    pub fn ask_again_soon(&mut self, now: Instant) {
+        self.next_ask_at = self.next_ask_at.min(now.plus_ms(ASK_AGAIN_AFTER_MS));
     }
 }
 
@@ -199,7 +208,9 @@
         Some(0) => sources(cx, membership),
         place => {
             let parent = place.map(|place| order[(place - 1) / MAX_FAN_OUT]);
-            let others = order.iter().copied().filter(|id| *id != cx.me.id && Some(*id) != parent);
+            // Only those before this process: two must not be each other's parents.
+            let before = &order[..place.unwrap_or(order.len())];
+            let others = before.iter().copied().filter(|id| Some(*id) != parent);
             parent.into_iter().chain(others.take(MAX_CANDIDATES)).collect()
         }
     }
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -270,8 +270,8 @@
 }
 
 #[rstest]
-#[case::remembered_of_it(Holds { version: Version(1), hash: Default::default(), remembered: Some(Version(2)) })]
-#[case::held_by_a_neighbour(Holds { version: Version(2), hash: Default::default(), remembered: None })]
+#[case::remembered_of_it(Holds { version: Version(1), hash: Default::default(), remembered: Some(Version(2)), is_ready: true })]
+#[case::held_by_a_neighbour(Holds { version: Version(2), hash: Default::default(), remembered: None, is_ready: true })]
 fn process_is_ready_at_what_it_was_told_and_not_below(#[case] told: Holds) {
     let mut mesh = Mesh::started(&two_regions(2), 19);
     let versions = versions(2);
@@ -373,6 +373,40 @@
     assert!(from_source <= 3 * zones.len() as u64, "{from_source} snapshots from the source");
 }
 
+#[rstest]
+fn zone_that_restarted_beside_one_that_was_cut_off_waits_for_control() {
+    let zones = [
+        zone("kochi", "kochi-aluva", 3, 1),
+        zone("kozhikode", "kzd-feroke", 4, 0),
+        zone("kozhikode", "kzd-mavoor", 4, 0),
+    ];
+    let (mut mesh, versions) = mesh_with_first(&zones, 20);
+    let old = mesh.zone_hosts("kzd-feroke");
+    let others = mesh.others(&old);
+    mesh.set_cut(&old, &others, true);
+    mesh.publish(&versions[1]);
+    let restarted = mesh.zone_hosts("kzd-mavoor");
+    mesh.run_until("held", 5, |mesh| restarted.iter().all(|host| version_of(mesh, *host) == 2));
+    (0..3).chain(restarted.iter().copied()).for_each(|host| mesh.crash(host));
+    mesh.set_cut(&old, &others, false);
+    let seeds = vec![mesh.identity(old[0]).addresses.peers];
+
+    for host in &restarted {
+        mesh.set_seeds(*host, seeds.clone());
+        mesh.start(*host);
+    }
+    mesh.run_ms(20_000);
+    let served: Vec<u64> =
+        restarted.iter().map(|host| ready_version(mesh.process(*host))).collect();
+    mesh.start(0);
+    mesh.publish_at(0, &versions[1]);
+
+    assert_eq!(served, vec![u64::MAX; 4], "one serves below version 2");
+    mesh.run_until("ready at 2", 15, |mesh| {
+        restarted.iter().all(|host| ready_version(mesh.process(*host)) == 2)
+    });
+}
+
 #[rstest]
 fn restarted_host_is_not_ready_below_what_its_neighbours_remember() {
     let (mut mesh, versions) = mesh_with_first(&two_regions(6), 10);
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -581,6 +581,9 @@
                 };
             }
             process.distribution.take_applied();
+            if process.me.control {
+                process.distribution.leader_known(cx.now);
+            }
             if let Some(progress) = process.distribution.take_progress() {
                 process.progress = Some(progress);
             }
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -87,6 +87,7 @@
         version: Version(version),
         hash: ContentHash::default(),
         remembered: Some(Version(version)),
+        is_ready: true,
     })
 }
 
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -8,7 +8,7 @@
 use fireflylug_core::Event;
 use fireflylug_core::api::ApiRequest;
 use fireflylug_core::config::{Configuration, StoredResource};
-use fireflylug_core::distribution::{DistributionMessage, Update};
+use fireflylug_core::distribution::{DistributionMessage, Holds, Update};
 use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, TargetId, Version};
 use fireflylug_core::membership::TargetAnnouncement;
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
@@ -166,6 +166,15 @@
         let message = DistributionMessage::Update(Update::snapshot(&configuration)).into();
         let from = NodeId::of_host(&name("source"));
         daemon.runtime().submit(Event::PeerMessage { from, message });
+        // There is no control replica that says what was in force before.
+        let holds = Holds {
+            version: self.version,
+            hash: configuration.hash(),
+            remembered: Some(self.version),
+            is_ready: true,
+        };
+        let message = DistributionMessage::Holds(holds).into();
+        daemon.runtime().submit(Event::PeerMessage { from, message });
     }
 
     /// Announces a target at the daemon of its host.
