--- a/crates/core/tests/fuzz/regressions.rs
+++ b/crates/core/tests/fuzz/regressions.rs
@@ -44,7 +44,6 @@
 /// Everything that held version 2 is down but the control hosts' disks, and a
 /// proxy that held it restarts beside proxies that were cut off from it.
 #[test]
-#[ignore = "KNOWN-RED"]
 fn restarted_proxy_without_neighbours_serves_by_an_older_version() {
     let actions = vec![
         Put { host: 1, unit: 0, conditional: false },
