Stop: serve connections that the system had accepted already

A rolling stop cut 1 of 2,921 calls: its connection was waiting to be accepted when the listener closed, or was just accepted. The proxy now closes its listeners first, serves what was accepted, and refuses 0.1 s later. A connection that never carried a call no longer holds a stop up. The rolling measurement sends callers to a restarted proxy only once it says that it is ready: before that it answers not-run, as it must.

--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -182,6 +182,8 @@
     },
     /// Ask callers for new connections elsewhere: the process is stopping.
     CloseKeepAlive,
+    /// Accept no more connections; those that wait to be accepted are served.
+    CloseListeners,
     /// Close every idle connection: the process takes no more calls.
     CloseIdle,
 }
@@ -196,7 +198,7 @@
             | Self::Cancel { call }
             | Self::Refuse { call, .. }
             | Self::Abort { call } => Some(*call),
-            Self::CloseKeepAlive | Self::CloseIdle => None,
+            Self::CloseKeepAlive | Self::CloseListeners | Self::CloseIdle => None,
         }
     }
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -52,6 +52,10 @@
     pub(crate) struct TargetKey;
 }
 
+/// Time from the last accepted connection to the first refusal, in milliseconds:
+/// calls on connections that were just accepted are still on their way.
+const LAST_CALLS_MS: u64 = 100;
+
 /// Settings of the call path.
 #[derive(Clone, Debug)]
 pub struct RoutingSettings {
@@ -89,6 +93,8 @@
     finished: Vec<finish::Finished>,
     /// Calls whose parent ended during this event.
     orphans: Vec<CallId>,
+    /// When a stopping process accepts no more connections.
+    close_at: Option<Instant>,
     /// When a stopping process begins to refuse calls.
     refuse_at: Option<Instant>,
     is_refusing: bool,
@@ -112,6 +118,7 @@
             refusals: metrics::RefusalCounts::default(),
             finished: Vec::new(),
             orphans: Vec::new(),
+            close_at: None,
             refuse_at: None,
             is_refusing: false,
         }
@@ -138,11 +145,15 @@
     pub fn next_deadline(&self) -> Instant {
         let call = self.deadlines.first().map_or(Instant::NEVER, |(due, _)| *due);
         let stop = self.refuse_at.filter(|_| !self.is_refusing).unwrap_or(Instant::NEVER);
-        call.min(stop)
+        call.min(stop).min(self.close_at.unwrap_or(Instant::NEVER))
     }
 
     /// Does what is due.
     pub fn tick(&mut self, cx: &mut Context<'_>, slo: &mut Slo) {
+        if self.close_at.is_some_and(|at| at <= cx.now) {
+            self.close_at = None;
+            cx.emit(Effect::Call(CallEffect::CloseListeners));
+        }
         if !self.is_refusing && self.refuse_at.is_some_and(|at| at <= cx.now) {
             self.is_refusing = true;
             cx.emit(Effect::Call(CallEffect::CloseIdle));
@@ -164,7 +175,9 @@
         if self.refuse_at.is_some() {
             return;
         }
-        self.refuse_at = Some(cx.now.plus_ms(self.settings.stop_notice_ms));
+        let close_at = cx.now.plus_ms(self.settings.stop_notice_ms);
+        self.close_at = Some(close_at);
+        self.refuse_at = Some(close_at.plus_ms(LAST_CALLS_MS));
         cx.emit(Effect::Call(CallEffect::CloseKeepAlive));
     }
 
--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -182,7 +182,10 @@
                 open.close();
                 return answer::refuse(&proxy, refusal, load);
             }
-            CallEffect::Abort { .. } | CallEffect::CloseKeepAlive | CallEffect::CloseIdle => {}
+            CallEffect::Abort { .. }
+            | CallEffect::CloseKeepAlive
+            | CallEffect::CloseListeners
+            | CallEffect::CloseIdle => {}
         }
     }
 }
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -48,6 +48,8 @@
     Serving,
     /// Each answer closes its connection.
     Notice,
+    /// No connection is accepted.
+    Deaf,
     /// Unused connections are closed.
     Closing,
 }
@@ -67,6 +69,7 @@
                 }
             }
             None if effect == CallEffect::CloseIdle => self.enter(Phase::Closing),
+            None if effect == CallEffect::CloseListeners => self.enter(Phase::Deaf),
             None => self.enter(Phase::Notice),
         }
     }
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -2,8 +2,10 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,6 +28,8 @@
 const MAX_STALL_MS: u64 = 30_000;
 /// Time between looks at stalled answers and unused connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for the first call of a new connection to arrive at a stopping proxy.
+const UNUSED_GRACE: Duration = Duration::from_millis(500);
 /// Wait after a failed accept: the process may be out of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -58,7 +62,7 @@
         Arc::new(Self { runtime, handle, settings, key, key_value, targets, owners })
     }
 
-    /// Accepts connections until the process takes no more calls.
+    /// Accepts connections until the process accepts no more.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, side: Side) {
         let mut phase = self.handle.phase();
         loop {
@@ -67,9 +71,13 @@
                     Ok((stream, _)) => self.spawn(stream, side),
                     Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
                 },
-                () = closing(&mut phase) => return,
+                () = reached(&mut phase, Phase::Deaf) => break,
             }
         }
+        // Connections that the system has accepted already are not to be reset.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            self.spawn(stream, side);
+        }
     }
 
     fn spawn(self: &Arc<Self>, stream: TcpStream, side: Side) {
@@ -84,10 +92,12 @@
         // A connection that fails here is already gone.
         let _ = stream.set_nodelay(true);
         let broken = Arc::new(Notify::new());
+        let is_used = Arc::new(AtomicBool::new(false));
         let service = {
-            let broken = Arc::clone(&broken);
+            let (broken, is_used) = (Arc::clone(&broken), Arc::clone(&is_used));
             let proxy = Arc::clone(&self);
             service_fn(move |request| {
+                is_used.store(true, Ordering::Relaxed);
                 let (proxy, broken) = (Arc::clone(&proxy), Arc::clone(&broken));
                 async move { Ok::<_, Infallible>(drive::call(proxy, broken, side, request).await) }
             })
@@ -104,12 +114,20 @@
             // The peer of a failed connection knows it; nothing is left to do.
             _ = connection.as_mut() => return,
             () = broken.notified() => return,
-            () = closing(&mut phase) => {}
+            () = reached(&mut phase, Phase::Closing) => {}
         }
         connection.as_mut().graceful_shutdown();
+        // A connection that never carried a call is not waited for.
+        let unused = async {
+            tokio::time::sleep(UNUSED_GRACE).await;
+            if is_used.load(Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
+        };
         tokio::select! {
             _ = connection.as_mut() => {}
             () = broken.notified() => {}
+            () = unused => {}
         }
     }
 
@@ -125,7 +143,7 @@
     }
 }
 
-async fn closing(phase: &mut watch::Receiver<Phase>) {
+async fn reached(phase: &mut watch::Receiver<Phase>, wanted: Phase) {
     // The sender lives as long as the proxy.
-    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+    let _ = phase.wait_for(|phase| *phase >= wanted).await;
 }
--- a/crates/measure/src/calls/rolling.rs
+++ b/crates/measure/src/calls/rolling.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use fireflylug_core::resource::{Policy, Repeatable, Resource, Route, Service};
+use fireflylug_daemon::Daemon;
 use fireflylug_fault::{HttpClient, TargetOptions, TargetStandIn};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
@@ -222,6 +223,9 @@
     let finished = mesh.stop(host).await;
     mesh.add_daemon().await?;
     mesh.wait_for_members().await?;
+    // Until then its readiness says no, and callers are not sent there.
+    let is_ready = |daemon: &Daemon| daemon.runtime().inspect(|s| s.distribution().is_ready());
+    mesh.wait_until("the proxy is ready", is_ready).await?;
     mesh.announce_again(host, &id(host), false);
     field.replace(host, mesh.calls(host));
     keep_changing(mesh, STEP).await;
