--- a/crates/measure/src/control/bytes.rs
+++ b/crates/measure/src/control/bytes.rs
@@ -1,8 +1,93 @@
 //! Bytes of a change across the link between regions.
 
-use crate::{Options, Report};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::distribution::{DistributionMessage, Update};
+use fireflylug_core::message::PeerMessage;
+
+use super::baseline::Baseline;
+use super::mesh::{Layout, Mesh};
+use crate::{Bound, Figure, Options, Report};
+
+/// Changes measured at each size.
+const CHANGES: usize = 15;
+
+/// Time after which the acknowledgements of a change have crossed the link.
+const SETTLE: Duration = Duration::from_millis(400);
+
+/// Time for which the traffic at rest is measured, to be taken off.
+const REST: Duration = Duration::from_secs(4);
+
+/// Bytes of the frame around a message: TCP's and IP's headers are not counted.
+const FRAME_BYTES: usize = 6;
 
 /// Runs the measurement.
 pub async fn run(options: &Options) -> eyre::Result<Report> {
-    eyre::bail!("{} is not built yet", options.measurement)
+    let mut report = Report::new(options);
+    for daemons in [14, 60, 240] {
+        let layout = Layout::malabar().with_daemons(daemons);
+        let mut mesh = Mesh::start(layout.clone()).await?;
+        let samples = change_bytes(&mut mesh).await?;
+        let delta_bytes = delta_bytes(&mesh)? as f64;
+        drop(mesh);
+        let baseline = Baseline::start(&layout).await?;
+        let before = baseline.links.region.total_bytes();
+        baseline.converge_ms().await?;
+        let baseline_bytes = (baseline.links.region.total_bytes() - before) as f64;
+        let label = format!("{daemons} proxies: one change");
+        let figure = Figure::new(format!("{label}, beside one delta"), "B", &samples);
+        let figure = figure.with_baseline(delta_bytes).with_bound(Bound::AtMostOfBaseline(1.5));
+        report = report.with_figure(figure);
+        let figure = Figure::new(format!("{label}, beside polling"), "B", &samples);
+        let figure = figure.with_baseline(baseline_bytes).with_bound(Bound::AtMostOfBaseline(0.1));
+        report = report.with_figure(figure);
+    }
+    Ok(report.with_note(
+        "Both directions of the link between regions, the replicated log's own copy and every \
+         acknowledgement included, the traffic at rest taken off. Beside one delta: the baseline \
+         is one compressed delta with its frame. Beside polling: one round of polls, two where a \
+         poll came just before the change.",
+    ))
+}
+
+async fn change_bytes(mesh: &mut Mesh) -> eyre::Result<Vec<f64>> {
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = mesh.links.region.total_bytes();
+    tokio::time::sleep(REST).await;
+    let rest = (mesh.links.region.total_bytes() - before) as f64 / REST.as_secs_f64();
+    let leader = mesh.wait_leader().await?;
+    let mut samples = Vec::new();
+    for _ in 0..CHANGES {
+        let before = mesh.links.region.total_bytes();
+        let started_at = Instant::now();
+        let version = mesh.change(leader).await?;
+        mesh.wait_in_force(version).await?;
+        tokio::time::sleep(SETTLE).await;
+        let bytes = (mesh.links.region.total_bytes() - before) as f64;
+        samples.push(bytes - rest * started_at.elapsed().as_secs_f64());
+    }
+    Ok(samples)
+}
+
+/// Length of one compressed delta of the last change, with its frame.
+fn delta_bytes(mesh: &Mesh) -> eyre::Result<usize> {
+    let daemon = mesh.daemon(0)?;
+    let held = daemon.runtime().inspect(|state| Arc::clone(state.distribution().current()));
+    let puts: Vec<&StoredResource> = changed(&held).collect();
+    let mut body = Vec::new();
+    ciborium::into_writer(&puts, &mut body)?;
+    let update = Update {
+        base: Some(fireflylug_core::ids::Version(held.version().0 - 1)),
+        version: held.version(),
+        hash: held.hash(),
+        body,
+    };
+    let message = PeerMessage::from(DistributionMessage::Update(update));
+    Ok(fireflylug_wire::encode(&message).len() + FRAME_BYTES)
+}
+
+fn changed(held: &Configuration) -> impl Iterator<Item = &StoredResource> {
+    held.resources().values().filter(|stored| stored.version == held.version())
 }
--- a/crates/measure/src/control/mesh.rs
+++ b/crates/measure/src/control/mesh.rs
@@ -16,6 +16,8 @@
 use futures_util::future::try_join_all;
 use tempfile::TempDir;
 
+use super::process::DaemonProcess;
+
 /// Daemons that are control replicas: the first ones, in different availability zones.
 pub const CONTROL_REPLICAS: usize = 3;
 
@@ -140,6 +142,8 @@
     /// By availability zone of the dialling daemon.
     doors: Vec<FaultProxy>,
     daemon: Option<Daemon>,
+    /// The daemon where it runs as a process of its own.
+    process: Option<DaemonProcess>,
     _data_dir: Option<TempDir>,
 }
 
@@ -171,6 +175,7 @@
             settings,
             doors,
             daemon: None,
+            process: None,
             _data_dir: data_dir,
         });
         let nodes = nodes.collect();
@@ -183,7 +188,8 @@
 
     /// Starts every daemon that is down.
     pub async fn start_down(&mut self) -> eyre::Result<()> {
-        let down = self.nodes.iter_mut().filter(|node| node.daemon.is_none());
+        let is_down = |node: &&mut Node| node.daemon.is_none() && node.process.is_none();
+        let down = self.nodes.iter_mut().filter(is_down);
         try_join_all(down.map(Node::start)).await?;
         Ok(())
     }
@@ -197,17 +203,60 @@
         }
     }
 
-    /// A daemon that runs.
+    /// A daemon that runs in this process.
     pub fn daemon(&self, daemon: usize) -> eyre::Result<&Daemon> {
         let daemon = self.nodes.get(daemon).and_then(|node| node.daemon.as_ref());
         daemon.ok_or_else(|| eyre!("the daemon is down"))
     }
 
+    /// Restarts a daemon as a process of its own.
+    pub async fn move_to_process(&mut self, daemon: usize) -> eyre::Result<()> {
+        self.kill(daemon);
+        let node = &mut self.nodes[daemon];
+        let process = DaemonProcess::start(&node.settings).await?;
+        node.doors.iter().for_each(|door| door.set_upstream(Some(process.addresses.peers)));
+        node.process = Some(process);
+        Ok(())
+    }
+
+    /// The daemon that runs as a process of its own.
+    pub fn process(&self, daemon: usize) -> eyre::Result<&DaemonProcess> {
+        let process = self.nodes.get(daemon).and_then(|node| node.process.as_ref());
+        process.ok_or_else(|| eyre!("daemon {daemon} is no process of its own"))
+    }
+
+    /// Where a daemon serves the resource API.
+    pub fn api(&self, daemon: usize) -> eyre::Result<SocketAddr> {
+        let node = &self.nodes[daemon];
+        let addresses = node.daemon.as_ref().map(Daemon::addresses);
+        let addresses = addresses.or(node.process.as_ref().map(|process| process.addresses));
+        Ok(addresses.ok_or_else(|| eyre!("daemon {daemon} is down"))?.api)
+    }
+
+    /// The daemon of an availability zone that relays to the most others.
+    pub fn relay(&self, zone: usize) -> Option<usize> {
+        let children = |index: &usize| {
+            let daemon = self.nodes[*index].daemon.as_ref();
+            daemon.map_or(0, |d| d.runtime().inspect(|s| s.distribution().child_count()))
+        };
+        (CONTROL_REPLICAS..self.nodes.len())
+            .filter(|index| self.layout.zone_of(*index) == zone)
+            .max_by_key(children)
+    }
+
+    /// The daemon that leads, as a control replica says over its resource API.
+    pub async fn leader_by_status(&self) -> eyre::Result<usize> {
+        let answer = self.client.send(self.api(0)?, "GET /v1/status", &[], "").await?;
+        let status: serde_json::Value = serde_json::from_slice(&answer.body)?;
+        let leader = status["control"]["leader"].as_str().and_then(|l| l.strip_prefix("host-"));
+        Ok(leader.ok_or_else(|| eyre!("no leader in {}", answer.text()))?.parse()?)
+    }
+
     /// Sends a change of one policy and returns the version that holds it.
     pub async fn change(&mut self, at: usize) -> eyre::Result<Version> {
         self.changes += 1;
         let body = policy(self.changes);
-        let api = self.daemon(at)?.addresses().api;
+        let api = self.api(at)?;
         let answer = self.client.send(api, "PUT /v1/policies/measured", &[], body).await?;
         if !answer.status.is_success() {
             bail!("the change was answered {}: {}", answer.status, answer.text());
--- a/crates/measure/src/control/mod.rs
+++ b/crates/measure/src/control/mod.rs
@@ -7,4 +7,5 @@
 pub mod failover;
 pub mod idle;
 pub mod mesh;
+pub mod process;
 pub mod storm;
