Fuzzing: some calls are slow, so that late answers and stops meet them; restart waits for the address

A mutant that passed on another attempt's answer and one that stopped with calls in flight both held for 150 cases: every call was over within 100 ms.

--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -315,7 +315,9 @@
         if self.rng.random_ratio(1, 20) {
             return self.push_failed(leg, attempt, LOST);
         }
-        let service_us = self.rng.random_range(1_000..100_000);
+        let slow = self.rng.random_ratio(1, 4);
+        let service_us = if slow { 100_000..2_500_000 } else { 1_000..100_000 };
+        let service_us = self.rng.random_range(service_us);
         self.push(service_us, Item::Call(CallItem::Answer { leg, attempt }));
     }
 
--- a/crates/measure/src/control/mesh.rs
+++ b/crates/measure/src/control/mesh.rs
@@ -27,6 +27,9 @@
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(40);
 
+/// Longest wait for the address of a killed daemon to be free.
+const FREE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Time between two looks at a condition.
 const LOOK_EVERY: Duration = Duration::from_millis(1);
 
@@ -354,7 +357,15 @@
     }
 
     async fn start(&mut self) -> eyre::Result<()> {
-        let daemon = Daemon::start(self.settings.clone()).await?;
+        let started_at = Instant::now();
+        let daemon = loop {
+            match Daemon::start(self.settings.clone()).await {
+                Ok(daemon) => break daemon,
+                Err(error) if started_at.elapsed() > FREE_LIMIT => return Err(error),
+                // The listeners of the daemon that was killed close a little later.
+                Err(_) => tokio::time::sleep(LOOK_EVERY).await,
+            }
+        };
         let peers = daemon.addresses().peers;
         self.doors.iter().for_each(|door| door.set_upstream(Some(peers)));
         self.daemon = Some(daemon);
