A control replica vouches for versions only once it has published all that is committed

Cause: a replica vouched as soon as it knew a leader; one that had just come back from a cut, or was still catching up, vouched for an older version. Found by reading. Change: it vouches while it is current and, within the election timeout, has published all that its leader knew to be committed. Ruled out: a margin of time after the start, which delays every start.

--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -51,6 +51,7 @@
         // A leader knows what is committed once an entry of its own term is.
         if self.commit == append.commit && self.log.term_at(self.commit) == Some(append.term) {
             self.is_confirmed = true;
+            self.caught_up_at = Some(cx.now);
         }
         self.apply_committed(cx);
         self.answer_leader(cx, None);
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -59,6 +59,8 @@
     pub(super) hello_at: Instant,
     /// Whether everything is known that was committed before this process started.
     pub(super) is_confirmed: bool,
+    /// When all that a leader knew to be committed was last known here. Followers only.
+    pub(super) caught_up_at: Option<Instant>,
     /// Whether versions are published: not before the recovered one is confirmed.
     pub(super) is_publishing: bool,
     pub(super) outputs: Vec<ControlOutput>,
@@ -104,6 +106,7 @@
             role_deadline: now,
             hello_at: now,
             is_confirmed: false,
+            caught_up_at: None,
             is_publishing: false,
             outputs: Vec::new(),
         }
--- a/crates/core/src/consensus/start.rs
+++ b/crates/core/src/consensus/start.rs
@@ -78,6 +78,7 @@
         self.unsent_votes.clear();
         self.is_confirmed = false;
         self.is_publishing = false;
+        self.caught_up_at = None;
         self.outputs.clear();
         self.hello_at = cx.now;
     }
--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -78,6 +78,18 @@
         Instant::from_us(self.quorum_value(heard_us))
     }
 
+    /// Whether this replica is current and has published all that a leader
+    /// with a quorum knew to be committed within the election timeout.
+    pub fn has_published_all(&self, now: Instant) -> bool {
+        if !self.is_publishing || !self.is_current(now) {
+            return false;
+        }
+        match &self.role {
+            Role::Leader(_) => self.has_committed_in_term(),
+            _ => self.caught_up_at.is_some_and(|at| now.since_ms(at) < ELECTION_TIMEOUT_MAX_MS),
+        }
+    }
+
     /// What a status report says of the replica.
     pub fn status(&self, me: NodeId, now: Instant) -> ControlStatus {
         let is_current = self.is_current(now);
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -135,8 +135,9 @@
         self.children.serve_at = cx.now;
     }
 
-    /// This control replica has a leader, so that what it publishes is current.
-    pub fn leader_known(&mut self, now: Instant) {
+    /// The control replica of this process is in touch with a quorum and has
+    /// published all that is committed.
+    pub fn control_is_current(&mut self, now: Instant) {
         self.control_heard_at = Some(now);
         self.readiness.vouch();
     }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -158,8 +158,9 @@
 }
 
 fn settle_versions(state: &mut State, now: Instant, effects: &mut Vec<Effect>) -> bool {
-    if state.control.as_ref().is_some_and(|control| control.leader().is_some()) {
-        state.distribution.leader_known(now);
+    let control = state.control.as_ref();
+    if control.is_some_and(|control| control.has_published_all(now)) {
+        state.distribution.control_is_current(now);
     }
     let mut cx = context!(state, now, effects);
     let applied = state.distribution.take_applied();
