--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -230,7 +230,8 @@
         let mut in_this_ms = 0;
         while let Some(due_us) = self.next_due_us().filter(|due_us| *due_us <= until_us) {
             in_this_ms = if due_us / 1_000 == self.now_us / 1_000 { in_this_ms + 1 } else { 0 };
-            assert!(in_this_ms < MAX_EVENTS_PER_MS, "the reducers spin at {due_us} us");
+            let spins = in_this_ms >= MAX_EVENTS_PER_MS;
+            assert!(!spins, "the reducers spin at {due_us} us: {}", self.due_now(due_us));
             self.now_us = self.now_us.max(due_us);
             self.run_due();
         }
@@ -243,6 +244,14 @@
         ticks.chain(queued).min()
     }
 
+    /// What is due, for the report of a spin.
+    fn due_now(&self, due_us: u64) -> String {
+        let is_due = |host: &&Host| host.tick_due_us().is_some_and(|at| at <= due_us);
+        let ticks: Vec<_> = self.hosts.iter().filter(is_due).map(|host| &host.name).collect();
+        let queued = self.queue.range(..=(due_us, u64::MAX)).count();
+        format!("ticks of {ticks:?}, {queued} items in the queue")
+    }
+
     fn run_due(&mut self) {
         let now_us = self.now_us;
         let is_due = |host: &Host| host.tick_due_us().is_some_and(|due_us| due_us <= now_us);
