--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -135,6 +135,10 @@
         if report.asks {
             self.send_status(cx, from);
         }
+        if report.waits {
+            // It needs word that is newer than its start; this process may hold older.
+            self.upstream.ask_again_soon(cx.now);
+        }
         self.note_newer(cx, membership, from, report.version);
         self.serve(cx);
         self.holders_changed(cx, membership);
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -73,6 +73,9 @@
     /// Whether the child wants a [`Status`].
     #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
     pub asks: bool,
+    /// Whether the child was started and waits for word of a control replica.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub waits: bool,
     /// Processes that hold the child's version or a later one.
     #[serde(rename = "s")]
     pub holders: Holders,
--- a/crates/core/src/distribution/reports.rs
+++ b/crates/core/src/distribution/reports.rs
@@ -147,7 +147,8 @@
             self.keep_reports(cx.now, &reports);
         }
         for report in &reports {
-            self.note_newer(cx, membership, from, report.version);
+            // The hub that handed the report on may not hold the version itself.
+            self.note_newer(cx, membership, report.relay, report.version);
         }
         if membership.hub(&cx.me.locality.region) != Some(cx.me.id) {
             return;
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -29,7 +29,7 @@
 const FIRST_WAIT_MS: u64 = 100;
 
 /// Upper bound of every such wait, in milliseconds.
-const MAX_WAIT_MS: u64 = 5_000;
+const MAX_WAIT_MS: u64 = 1_000;
 
 /// Time after which a process that took another parent tries the right one again, in milliseconds.
 const RETRY_FIRST_AFTER_MS: u64 = 10_000;
@@ -80,7 +80,9 @@
 
     /// Asks sooner than usual: this process waits for word of a control replica.
     pub fn ask_again_soon(&mut self, now: Instant) {
-        self.next_ask_at = self.next_ask_at.min(now.plus_ms(ASK_AGAIN_AFTER_MS));
+        if self.parent.is_some() {
+            self.next_ask_at = self.next_ask_at.min(now.plus_ms(ASK_AGAIN_AFTER_MS));
+        }
     }
 }
 
@@ -122,7 +124,10 @@
 
     /// Reports to the parent and asks for an answer.
     fn ask(&mut self, cx: &mut Context<'_>, membership: &Membership) {
-        let Some(parent) = self.upstream.parent else { return };
+        let Some(parent) = self.upstream.parent else {
+            self.upstream.next_ask_at = Instant::NEVER;
+            return;
+        };
         self.upstream.asked_at = Some(cx.now);
         let jitter_ms = cx.rng.random_range(0..REFRESH_EVERY_MS / 5);
         self.upstream.next_ask_at = cx.now.plus_ms(REFRESH_EVERY_MS - jitter_ms);
@@ -149,7 +154,8 @@
         let version = self.current.version();
         self.upstream.reported = Some((version, holders));
         let is_relay = self.upstream.is_relay;
-        let report = Report { version, is_relay, asks, holders };
+        let waits = !self.readiness.is_vouched();
+        let report = Report { version, is_relay, asks, waits, holders };
         cx.send(parent, DistributionMessage::Report(report));
     }
 
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -113,6 +113,8 @@
     hosts: Vec<Host>,
     by_id: BTreeMap<NodeId, usize>,
     connected: BTreeSet<(usize, usize)>,
+    /// Dials that nobody has answered yet. A process dials another once at a time.
+    dialing: BTreeSet<(usize, usize)>,
     cuts: BTreeSet<(usize, usize)>,
     last_delivery_us: BTreeMap<(usize, usize), u64>,
     queue: BinaryHeap<Reverse<Scheduled>>,
@@ -171,6 +173,7 @@
             hosts,
             by_id,
             connected: BTreeSet::new(),
+            dialing: BTreeSet::new(),
             cuts: BTreeSet::new(),
             last_delivery_us: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -260,6 +263,7 @@
     /// Ends a host's process without a word.
     pub fn crash(&mut self, host: usize) {
         self.hosts[host].process = None;
+        self.dialing.retain(|(dialer, _)| *dialer != host);
         self.armed_us[host] = u64::MAX;
         let peers: Vec<usize> =
             self.connected.iter().filter(|(a, _)| *a == host).map(|(_, b)| *b).collect();
@@ -379,6 +383,9 @@
         if self.hosts[host].process.is_none() || self.hosts[host].starts != start {
             return true;
         }
+        if let Happening::Disconnected { peer } = happening {
+            self.dialing.remove(&(host, peer));
+        }
         let event = match happening {
             Happening::Tick if self.armed_us[host] != at_us => return true,
             Happening::Tick => Event::Tick,
@@ -445,7 +452,9 @@
         let cut = self.cuts.contains(&(host, peer));
         if cut || self.hosts[peer].process.is_none() {
             let wait_us = if cut { DIAL_TIMEOUT_US } else { self.latency_us(host, peer) * 2 };
-            self.schedule(self.now_us + wait_us, host, Happening::Disconnected { peer });
+            if self.dialing.insert((host, peer)) {
+                self.schedule(self.now_us + wait_us, host, Happening::Disconnected { peer });
+            }
             return false;
         }
         self.connected.insert((host, peer));
