A target that is gone is in no tier, and is kept while an attempt is at it

By reading: an owner whose target moved to another host dropped the gate with its queue, and could forget the target under a forwarded call. Change: the key leaves the tiers at once; attempts are counted for each target; calls that wait at a target that moved are refused as not run at once. Before: the new regression panics. After: it passes.

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -140,9 +140,10 @@
         if let Some(patience_us) = patience_us {
             due = due.min(cx.now.plus_us(patience_us));
         }
-        if call.is_ingress() {
-            self.targets[target].in_flight += 1;
-        }
+        let is_ingress = call.is_ingress();
+        let target = &mut self.targets[target];
+        target.attempts += 1;
+        target.in_flight += u32::from(is_ingress);
         self.set_due(id, due);
     }
 
@@ -229,9 +230,8 @@
         let is_ingress = self.calls.get(&id).is_some_and(Call::is_ingress);
         let target = &mut self.targets[attempt.target];
         target.health.end_probe();
-        if is_ingress {
-            target.in_flight -= 1;
-        }
+        target.attempts -= 1;
+        target.in_flight -= u32::from(is_ingress);
         if attempt.holds_slot
             && let Some(gate) = &mut target.gate
         {
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -36,6 +36,9 @@
     pub service: ServiceKey,
     /// Calls of this proxy at the target, as ingress.
     pub in_flight: u32,
+    /// Attempts at the target that have not ended, as ingress or as owner. The
+    /// target is not forgotten before they have.
+    pub attempts: u32,
     /// Present where this proxy owns the target.
     pub gate: Option<Gate>,
     pub health: Health,
@@ -51,6 +54,7 @@
             record,
             service,
             in_flight: 0,
+            attempts: 0,
             gate: None,
             health: Health::default(),
             latency: Estimate::default(),
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -116,19 +116,22 @@
 
     fn update_gate(&mut self, cx: &mut Context<'_>, key: TargetKey) {
         let target = &mut self.targets[key];
-        if target.record.owner != cx.me.id {
-            target.gate = None;
-            return;
+        let is_owner = target.record.owner == cx.me.id;
+        if is_owner {
+            let (slots, connections) = (target.record.slots, target.record.connections);
+            let gate = target.gate.get_or_insert_with(Gate::default);
+            gate.set_limit(slots, connections);
+            if target.record.state == TargetState::Ready {
+                self.admit_waiting(cx, key);
+                return;
+            }
         }
-        let (slots, connections) = (target.record.slots, target.record.connections);
-        let gate = target.gate.get_or_insert_with(Gate::default);
-        gate.set_limit(slots, connections);
-        if target.record.state == TargetState::Ready {
-            self.admit_waiting(cx, key);
-            return;
+        let target = &mut self.targets[key];
+        let queue = target.gate.as_mut().map(Gate::take_queue).unwrap_or_default();
+        if !is_owner {
+            target.gate = None;
         }
         let refusal = Refusal { code: RefusalCode::TargetGone, outcome: Outcome::NotRun };
-        let queue = self.targets[key].gate.as_mut().map(Gate::take_queue).unwrap_or_default();
         for call in queue {
             self.attempt_failed(cx, call, refusal);
         }
@@ -137,8 +140,7 @@
     /// Forgets a target that is gone once no call is at it.
     pub(super) fn forget_target(&mut self, key: TargetKey) {
         let Some(target) = self.targets.get(key) else { return };
-        let at_gate = target.gate.as_ref().map_or(0, |gate| gate.load().in_flight);
-        if target.record.state != TargetState::Gone || target.in_flight > 0 || at_gate > 0 {
+        if target.record.state != TargetState::Gone || target.attempts > 0 {
             return;
         }
         let Some(target) = self.targets.remove(key) else { return };
@@ -146,6 +148,8 @@
         let service = &mut self.services[target.service];
         service.targets.retain(|other| *other != key);
         service.ejected.retain(|other| *other != key);
+        // Made again before the next choice; until then nothing may look it up.
+        service.tiers.iter_mut().for_each(|tier| tier.retain(|other| *other != key));
         service.is_stale = true;
         self.forget_services();
     }
--- a/crates/core/tests/fuzz/regressions.rs
+++ b/crates/core/tests/fuzz/regressions.rs
@@ -5,6 +5,7 @@
 
 use crate::machine::Action::{self, *};
 use crate::machine::{Machine, Reference};
+use crate::network::Weather as Net;
 
 fn run(seed: u64, actions: Vec<Action>) {
     Machine::test_sequential(Config::default(), Reference::new(seed), actions, None);
@@ -61,3 +62,34 @@
 
     run(36486643880421, actions);
 }
+
+/// A target was forgotten while a call that had been tried there was given up.
+#[test]
+fn call_that_was_tried_at_a_forgotten_target_is_answered() {
+    let actions = vec![
+        Weather(Net { lost_percent: 0, doubled_percent: 0, max_delay_ms: 267 }),
+        Call { host: 3, repeatable: false },
+        Read { host: 3 },
+        Call { host: 4, repeatable: false },
+        Heal,
+        Call { host: 3, repeatable: false },
+        Call { host: 1, repeatable: false },
+        Read { host: 3 },
+        Weather(Net { lost_percent: 17, doubled_percent: 4, max_delay_ms: 5 }),
+        Run { ms: 2535 },
+        TargetDeparts { target: 2, leaves: false },
+        Run { ms: 1550 },
+        Put { host: 2, unit: 0, conditional: false },
+        Run { ms: 2464 },
+        Call { host: 6, repeatable: true },
+        Call { host: 6, repeatable: false },
+        Put { host: 7, unit: 1, conditional: false },
+        Heal,
+        TargetDeparts { target: 1, leaves: true },
+        Put { host: 1, unit: 0, conditional: false },
+        Call { host: 6, repeatable: true },
+        Stop { host: 0 },
+    ];
+
+    run(14925703308863858274, actions);
+}
