Burn table: the 30-minute window and cancelled calls

Cause: found on opening the table and the chart: the table left out one of the four windows and did not show cancelled calls apart. Change: both columns.

--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -36,8 +36,11 @@
     counted: u64,
     bad: u64,
     refused: u64,
+    cancelled: u64,
     #[tabled(rename = "5 min")]
     five_minutes: String,
+    #[tabled(rename = "30 min")]
+    thirty_minutes: String,
     #[tabled(rename = "1 h")]
     one_hour: String,
     #[tabled(rename = "6 h")]
@@ -74,7 +77,9 @@
         counted: row.counted,
         bad: row.bad,
         refused: row.refused,
+        cancelled: row.cancelled,
         five_minutes: times(row.burn.five_minutes_permille),
+        thirty_minutes: times(row.burn.thirty_minutes_permille),
         one_hour: times(row.burn.one_hour_permille),
         six_hours: times(row.burn.six_hours_permille),
         budget_left: format!("{:.1} %", row.budget_left_permille as f64 / 10.0),
--- a/crates/cli/tests/burn.rs
+++ b/crates/cli/tests/burn.rs
@@ -29,7 +29,7 @@
 
     let svg = chart(&report).unwrap();
 
-    for text in ["seatdesk availability", "bookbook availability", "act now", "1 h"] {
+    for text in ["seatdesk availability", "bookbook availability", "act now", "1 h", "30 min"] {
         assert!(svg.contains(text), "{text}");
     }
 }
