--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -51,7 +51,7 @@
 name = Aluva
 region = kochi
 color = red
-data_dir = /tmp/x
+data_dir = data
 [listen]
 api = nowhere
 calls = 10.0.0.1:7313
