Hosts look for control replicas that were all restarted

Change: a process that knows no reachable control replica dials its seeds within 5 s. Before: the new regression is refused after 30 s of the mesh's time. After: it passes. Ruled out: dialling every 5 s always, traffic at rest.

--- a/crates/core/src/membership/health.rs
+++ b/crates/core/src/membership/health.rs
@@ -30,12 +30,21 @@
 const SEED_CHECK_EVERY_MS: u64 = 60_000;
 
 impl Membership {
+    /// Dials the seeds soon where no control replica is reachable: those that
+    /// were all restarted at once know only each other.
+    fn look_for_control(&mut self, cx: &Context<'_>) {
+        if self.control_replicas().next().is_none() {
+            self.dial_at = self.dial_at.min(cx.now.plus_ms(MAX_DIAL_WAIT_MS));
+        }
+    }
+
     /// Sends heartbeats and looks for members that are silent or forgotten.
     pub(super) fn heartbeat(&mut self, cx: &mut Context<'_>) {
         // Processes that start together must not beat in step.
         let jitter_ms = cx.rng.random_range(0..=HEARTBEAT_EVERY_MS / 10);
         self.heartbeat_at =
             cx.now.plus_ms(HEARTBEAT_EVERY_MS - HEARTBEAT_EVERY_MS / 20 + jitter_ms);
+        self.look_for_control(cx);
         let changed = self.beats.beat(cx.now, &self.topology, cx.me);
         if !changed.is_empty() {
             for told in &changed {
@@ -157,7 +166,9 @@
         let alone_since = cx.now.since_ms(self.heard_at.unwrap_or(Instant::ZERO));
         let joined = self.heard_at.is_some()
             && (self.links.hears_anyone(cx.now) || alone_since < super::SILENT_AFTER_MS);
-        let wait_ms = if joined {
+        let wait_ms = if joined && self.control_replicas().next().is_none() {
+            cx.rng.random_range(MAX_DIAL_WAIT_MS / 2..=MAX_DIAL_WAIT_MS)
+        } else if joined {
             self.failed_dials = 0;
             cx.rng.random_range(SEED_CHECK_EVERY_MS / 2..=SEED_CHECK_EVERY_MS)
         } else {
--- a/crates/core/tests/fuzz/regressions.rs
+++ b/crates/core/tests/fuzz/regressions.rs
@@ -148,3 +148,35 @@
 
     run(4906521212417084676, actions);
 }
+
+/// The control replicas, which were the seeds, were all restarted at once. Those
+/// that had kept running dialled them again only after up to a minute.
+#[test]
+fn hosts_find_control_replicas_that_were_all_restarted() {
+    let actions = vec![
+        Resend { host: 2, back: 0 },
+        Put { host: 0, unit: 0, conditional: false },
+        TargetDies { target: 1 },
+        Put { host: 0, unit: 0, conditional: false },
+        Call { host: 5, repeatable: false },
+        Stop { host: 4 },
+        Crash { host: 5 },
+        Run { ms: 128 },
+        Run { ms: 85 },
+        Stop { host: 2 },
+        Read { host: 2 },
+        Stop { host: 0 },
+        Call { host: 0, repeatable: false },
+        Start { host: 5 },
+        Stop { host: 5 },
+        Put { host: 0, unit: 0, conditional: false },
+        Run { ms: 1262 },
+        Run { ms: 1453 },
+        CutZone { zone: 2 },
+        Crash { host: 1 },
+        Run { ms: 2286 },
+        Run { ms: 532 },
+    ];
+
+    run(8338122721600848643, actions);
+}
