Reducer: calls no longer ask the control replica whether it is current

Cause: found on reading the change: each event of a call on a control replica added up the quorum, though no call can change its answer. Change: the word is passed after every event but those of calls. Not measured.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -17,8 +17,13 @@
 /// `now` must not go back between calls.
 pub fn reduce(state: &mut State, event: Event, now: Instant) -> Vec<Effect> {
     let mut effects = Vec::new();
+    // A call says nothing of the control replica, and there are many calls.
+    let is_call = matches!(event, Event::Call(_));
     take(state, event, now, &mut effects);
     settle(state, now, &mut effects);
+    if !is_call {
+        pass_control_word(state, now);
+    }
     if state.stopping && !state.exited && state.routing.is_idle() {
         state.exited = true;
         let mut cx = Context { now, rng: &mut state.rng, me: &state.me, effects: &mut effects };
@@ -28,6 +33,14 @@
     effects
 }
 
+/// Tells the distribution when the control replica of this process was last current.
+fn pass_control_word(state: &mut State, now: Instant) {
+    let control = state.control.as_ref();
+    if let Some(at) = control.and_then(|control| control.published_all_at(now)) {
+        state.distribution.control_was_current(at);
+    }
+}
+
 macro_rules! context {
     ($state:ident, $now:ident, $effects:ident) => {
         Context { now: $now, rng: &mut $state.rng, me: &$state.me, effects: $effects }
@@ -158,10 +171,6 @@
 }
 
 fn settle_versions(state: &mut State, now: Instant, effects: &mut Vec<Effect>) -> bool {
-    let control = state.control.as_ref();
-    if let Some(at) = control.and_then(|control| control.published_all_at(now)) {
-        state.distribution.control_was_current(at);
-    }
     let mut cx = context!(state, now, effects);
     let applied = state.distribution.take_applied();
     let told = applied.is_some();
