--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -254,6 +254,8 @@
         "service" | "services" => Ok(ResourceKind::Service),
         "route" | "routes" => Ok(ResourceKind::Route),
         "policy" | "policies" => Ok(ResourceKind::Policy),
+        "limits" => Ok(ResourceKind::Limits),
+        "release" | "releases" => Ok(ResourceKind::Release),
         _ => Err(CliError::Usage(format!("{text:?} is not a kind; use service, route or policy"))),
     }
 }
--- a/crates/cli/src/read.rs
+++ b/crates/cli/src/read.rs
@@ -18,6 +18,8 @@
         ResourceKind::Service => "services",
         ResourceKind::Route => "routes",
         ResourceKind::Policy => "policies",
+        ResourceKind::Limits => "limits",
+        ResourceKind::Release => "releases",
     };
     match name {
         Some(name) => format!("/v1/{plural}/{name}"),
--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -11,7 +11,7 @@
 
 use rand::Rng;
 
-use super::message::{ApiMessage, ReadAnswer, ReadQuery};
+use super::message::{ApiMessage, ProposalAttempt, ReadAnswer, ReadQuery};
 use super::request::ApiResponse;
 use super::{ApiError, ErrorCode};
 use crate::Effect;
@@ -71,9 +71,9 @@
         }
     }
 
-    fn message(&self, request: RequestId) -> ApiMessage {
+    fn message(&self, request: RequestId, attempt: ProposalAttempt) -> ApiMessage {
         match self.clone() {
-            Self::Change(change) => ApiMessage::Propose { request, change },
+            Self::Change(change) => ApiMessage::Propose { request, change, attempt },
             Self::ReplaceVoter { old, new } => ApiMessage::ReplaceVoter { request, old, new },
             Self::Read(query) => ApiMessage::Read { request, query },
         }
@@ -168,6 +168,8 @@
         let hint = self.leader;
         let waiting = self.waiting.get_mut(&request)?;
         let to = match own {
+            // Any control replica confirms a read; only a number crosses for it.
+            Some(_) if matches!(waiting.work, Work::Read(_)) => Some(cx.me.id),
             Some(leader) => leader,
             None => hint.or_else(|| nearest(cx, membership, waiting.attempts)),
         };
@@ -183,7 +185,9 @@
         let local = to == Some(cx.me.id);
         let work = local.then(|| waiting.work.clone());
         if let Some(to) = to.filter(|_| !local) {
-            cx.send(to, waiting.work.message(request));
+            let number = waiting.attempts as u32;
+            let attempt = ProposalAttempt { incarnation: cx.me.incarnation, number };
+            cx.send(to, waiting.work.message(request, attempt));
         }
         self.schedule();
         work
--- a/crates/core/src/api/message.rs
+++ b/crates/core/src/api/message.rs
@@ -21,6 +21,8 @@
         request: RequestId,
         /// The change, with an idempotency key.
         change: ChangeRequest,
+        /// Which attempt of the request this is.
+        attempt: ProposalAttempt,
     },
     /// Please propose that one process votes in the place of another.
     ReplaceVoter {
@@ -61,6 +63,16 @@
     },
 }
 
+/// Number of an attempt to have a change proposed. A copy of a message that was
+/// taken already is recognised by it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ProposalAttempt {
+    /// Incarnation of the process at which the request arrived.
+    pub incarnation: u64,
+    /// Grows with each attempt of the request.
+    pub number: u32,
+}
+
 /// What to read of a configuration.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ReadQuery {
@@ -68,6 +80,8 @@
     Get(ResourceKey),
     /// Every resource of a kind.
     List(ResourceKind),
+    /// Every resource.
+    Whole,
 }
 
 /// What a read found.
@@ -75,11 +89,11 @@
 pub enum ReadAnswer {
     /// One resource.
     Resource(StoredResource),
-    /// Every resource of a kind.
+    /// Every resource of a kind, or of all kinds.
     List {
         /// Version of the configuration.
         version: Version,
-        /// The resources, by name.
+        /// The resources, by kind and name.
         resources: Vec<StoredResource>,
     },
 }
@@ -99,6 +113,10 @@
                     resources: of_kind.map(|(_, stored)| stored.clone()).collect(),
                 })
             }
+            Self::Whole => Ok(ReadAnswer::List {
+                version: configuration.version(),
+                resources: configuration.resources().values().cloned().collect(),
+            }),
         }
     }
 }
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod forward;
 mod message;
+mod proposals;
 mod request;
 mod status;
 mod watch;
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 
 pub use error::{ApiError, ErrorCode};
-pub use message::{ApiMessage, ReadAnswer, ReadQuery};
+pub use message::{ApiMessage, ProposalAttempt, ReadAnswer, ReadQuery};
 pub use request::{ApiRequest, ApiResponse, Freshness, WatchEvent};
 pub use status::{ReplicaReport, ReplicaStatus, StatusReport, TargetCounts, ZoneMembers};
 pub use watch::{MAX_HISTORY_EVENTS, MAX_WATCHES};
@@ -31,6 +32,7 @@
 use crate::time::Instant;
 
 use forward::{Forwarded, Work};
+use proposals::TakenProposals;
 use watch::Watches;
 
 /// The other parts of the state, as the API needs them.
@@ -51,6 +53,8 @@
     forwarded: Forwarded,
     /// Reads that this replica confirms, for itself and for other processes.
     reads: BTreeMap<Origin, ReadQuery>,
+    /// Proposals of other processes that were taken here.
+    taken: TakenProposals,
     watches: Watches,
 }
 
@@ -76,6 +80,14 @@
             ApiRequest::Change(change) => {
                 return self.forward(cx, parts, request, Work::change(cx.me, request, change));
             }
+            ApiRequest::Replace(replacement) => {
+                let work = Work::Change(replacement.into_change());
+                return self.forward(cx, parts, request, work);
+            }
+            ApiRequest::Whole(Freshness::Held) => ReadQuery::Whole.answer(held).into(),
+            ApiRequest::Whole(Freshness::Current) => {
+                return self.forward(cx, parts, request, Work::Read(ReadQuery::Whole));
+            }
             ApiRequest::ReplaceVoter { old, new } => {
                 return self.forward(cx, parts, request, Work::replace_voter(&old, &new));
             }
@@ -99,6 +111,13 @@
                 ApiResponse::Done
             }
             ApiRequest::Leave(target) => leave(cx, &mut parts, &target),
+            ApiRequest::LeaveId(id) => match parts.membership.own_target(&id) {
+                Some(target) => leave(cx, &mut parts, &target),
+                None => ApiResponse::Error(ApiError::new(
+                    ErrorCode::NotFound,
+                    format!("no target {id} is announced at this host"),
+                )),
+            },
         };
         cx.emit(Effect::Answer { request, response });
     }
@@ -118,8 +137,12 @@
         message: ApiMessage,
     ) {
         match message {
-            ApiMessage::Propose { request, change } => {
+            ApiMessage::Propose { request, change, attempt } => {
                 let origin = Origin { node: from, request };
+                if !self.taken.take(cx.now, origin, attempt) {
+                    // A copy: the first one is answered, or has been.
+                    return;
+                }
                 match leading(cx, parts) {
                     Ok(control) => control.propose(cx, origin, change),
                     Err(redirect) => cx.send(from, redirect.answering(request)),
--- /dev/null
+++ b/crates/core/src/api/proposals.rs
@@ -0,0 +1,55 @@
+//! Proposals that were taken from other processes.
+//!
+//! Two copies of one message must not end differently: one refused because
+//! nobody leads here yet, the other appended a moment later.
+
+use std::collections::BTreeMap;
+
+use super::message::ProposalAttempt;
+use crate::consensus::Origin;
+use crate::time::Instant;
+
+/// Time for which a proposal is remembered, in milliseconds. Longer than a
+/// message may be under way.
+const REMEMBER_MS: u64 = 60_000;
+
+/// Most proposals that are remembered. The oldest goes first.
+const MAX_REMEMBERED: usize = 4_096;
+
+/// The newest attempt of each request that was taken lately.
+#[derive(Default)]
+pub(super) struct TakenProposals {
+    by_origin: BTreeMap<Origin, Taken>,
+}
+
+struct Taken {
+    attempt: ProposalAttempt,
+    forget_at: Instant,
+}
+
+impl TakenProposals {
+    /// Notes an attempt. Returns false where it, or a later one, was taken already.
+    pub(super) fn take(&mut self, now: Instant, origin: Origin, attempt: ProposalAttempt) -> bool {
+        let order = |attempt: ProposalAttempt| (attempt.incarnation, attempt.number);
+        if let Some(taken) = self.by_origin.get(&origin)
+            && order(attempt) <= order(taken.attempt)
+        {
+            return false;
+        }
+        if self.by_origin.len() >= MAX_REMEMBERED {
+            self.forget(now);
+        }
+        let forget_at = now.plus_ms(REMEMBER_MS);
+        self.by_origin.insert(origin, Taken { attempt, forget_at });
+        true
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.by_origin.retain(|_, taken| taken.forget_at > now);
+        while self.by_origin.len() >= MAX_REMEMBERED {
+            let oldest = self.by_origin.iter().min_by_key(|(_, taken)| taken.forget_at);
+            let Some(oldest) = oldest.map(|(origin, _)| *origin) else { return };
+            self.by_origin.remove(&oldest);
+        }
+    }
+}
--- a/crates/core/src/api/request.rs
+++ b/crates/core/src/api/request.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ApiError, StatusReport};
-use crate::config::{ChangeRequest, StoredResource};
+use crate::config::{ChangeRequest, Replacement, StoredResource};
 use crate::distribution::Progress;
 use crate::ids::{Name, TargetId, Version};
 use crate::membership::TargetAnnouncement;
@@ -17,6 +17,8 @@
 pub enum ApiRequest {
     /// Accept a change set.
     Change(ChangeRequest),
+    /// Replace the whole configuration.
+    Replace(Replacement),
     /// Let the control replica on one host vote in the place of another.
     ReplaceVoter {
         /// Host that votes no more.
@@ -28,6 +30,8 @@
     Get(ResourceKey, Freshness),
     /// Every resource of a kind.
     List(ResourceKind, Freshness),
+    /// Every resource.
+    Whole(Freshness),
     /// Events after a version, until the client hangs up.
     Watch {
         /// The last version that the client has seen; the present one when absent.
@@ -41,6 +45,8 @@
     Announce(TargetAnnouncement),
     /// A target leaves.
     Leave(TargetId),
+    /// The target of this host with this id leaves, whatever its service.
+    LeaveId(Name),
 }
 
 /// How fresh the answer to a read must be.
--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -1,12 +1,12 @@
 //! Makes the next version of a configuration from a change set, or says everything that is wrong.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::validate::{check_count, check_fields, check_references, check_routes};
 use super::{ChangeSet, Configuration, Finding, FindingCode, Operation, StoredResource};
 use crate::ids::Version;
-use crate::resource::ResourceKey;
+use crate::resource::{Release, Resource, ResourceKey};
 
 type Resources = BTreeMap<ResourceKey, StoredResource>;
 
@@ -22,6 +22,7 @@
         let mut findings = Vec::new();
         check_named_once(changes, &mut findings);
         check_versions(self, changes, &mut findings);
+        check_release(self, changes, &mut findings);
         check_fields(changes, &mut findings);
         let next = self.carry_out(changes);
         check_references(changes, &next, &mut findings);
@@ -54,12 +55,42 @@
                 Operation::Delete { resource, .. } => {
                     resources.remove(resource);
                 }
+                Operation::Release(step) => {
+                    let resource = Arc::new(Resource::Release(Release::new(step.number)));
+                    resources.insert(Release::key(), StoredResource { version, resource });
+                }
             }
         }
+        if changes.release().is_some_and(|step| step.whole) {
+            let named: BTreeSet<ResourceKey> =
+                changes.operations.iter().map(Operation::key).collect();
+            resources.retain(|key, _| named.contains(key));
+        }
         resources
     }
 }
 
+/// Checks that the release number is at the base of the change set and goes up.
+fn check_release(present: &Configuration, changes: &ChangeSet, findings: &mut Vec<Finding>) {
+    for (at, operation) in changes.operations.iter().enumerate() {
+        let Operation::Release(step) = operation else { continue };
+        let current = present.release_number();
+        if step.base != current {
+            let message = format!(
+                "release {current} is in place, not {}; read it again and decide anew",
+                step.base
+            );
+            let place = format!("operations[{at}].base");
+            findings.push(Finding::new(FindingCode::VersionMismatch, place, message));
+        }
+        if step.number <= current {
+            let message = format!("release {current} is in place; give a number above it");
+            let place = format!("operations[{at}].number");
+            findings.push(Finding::new(FindingCode::OutOfRange, place, message));
+        }
+    }
+}
+
 fn check_named_once(changes: &ChangeSet, findings: &mut Vec<Finding>) {
     let mut first_use = BTreeMap::new();
     for (at, operation) in changes.operations.iter().enumerate() {
--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{IdempotencyKey, Version};
-use crate::resource::{Resource, ResourceKey};
+use crate::ids::{ContentHash, IdempotencyKey, Version};
+use crate::resource::{Release, Resource, ResourceKey};
 
 /// One put or delete of a change set.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -25,6 +25,22 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         if_version: Option<Version>,
     },
+    /// Move the release number.
+    Release(ReleaseStep),
+}
+
+/// Moves the number that operators give the whole configuration.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ReleaseStep {
+    /// The number that must be in force; 0 means none yet.
+    pub base: u64,
+    /// The number afterwards. Above `base`.
+    pub number: u64,
+    /// Whether resources that the change set does not put are deleted.
+    pub whole: bool,
+    /// Hash of the whole configuration as the operator sent it, by which a
+    /// resend is recognised whatever the change set was narrowed to.
+    pub content: ContentHash,
 }
 
 impl Operation {
@@ -33,6 +49,7 @@
         match self {
             Self::Put { resource, .. } => resource.key(),
             Self::Delete { resource, .. } => resource.clone(),
+            Self::Release(_) => Release::key(),
         }
     }
 
@@ -40,6 +57,7 @@
     pub fn if_version(&self) -> Option<Version> {
         match self {
             Self::Put { if_version, .. } | Self::Delete { if_version, .. } => *if_version,
+            Self::Release(_) => None,
         }
     }
 }
@@ -52,6 +70,16 @@
     pub operations: Vec<Operation>,
 }
 
+impl ChangeSet {
+    /// The move of the release number, where the change set has one.
+    pub fn release(&self) -> Option<&ReleaseStep> {
+        self.operations.iter().find_map(|operation| match operation {
+            Operation::Release(step) => Some(step),
+            _ => None,
+        })
+    }
+}
+
 /// A change set with the key by which a resend is recognised.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ChangeRequest {
--- a/crates/core/src/config/configuration.rs
+++ b/crates/core/src/config/configuration.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ContentHash, Name, Version};
-use crate::resource::{Policy, Resource, ResourceKey, ResourceKind, Route, Service};
+use crate::resource::{
+    Limits, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
+};
 
 /// A resource with the version that last changed it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -74,6 +76,22 @@
         }
     }
 
+    /// Number that operators gave the configuration; 0 where they gave none.
+    pub fn release_number(&self) -> u64 {
+        match self.get(&Release::key()).map(|stored| &*stored.resource) {
+            Some(Resource::Release(release)) => release.number,
+            _ => 0,
+        }
+    }
+
+    /// Limits of callers, where they are declared.
+    pub fn limits(&self) -> Option<&Limits> {
+        match self.get(&Limits::key()).map(|stored| &*stored.resource) {
+            Some(Resource::Limits(limits)) => Some(limits),
+            _ => None,
+        }
+    }
+
     /// Every service, by name.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.resources.values().filter_map(|stored| match &*stored.resource {
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -7,11 +7,13 @@
 mod change;
 mod configuration;
 mod finding;
+mod replacement;
 mod validate;
 
-pub use change::{ChangeRequest, ChangeSet, Operation};
+pub use change::{ChangeRequest, ChangeSet, Operation, ReleaseStep};
 pub use configuration::{Configuration, StoredResource};
 pub use finding::{Finding, FindingCode};
+pub use replacement::{Replacement, narrow};
 pub use validate::{
     MAX_ATTEMPTS, MAX_BODY_BYTES, MAX_HOST_BYTES, MAX_PATH_PREFIX_BYTES, MAX_QUEUED, MAX_RESOURCES,
     MAX_TIME_MS,
--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -7,7 +7,9 @@
 
 use super::{ChangeSet, Finding, FindingCode, Operation, StoredResource};
 use crate::ids::Name;
-use crate::resource::{Objective, Policy, Resource, ResourceKey, ResourceKind, Route, Service};
+use crate::resource::{
+    CALLER_LIMITS, Limits, Objective, Policy, Resource, ResourceKey, ResourceKind, Route, Service,
+};
 
 /// Longest path prefix, in bytes.
 pub const MAX_PATH_PREFIX_BYTES: usize = 256;
@@ -30,6 +32,9 @@
 /// Most resources of a configuration.
 pub const MAX_RESOURCES: usize = 8_192;
 
+/// Largest weight of a part of a split.
+pub const MAX_WEIGHT: u32 = 1_000_000;
+
 /// Parts per million that make a whole.
 const PPM: u32 = 1_000_000;
 
@@ -44,6 +49,10 @@
             Resource::Service(service) => fields.check_service(service),
             Resource::Route(route) => fields.check_route(route),
             Resource::Policy(policy) => fields.check_policy(policy),
+            Resource::Limits(limits) => fields.check_limits(limits),
+            Resource::Release(_) => {
+                fields.add("kind", "the release number moves only with a replacement".to_owned());
+            }
         }
     }
 }
@@ -68,6 +77,7 @@
             Operation::Delete { resource, .. } => {
                 deleted.insert(resource.clone(), at);
             }
+            Operation::Release(_) => {}
         }
     }
     if !deleted.is_empty() {
@@ -147,9 +157,13 @@
         Resource::Route(route) => {
             let name = route.service.clone();
             let service = ("service", ResourceKey { kind: ResourceKind::Service, name });
-            std::iter::once(service).chain(policy(&route.policy)).collect()
+            let parts = route.split.iter().map(|part| {
+                let name = part.service.clone();
+                ("split", ResourceKey { kind: ResourceKind::Service, name })
+            });
+            std::iter::once(service).chain(parts).chain(policy(&route.policy)).collect()
         }
-        Resource::Policy(_) => Vec::new(),
+        Resource::Policy(_) | Resource::Limits(_) | Resource::Release(_) => Vec::new(),
     }
 }
 
@@ -173,20 +187,48 @@
             let remedy = "use lower-case labels of a-z, 0-9 and '-' with dots between, and no port";
             self.add("host", format!("host {host:?} is out of form: {remedy}"));
         }
+        self.check_split(route);
         if !is_path_prefix(&route.path_prefix) {
             let prefix: CompactString =
                 route.path_prefix.chars().take(MAX_PATH_PREFIX_BYTES).collect();
-            let remedy = "start it with '/', end it without (but for '/' itself), and use no \
-                          empty, '.' or '..' segment, query or fragment";
+            let remedy = "start it with '/' and use no empty, '.' or '..' segment, query or \
+                          fragment";
             self.add("path_prefix", format!("path prefix {prefix:?} is out of form: {remedy}"));
         }
     }
 
+    fn check_split(&mut self, route: &Route) {
+        if route.split.is_empty() {
+            return;
+        }
+        if route.split.iter().all(|part| part.weight == 0) {
+            self.add("split", "every weight is 0; give one part a weight".to_owned());
+        }
+        if !route.split.iter().any(|part| part.service == route.service) {
+            self.add("split", format!("service {} is no part of the split", route.service));
+        }
+        for part in &route.split {
+            self.check_range("split.weight", part.weight, 0..=MAX_WEIGHT);
+        }
+    }
+
+    fn check_limits(&mut self, limits: &Limits) {
+        if limits.name.as_str() != CALLER_LIMITS {
+            self.add("name", format!("only the limits named {CALLER_LIMITS} are known"));
+        }
+        self.check_range("max_body_bytes", limits.max_body_bytes, 0..=MAX_BODY_BYTES);
+        self.check_range("head_timeout_ms", limits.head_timeout_ms, 1..=MAX_TIME_MS);
+        self.check_range("idle_timeout_ms", limits.idle_timeout_ms, 1..=MAX_TIME_MS);
+    }
+
     fn check_policy(&mut self, policy: &Policy) {
         self.check_range("deadline_ms", policy.deadline_ms, 1..=MAX_TIME_MS);
         self.check_range("max_attempts", policy.max_attempts, 1..=MAX_ATTEMPTS);
         self.check_range("max_queued", policy.max_queued, 0..=MAX_QUEUED);
         self.check_range("max_body_bytes", policy.max_body_bytes, 0..=MAX_BODY_BYTES);
+        if let Some(target_latency_ms) = policy.target_latency_ms {
+            self.check_range("target_latency_ms", target_latency_ms, 1..=MAX_TIME_MS);
+        }
         if let Some(objective) = &policy.objective {
             self.check_objective(objective);
         }
@@ -232,5 +274,6 @@
             && segment.bytes().all(|b| b.is_ascii_graphic() && b != b'?' && b != b'#')
     };
     let Some(path) = prefix.strip_prefix('/') else { return false };
+    let path = path.strip_suffix('/').unwrap_or(path);
     prefix.len() <= MAX_PATH_PREFIX_BYTES && (path.is_empty() || path.split('/').all(is_segment))
 }
--- a/crates/core/src/consensus/entry.rs
+++ b/crates/core/src/consensus/entry.rs
@@ -59,6 +59,11 @@
         self.0.iter().find(|voter| voter.node == node).map(|voter| voter.disk)
     }
 
+    /// The set with another voter beside the others.
+    pub fn with_added(&self, new: Voter) -> Self {
+        self.with_replaced(new.node, new)
+    }
+
     /// The set with `new` in the place of the voter of process `old`, or
     /// beside the others where `old` is no voter.
     pub fn with_replaced(&self, old: NodeId, new: Voter) -> Self {
--- a/crates/core/src/consensus/formation.rs
+++ b/crates/core/src/consensus/formation.rs
@@ -39,8 +39,11 @@
         self.delay_hello(cx);
         self.tell_what_is_missing(cx);
         let voters = self.newest_voters().voters().iter().map(|voter| voter.node);
-        let known: BTreeSet<_> =
-            voters.chain(self.settings.initial_voters.iter().copied()).chain(self.leader).collect();
+        let known: BTreeSet<_> = voters
+            .chain(self.settings.initial_voters.iter().copied())
+            .chain(self.known_replicas.iter().copied())
+            .chain(self.leader)
+            .collect();
         for node in known.into_iter().filter(|node| *node != cx.me.id) {
             self.send_hello(cx, node, true, None);
         }
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -15,6 +15,9 @@
 use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
 
+/// Most entries that a new voter may lack when it is let in.
+pub(super) const MAX_LEARNER_LAG_ENTRIES: u64 = 64;
+
 /// Most replicas beside the voters to which a leader sends its log.
 const MAX_LEARNERS: usize = 8;
 
@@ -29,6 +32,7 @@
             self.follow(cx, self.hard_state.term, None);
             return;
         }
+        self.tend_voters(cx);
         self.beat(cx);
     }
 
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -30,8 +30,10 @@
 mod start;
 mod status;
 mod storage;
+mod tend;
 mod waiting;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -69,6 +71,15 @@
 pub struct ControlSettings {
     /// The first voters, this replica included. Counts only for an empty log.
     pub initial_voters: Vec<NodeId>,
+    /// Addresses of the first voters, for messages between processes, where
+    /// their names are not known. Counts only where `initial_voters` is empty.
+    pub initial_addresses: Vec<SocketAddr>,
+    /// Whether this replica never forms the first set: it joins one.
+    pub joins_only: bool,
+    /// Voters that the leader keeps, by letting replicas that have caught up
+    /// vote and by replacing voters that fall silent. None leaves every change
+    /// of the voters to operators.
+    pub kept_voters: Option<usize>,
 }
 
 /// Who asked for a change or a read: the process and its own request key.
--- a/crates/core/src/consensus/outcomes.rs
+++ b/crates/core/src/consensus/outcomes.rs
@@ -122,6 +122,10 @@
 }
 
 fn hash_of(changes: &ChangeSet) -> ContentHash {
+    // A replacement is narrowed by its leader; its content names it.
+    if let Some(step) = changes.release() {
+        return step.content;
+    }
     let mut hasher = blake3::Hasher::new();
     ciborium::into_writer(changes, &mut hasher).expect("a hasher takes every byte");
     let mut hash = [0; 16];
--- a/crates/core/src/consensus/proposals.rs
+++ b/crates/core/src/consensus/proposals.rs
@@ -1,18 +1,16 @@
 //! Changes that are proposed here, and what becomes of them.
 
 use super::entry::{Payload, Voter};
+use super::leader::MAX_LEARNER_LAG_ENTRIES;
 use super::replica::ControlReplica;
 use super::role::Role;
 use super::waiting::Proposal;
 use super::{ChangeOutcome, ControlOutput, Origin, PROPOSAL_TIMEOUT_MS};
 use crate::api::{ApiError, ErrorCode};
-use crate::config::ChangeRequest;
+use crate::config::{ChangeRequest, narrow};
 use crate::context::Context;
 use crate::ids::NodeId;
 
-/// Most entries that a new voter may lack when it is let in.
-const MAX_LAG_ENTRIES: u64 = 64;
-
 impl ControlReplica {
     /// Proposes a change. The outcome comes as a [`ControlOutput::Outcome`].
     ///
@@ -22,6 +20,13 @@
             self.output(ControlOutput::Outcome(origin, ChangeOutcome::Refused(error)));
             return;
         }
+        // Before its first entry is committed, a leader may not know what is in place.
+        let ChangeRequest { key, changes } = change;
+        let changes = match self.has_committed_in_term() {
+            true => narrow(changes, self.configuration()),
+            false => changes,
+        };
+        let change = ChangeRequest { key, changes };
         let index = self.append(cx, Payload::Change { origin, change });
         self.wait_for(cx, origin, index);
     }
@@ -67,7 +72,7 @@
             return Err("name a host that is a voter, and one that is none to take its place");
         }
         let peer = leadership.peers.get(&new);
-        let ready = peer.filter(|peer| peer.match_index + MAX_LAG_ENTRIES >= self.commit);
+        let ready = peer.filter(|peer| peer.match_index + MAX_LEARNER_LAG_ENTRIES >= self.commit);
         let Some((disk, _)) = ready.and_then(|peer| peer.disk) else {
             return Err("the new voter has not caught up; start it and ask again");
         };
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -1,6 +1,7 @@
 //! A control replica as the reducer drives it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::Rng;
@@ -28,6 +29,8 @@
 /// State of a control replica.
 pub struct ControlReplica {
     pub(super) settings: ControlSettings,
+    /// Control replicas that membership knows and has not given up.
+    pub(super) known_replicas: BTreeSet<NodeId>,
     /// What the disk said on opening, until the first event.
     pub(super) recovered: Option<Start>,
     pub(super) disk: DiskId,
@@ -85,6 +88,7 @@
         }
         Self {
             settings,
+            known_replicas: BTreeSet::new(),
             recovered: Some(Start { owner: recovered.owner, notices: recovered.notices }),
             disk: recovered.disk,
             generation: recovered.generation,
@@ -122,6 +126,27 @@
         self.leader
     }
 
+    /// Takes note of the control replicas that membership knows, with where
+    /// they listen for messages.
+    pub fn know_replicas(&mut self, cx: &mut Context<'_>, replicas: &[(NodeId, SocketAddr)]) {
+        self.known_replicas = replicas.iter().map(|(node, _)| *node).collect();
+        if self.settings.joins_only || !self.settings.initial_voters.is_empty() {
+            return;
+        }
+        let node_at = |address: &SocketAddr| {
+            let found = replicas.iter().find(|(_, at)| at == address);
+            found.map(|(node, _)| *node)
+        };
+        let nodes: Option<Vec<NodeId>> =
+            self.settings.initial_addresses.iter().map(node_at).collect();
+        let Some(nodes) = nodes.filter(|nodes| !nodes.is_empty()) else { return };
+        self.settings.initial_voters = nodes;
+        if self.recovered.is_none() && matches!(self.role, Role::Blank(_)) {
+            self.begin_formation(cx);
+            self.hello_at = cx.now;
+        }
+    }
+
     /// Takes what the rest of the reducer must hear.
     pub fn take_outputs(&mut self) -> Vec<ControlOutput> {
         std::mem::take(&mut self.outputs)
--- a/crates/core/src/membership/leases.rs
+++ b/crates/core/src/membership/leases.rs
@@ -1,9 +1,10 @@
 //! Targets of this process's own host and their leases.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use super::view::View;
-use super::{TargetAnnouncement, TargetRecord, TargetState};
+use super::{AnnouncementOrder, TargetAnnouncement, TargetRecord, TargetState};
 use crate::context::Identity;
 use crate::ids::TargetId;
 use crate::time::Instant;
@@ -24,12 +25,20 @@
 struct Lease {
     expires_at: Instant,
     load_due_at: Instant,
+    address: SocketAddr,
 }
 
+/// Most addresses whose newest announcement is remembered.
+const MAX_ADDRESSES: usize = 256;
+
 /// Leases of this process's own targets.
 #[derive(Default)]
 pub(super) struct Leases {
     leases: BTreeMap<TargetId, Lease>,
+    /// The newest announcement, and the target that made it, at each address.
+    /// One that was under way for long is known as older by it, also once the
+    /// target has left.
+    newest: BTreeMap<SocketAddr, (AnnouncementOrder, TargetId)>,
     next_expiry_at: Option<Instant>,
 }
 
@@ -47,7 +56,8 @@
         self.leases.keys().cloned().collect()
     }
 
-    /// Renews a lease. Returns the target's record where it must be written.
+    /// Renews a lease. Returns the records that must be written: the target's,
+    /// and those of earlier targets at its address, which are gone.
     pub fn announce(
         &mut self,
         now: Instant,
@@ -55,10 +65,14 @@
         view: &View,
         given: &TargetAnnouncement,
         stopping: bool,
-    ) -> Option<TargetRecord> {
+    ) -> Vec<TargetRecord> {
+        if !self.is_newest(given) {
+            return Vec::new();
+        }
+        let mut written = self.end_earlier(me, view, given);
         let is_known = self.holds(&given.target);
         if !is_known && self.leases.len() >= MAX_TARGETS {
-            return None;
+            return written;
         }
         let draining = given.draining || stopping;
         let state = if draining { TargetState::Draining } else { TargetState::Ready };
@@ -66,7 +80,12 @@
         let record = next_record(me, given, state, old);
         let expires_at = now.plus_ms(u64::from(given.lease_ms.min(MAX_LEASE_MS)));
         let lease = self.leases.entry(given.target.clone());
-        let lease = lease.or_insert(Lease { expires_at, load_due_at: Instant::ZERO });
+        let lease = lease.or_insert(Lease {
+            expires_at,
+            load_due_at: Instant::ZERO,
+            address: given.address,
+        });
+        lease.address = given.address;
         lease.expires_at = expires_at;
         let write = match old {
             Some(old) if is_same(old, &record) => {
@@ -78,7 +97,47 @@
             lease.load_due_at = now.plus_ms(LOAD_EVERY_MS);
         }
         self.find_next_expiry();
-        write.then_some(record)
+        written.extend(write.then_some(record));
+        written
+    }
+
+    /// Whether an announcement is newer than all others at its address. One
+    /// without an order always counts as new.
+    fn is_newest(&mut self, given: &TargetAnnouncement) -> bool {
+        let Some(order) = given.order else { return true };
+        if let Some((newest, target)) = self.newest.get(&given.address) {
+            let is_other_start = order.started_unix_ms != newest.started_unix_ms;
+            // Two targets that started within a millisecond cannot be told apart.
+            let is_same_start = !is_other_start && *target == given.target;
+            let is_older = if is_same_start { order <= *newest } else { order < *newest };
+            if is_older && (is_other_start || is_same_start) {
+                return false;
+            }
+        }
+        if self.newest.len() >= MAX_ADDRESSES && !self.newest.contains_key(&given.address) {
+            self.newest.pop_first();
+        }
+        self.newest.insert(given.address, (order, given.target.clone()));
+        true
+    }
+
+    /// Ends the leases of other targets at the address of a numbered
+    /// announcement: their address was taken over.
+    fn end_earlier(
+        &mut self,
+        me: &Identity,
+        view: &View,
+        given: &TargetAnnouncement,
+    ) -> Vec<TargetRecord> {
+        if given.order.is_none() {
+            return Vec::new();
+        }
+        let is_earlier = |(target, lease): &(&TargetId, &Lease)| {
+            lease.address == given.address && **target != given.target
+        };
+        let earlier: Vec<TargetId> =
+            self.leases.iter().filter(is_earlier).map(|(target, _)| target.clone()).collect();
+        earlier.iter().filter_map(|target| self.end(me, view, target)).collect()
     }
 
     /// Ends a lease. Returns the target's last record where it was held.
@@ -125,6 +184,7 @@
         connections: given.connections,
         state,
         load_percent: given.load_percent,
+        cold_ms: given.cold_ms,
     }
 }
 
@@ -133,7 +193,9 @@
     let same_start = old.incarnation == new.incarnation;
     let load_percent = old.load_percent;
     let sequence = old.sequence;
-    same_start && TargetRecord { sequence, load_percent, ..new.clone() } == *old
+    // A target warms up by itself; that is no news.
+    let cold_ms = old.cold_ms;
+    same_start && TargetRecord { sequence, load_percent, cold_ms, ..new.clone() } == *old
 }
 
 fn load_moved(old: Option<u8>, new: Option<u8>) -> bool {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -33,7 +33,9 @@
 pub use message::{
     Beat, Heartbeat, MembershipMessage, Records, Summary, ZoneDigest, ZoneReach, ZoneSummary,
 };
-pub use record::{Member, MemberStatus, TargetAnnouncement, TargetRecord, TargetState};
+pub use record::{
+    AnnouncementOrder, Member, MemberStatus, TargetAnnouncement, TargetRecord, TargetState,
+};
 pub use view::{FORGET_DEAD_AFTER_MS, FORGET_LEFT_AFTER_MS};
 
 use crate::Effect;
@@ -237,7 +239,7 @@
     pub fn announce(&mut self, cx: &mut Context<'_>, announcement: TargetAnnouncement) {
         let stopping = self.stopping;
         let written = self.leases.announce(cx.now, cx.me, &self.view, &announcement, stopping);
-        if let Some(record) = written {
+        for record in written {
             self.take_target(cx, record, None);
         }
         self.settle(cx);
@@ -254,6 +256,11 @@
         is_known
     }
 
+    /// The target of this process with an id, whatever its service.
+    pub fn own_target(&self, id: &Name) -> Option<TargetId> {
+        self.leases.targets().into_iter().find(|target| target.id == *id)
+    }
+
     /// This process stops: its targets take no new work from here on.
     pub fn stop(&mut self, cx: &mut Context<'_>) {
         self.stopping = true;
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -104,6 +104,20 @@
     pub load_percent: Option<u8>,
     /// Whether it finishes its work and wants none.
     pub draining: bool,
+    /// Time for which it is still slow after its start, in milliseconds.
+    pub cold_ms: u32,
+    /// Place of the announcement among those of its target, where the target
+    /// numbers them: an older one that arrives late changes nothing.
+    pub order: Option<AnnouncementOrder>,
+}
+
+/// Place of an announcement among those at its target's address.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct AnnouncementOrder {
+    /// Unix time of the target's start, in milliseconds. Tells starts apart.
+    pub started_unix_ms: u64,
+    /// Grows with each announcement of that start.
+    pub sequence: u64,
 }
 
 /// A target as every proxy knows it. Written only by its owner.
@@ -128,6 +142,13 @@
     pub state: TargetState,
     /// Load that it last reported, in percent of its slots.
     pub load_percent: Option<u8>,
+    /// Time for which it is still slow from the writing of the record on, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u32,
+}
+
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 impl TargetRecord {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -5,6 +5,7 @@
 use crate::context::Context;
 use crate::event::{Effect, Event};
 use crate::ids::NodeId;
+use crate::membership::MembershipChange;
 use crate::message::PeerMessage;
 use crate::state::State;
 use crate::time::Instant;
@@ -167,6 +168,13 @@
         state.distribution.membership_changed(&mut cx, &state.membership, change);
         state.routing.membership_changed(&mut cx, change);
     }
+    let is_of_member = |change: &MembershipChange| !matches!(change, MembershipChange::Target(_));
+    if let Some(control) = state.control.as_mut().filter(|_| changes.iter().any(is_of_member)) {
+        let members = state.membership.members();
+        let replicas = members.filter(|member| member.control && !member.status.is_over());
+        let replicas: Vec<_> = replicas.map(|m| (m.id, m.addresses.peers)).collect();
+        control.know_replicas(&mut cx, &replicas);
+    }
     told
 }
 
--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -31,6 +31,10 @@
     Route,
     /// Limits, retries, deadline and objective of calls.
     Policy,
+    /// Limits of what callers may send.
+    Limits,
+    /// The number that operators give the whole configuration.
+    Release,
 }
 
 /// Kind and name of one resource.
@@ -60,6 +64,10 @@
     Route(Route),
     /// Limits, retries, deadline and objective of calls.
     Policy(Policy),
+    /// Limits of what callers may send.
+    Limits(Limits),
+    /// The number that operators give the whole configuration.
+    Release(Release),
 }
 
 impl Resource {
@@ -69,6 +77,8 @@
             Self::Service(service) => (ResourceKind::Service, &service.name),
             Self::Route(route) => (ResourceKind::Route, &route.name),
             Self::Policy(policy) => (ResourceKind::Policy, &policy.name),
+            Self::Limits(limits) => (ResourceKind::Limits, &limits.name),
+            Self::Release(release) => (ResourceKind::Release, &release.name),
         };
         ResourceKey { kind, name: name.clone() }
     }
@@ -92,6 +102,13 @@
     /// Time over which a new target is given its full share of calls, in milliseconds.
     #[serde(default = "default_slow_start_ms")]
     pub slow_start_ms: u32,
+    /// Connections that each target takes from all callers together; what the
+    /// target announces when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_connections: Option<u32>,
+    /// Path at which a target tells its health.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<CompactString>,
 }
 
 const fn default_retry_budget_percent() -> u8 {
@@ -115,6 +132,8 @@
             retry_budget_percent: default_retry_budget_percent(),
             max_ejected_percent: default_max_ejected_percent(),
             slow_start_ms: default_slow_start_ms(),
+            max_connections: None,
+            health_path: None,
         }
     }
 
@@ -136,9 +155,14 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub host: Option<CompactString>,
     /// Prefix of the call's path, matched by whole segments. Starts with `/`.
+    /// One that ends with `/` matches only paths below it.
     pub path_prefix: CompactString,
     /// Service that answers.
     pub service: Name,
+    /// Services over which the calls are spread by weight. Empty where
+    /// `service` answers all of them; otherwise `service` is one of these.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<WeightedService>,
     /// Policy of the calls; the service's when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<Name>,
@@ -147,7 +171,14 @@
 impl Route {
     /// Makes a route for any host.
     pub fn new(name: Name, path_prefix: &str, service: Name) -> Self {
-        Self { name, host: None, path_prefix: path_prefix.into(), service, policy: None }
+        let split = Vec::new();
+        Self { name, host: None, path_prefix: path_prefix.into(), service, split, policy: None }
+    }
+
+    /// Spreads the calls over services by weight.
+    pub fn with_split(mut self, split: Vec<WeightedService>) -> Self {
+        self.split = split;
+        self
     }
 
     /// Restricts the route to one host.
@@ -163,6 +194,16 @@
     }
 }
 
+/// One part of a route's split.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WeightedService {
+    /// Service that answers this part.
+    pub service: Name,
+    /// Share of the calls, relative to the other weights.
+    pub weight: u32,
+}
+
 /// Which calls may run more than once.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize, strum::Display)]
 #[serde(rename_all = "kebab-case")]
@@ -201,6 +242,19 @@
     /// Service-level objective of the calls.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub objective: Option<Objective>,
+    /// Time within which an answer is of full use to its caller, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency_ms: Option<u32>,
+    /// Rank where calls compete for a target; 0 goes first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Whether answers are large, so that a near target is worth a wait.
+    #[serde(default)]
+    pub bulk: bool,
+    /// Whether a call that may run more than once is tried elsewhere where a
+    /// target answers it with a server error.
+    #[serde(default)]
+    pub retry_server_errors: bool,
 }
 
 const fn default_deadline_ms() -> u32 {
@@ -230,9 +284,25 @@
             max_queued: default_max_queued(),
             max_body_bytes: default_max_body_bytes(),
             objective: None,
+            target_latency_ms: None,
+            priority: 0,
+            bulk: false,
+            retry_server_errors: false,
         }
     }
 
+    /// Sets the time within which an answer is of full use, in milliseconds.
+    pub fn with_target_latency_ms(mut self, target_latency_ms: u32) -> Self {
+        self.target_latency_ms = Some(target_latency_ms);
+        self
+    }
+
+    /// Sets the rank where calls compete for a target.
+    pub fn with_priority(mut self, priority: u8) -> Self {
+        self.priority = priority;
+        self
+    }
+
     /// Sets the deadline, in milliseconds from a call's arrival.
     pub fn with_deadline_ms(mut self, deadline_ms: u32) -> Self {
         self.deadline_ms = deadline_ms;
@@ -263,3 +333,60 @@
     /// Share of calls that must be fast, in parts per million.
     pub latency_ppm: u32,
 }
+
+/// Limits of what callers may send.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Name of the limits: [`CALLER_LIMITS`].
+    pub name: Name,
+    /// Largest head of a request, in bytes.
+    pub max_head_bytes: u32,
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: u64,
+    /// Time in which the head of a request must arrive, in milliseconds.
+    pub head_timeout_ms: u32,
+    /// Time after which an unused connection is closed, in milliseconds.
+    pub idle_timeout_ms: u32,
+}
+
+/// Name of the limits of callers.
+pub const CALLER_LIMITS: &str = "callers";
+
+/// The number that operators give the whole configuration. Moved only by a
+/// change set that names the number before.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Release {
+    /// Name of the release: [`CURRENT_RELEASE`].
+    pub name: Name,
+    /// The number.
+    pub number: u64,
+}
+
+/// Name of the one release.
+pub const CURRENT_RELEASE: &str = "current";
+
+impl Release {
+    /// Makes the release with this number.
+    pub fn new(number: u64) -> Self {
+        Self { name: release_name(), number }
+    }
+
+    /// Kind and name of the one release.
+    pub fn key() -> ResourceKey {
+        ResourceKey { kind: ResourceKind::Release, name: release_name() }
+    }
+}
+
+fn release_name() -> Name {
+    Name::new(CURRENT_RELEASE).expect("the name is in form")
+}
+
+impl Limits {
+    /// Kind and name of the limits of callers.
+    pub fn key() -> ResourceKey {
+        let name = Name::new(CALLER_LIMITS).expect("the name is in form");
+        ResourceKey { kind: ResourceKind::Limits, name }
+    }
+}
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::call::{CallHead, CallOrigin, ForwardHead};
+use super::call::{CallClass, CallHead, CallOrigin, ForwardHead};
 use super::chain::Chain;
 use super::finish::Finished;
 use super::refusal::{Outcome, Refusal, RefusalCode};
@@ -30,7 +30,9 @@
                 self.refusals.count(code);
                 self.count_refused(&head);
                 let refusal = Refusal { code, outcome: Outcome::NotRun };
-                cx.emit(Effect::Call(CallEffect::Refuse { call: id, refusal, load: None }));
+                let retry_after_ms = self.retry_after_ms(cx, refusal, None);
+                let refuse = CallEffect::Refuse { call: id, refusal, load: None, retry_after_ms };
+                cx.emit(Effect::Call(refuse));
             }
         }
     }
@@ -39,13 +41,15 @@
     fn count_refused(&mut self, head: &CallHead) {
         let rule = self.table.as_ref().and_then(|table| table.find(&head.host, &head.path));
         if let (CallOrigin::Caller, Some(rule)) = (&head.origin, rule) {
-            self.finished.push(Finished { rule: Arc::clone(rule), result: CallResult::Refused });
+            let service = rule.service.clone();
+            let rule = Arc::clone(rule);
+            self.finished.push(Finished { service, rule, result: CallResult::Refused });
         }
     }
 
     fn check_caller(
         &mut self,
-        cx: &Context<'_>,
+        cx: &mut Context<'_>,
         head: &CallHead,
     ) -> Result<(Call, Option<TargetKey>), RefusalCode> {
         if self.is_refusing {
@@ -64,11 +68,19 @@
         if deadline <= cx.now {
             return Err(RefusalCode::DeadlineExceeded);
         }
-        let service = *self.service_keys.get(&rule.service).ok_or(RefusalCode::NoTarget)?;
+        let name = self.splits.choose(cx.rng, &rule).clone();
+        let service = *self.service_keys.get(&name).ok_or(RefusalCode::NoTarget)?;
         self.check_share(service)?;
+        let useful_until = match rule.policy.target_latency_ms {
+            Some(useful_ms) => deadline.min(cx.now.plus_ms(u64::from(useful_ms))),
+            None => deadline,
+        };
         let call = Call {
             is_repeatable: rule.is_repeatable(head.is_safe_method),
             max_queued: rule.policy.max_queued,
+            priority: rule.policy.priority,
+            useful_until,
+            class: rule.class,
             chain: Chain { hops: head.chain.hops + 1, ..head.chain },
             rule: Some(rule),
             ..new_call(cx.now, head, service, deadline)
@@ -96,6 +108,9 @@
         let call = Call {
             is_repeatable: forward.repeatable,
             max_queued: forward.max_queued,
+            priority: forward.priority,
+            useful_until: deadline.min(cx.now.plus_ms(u64::from(forward.useful_ms))),
+            class: forward.class,
             ..new_call(cx.now, head, target.service, deadline)
         };
         Ok((call, Some(key)))
@@ -165,8 +180,12 @@
         is_repeatable: false,
         is_replayable: head.is_replayable,
         max_queued: 0,
+        priority: 0,
+        useful_until: deadline,
+        class: CallClass::default(),
         chain: head.chain,
         attempt: 0,
+        reached: 0,
         stage: Stage::Choosing,
         tried: [TargetKey::default(); MAX_ATTEMPTS],
         may_have_run: false,
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -1,8 +1,8 @@
 //! Attempts of a call: at the gate, under way, failed, tried elsewhere.
 
-use super::call::{ForwardHead, GateLoad};
+use super::call::{CallClass, ForwardHead, GateLoad};
 use super::chain::Chain;
-use super::gate::Admission;
+use super::gate::{Admission, Ticket};
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
 use super::{CallEffect, Routing, TargetKey};
@@ -61,13 +61,22 @@
     /// Returns false where the gate sheds the call.
     fn enter_gate(&mut self, cx: &mut Context<'_>, id: CallId, target: TargetKey) -> bool {
         let call = &self.calls[&id];
-        let (deadline, max_queued) = (call.deadline, call.max_queued);
+        let deadline = call.deadline;
+        let ticket = Ticket {
+            call: id,
+            priority: call.priority,
+            useful_until: call.useful_until,
+            deadline,
+            max_queued: call.max_queued,
+            class: call.class,
+        };
         let Some(gate) = &mut self.targets[target].gate else { return false };
-        match gate.admit(id, cx.now, deadline, max_queued) {
+        match gate.admit(ticket, cx.now) {
             Admission::Admitted => self.dispatch(cx, id, target),
             Admission::Queued => {
                 self.call_mut(id).stage = Stage::Queued(target);
                 self.set_due(id, deadline);
+                self.refuse_hopeless(cx, target);
             }
             Admission::Shed => return false,
         }
@@ -90,9 +99,20 @@
         }
     }
 
+    /// Refuses the calls that wait in vain, as soon as that is known.
+    fn refuse_hopeless(&mut self, cx: &mut Context<'_>, target: TargetKey) {
+        let gate = self.targets[target].gate.as_mut();
+        let hopeless = gate.map(|gate| gate.take_hopeless(cx.now)).unwrap_or_default();
+        for call in hopeless {
+            let code = RefusalCode::Overloaded;
+            self.attempt_failed(cx, call, Refusal { code, outcome: Outcome::NotRun });
+        }
+    }
+
     fn dispatch(&mut self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
         self.begin_running(cx, id, key, true);
         let call = &self.calls[&id];
+        let connections = self.connections_of(key);
         let target = &self.targets[key].record;
         let chain = Chain { parent: Some((cx.me.id, id)), ..outgoing_chain(call, cx.now) };
         cx.emit(Effect::Call(CallEffect::Dispatch {
@@ -100,7 +120,7 @@
             attempt: call.attempt,
             target: target.target.clone(),
             address: target.address,
-            connections: target.connections,
+            connections,
             repeatable: call.is_repeatable,
             chain,
             max_body_bytes: max_body_bytes(call),
@@ -119,6 +139,9 @@
             remaining_ms: remaining_ms(call, cx.now),
             max_queued: call.max_queued,
             repeatable: call.is_repeatable,
+            priority: call.priority,
+            useful_ms: u32::try_from(call.useful_until.since_ms(cx.now)).unwrap_or(u32::MAX),
+            class: call.class,
         };
         cx.emit(Effect::Call(CallEffect::Forward {
             call: id,
@@ -173,18 +196,49 @@
         if call.attempt != attempt {
             return;
         }
-        call.stage = Stage::Relaying(running);
-        call.status = status;
         let is_ingress = call.is_ingress();
-        self.set_due(id, Instant::NEVER);
         if is_ingress {
             self.observe_answer(cx, running, status, load);
+            if self.retries_answer(cx, id, running, status) {
+                return;
+            }
         }
+        let call = self.call_mut(id);
+        call.stage = Stage::Relaying(running);
+        call.status = status;
+        self.set_due(id, Instant::NEVER);
         let own_load = self.targets[running.target].gate.as_ref().map(|gate| gate.load());
         let load = own_load.filter(|_| !is_ingress);
         cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
     }
 
+    /// Tries a call elsewhere whose answer is a server error, where its policy
+    /// says so. Otherwise the answer is passed on.
+    fn retries_answer(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        running: Attempt,
+        status: u16,
+    ) -> bool {
+        let call = &self.calls[&id];
+        let is_wanted = status >= FIRST_SERVER_ERROR
+            && call.rule.as_ref().is_some_and(|rule| rule.policy.retry_server_errors)
+            && call.is_repeatable
+            && call.is_replayable
+            && call.reached + 1 < call.rule.as_ref().map_or(1, |rule| rule.policy.max_attempts)
+            && cx.now < call.useful_until
+            && self.has_spare_elsewhere(cx, id);
+        if !is_wanted || !self.pay_for_retry(id) {
+            return false;
+        }
+        self.call_mut(id).is_retry_paid = true;
+        self.release(cx, id, running, true);
+        let code = RefusalCode::TargetFailed;
+        self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::Unknown });
+        true
+    }
+
     fn observe_answer(
         &mut self,
         cx: &Context<'_>,
@@ -227,7 +281,9 @@
         attempt: Attempt,
         completed: bool,
     ) {
-        let is_ingress = self.calls.get(&id).is_some_and(Call::is_ingress);
+        let call = self.calls.get(&id);
+        let is_ingress = call.is_some_and(Call::is_ingress);
+        let class = call.map_or(CallClass::default(), |call| call.class);
         let target = &mut self.targets[attempt.target];
         target.health.end_probe();
         target.attempts -= 1;
@@ -235,7 +291,7 @@
         if attempt.holds_slot
             && let Some(gate) = &mut target.gate
         {
-            gate.release(cx.now, attempt.began_at, completed);
+            gate.release(cx.now, attempt.began_at, completed, class);
             self.admit_waiting(cx, attempt.target);
         }
         self.forget_target(attempt.target);
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -15,6 +15,8 @@
     pub in_flight: u32,
     /// Calls that wait for a slot.
     pub queued: u32,
+    /// Time after which one more call would be given a slot, in milliseconds.
+    pub wait_ms: u32,
 }
 
 /// What another proxy asks of this one as the owner of a target.
@@ -28,8 +30,18 @@
     pub max_queued: u32,
     /// Whether the call may run more than once.
     pub repeatable: bool,
+    /// Rank among the calls that wait; 0 goes first.
+    pub priority: u8,
+    /// Time within which an answer is of full use, in milliseconds.
+    pub useful_ms: u32,
+    /// Kind of the call, for estimates of how long it takes.
+    pub class: CallClass,
 }
 
+/// Calls of one policy, as far as estimates of their duration go.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct CallClass(pub u16);
+
 /// Where a call comes from.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallOrigin {
@@ -174,6 +186,9 @@
         refusal: Refusal,
         /// Load of the target, for the proxy that forwarded the call.
         load: Option<GateLoad>,
+        /// Time after which the caller may find room, in milliseconds, where
+        /// trying again can help.
+        retry_after_ms: Option<u32>,
     },
     /// Cut the answer that is being passed on. Ends the call.
     Abort {
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -43,7 +43,7 @@
             self.targets[attempt.target].hear_gate(load, cx.now);
         }
         let says_of_target = match refusal.code {
-            RefusalCode::Overloaded | RefusalCode::ProxyBusy => false,
+            RefusalCode::Overloaded | RefusalCode::ProxyBusy | RefusalCode::Stopping => false,
             RefusalCode::DeadlineExceeded => false,
             _ => !attempt.is_overdue,
         };
@@ -74,6 +74,9 @@
         let call = self.call_mut(id);
         call.stage = Stage::Choosing;
         call.may_have_run |= refusal.outcome != Outcome::NotRun;
+        let has_reached =
+            refusal.outcome != Outcome::NotRun || refusal.code == RefusalCode::TargetRefused;
+        call.reached += u8::from(has_reached);
         call.last_failure = Some(refusal);
         let is_paid = std::mem::take(&mut call.is_retry_paid);
         let is_safe = refusal.outcome == Outcome::NotRun || call.is_repeatable;
@@ -96,6 +99,8 @@
         }
         match refusal.code {
             RefusalCode::Overloaded | RefusalCode::ProxyBusy => self.has_spare_elsewhere(cx, id),
+            // The target was asked, and another one will be.
+            RefusalCode::TargetRefused => false,
             _ => true,
         }
     }
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use rand::Rng;
+
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
@@ -9,12 +11,16 @@
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
 use crate::event::Effect;
-use crate::ids::CallId;
+use crate::ids::{CallId, Name};
 use crate::slo::{CallResult, Slo};
 use crate::time::Instant;
 
+/// Least time after which a refused caller may try again, in milliseconds.
+const MIN_RETRY_AFTER_MS: u32 = 100;
+
 /// A call of this ingress that ended, for the burn report.
 pub(super) struct Finished {
+    pub service: Name,
     pub rule: Arc<RouteRule>,
     pub result: CallResult,
 }
@@ -32,13 +38,39 @@
         let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
         let refusal = Refusal { code, outcome };
         let tried = usize::from(call.attempt).checked_sub(1).and_then(|i| call.tried.get(i));
-        let gate = tried.and_then(|key| self.targets.get(*key)).and_then(|t| t.gate.as_ref());
+        let target = tried.and_then(|key| self.targets.get(*key));
+        let gate = target.and_then(|target| target.gate.as_ref());
         let load = gate.filter(|_| !call.is_ingress()).map(|gate| gate.load());
-        cx.emit(Effect::Call(CallEffect::Refuse { call: id, refusal, load }));
+        let wait_ms = target.map(|target| target.wait_ms(cx.now));
+        let retry_after_ms = self.retry_after_ms(cx, refusal, wait_ms);
+        let refuse = CallEffect::Refuse { call: id, refusal, load, retry_after_ms };
+        cx.emit(Effect::Call(refuse));
         self.refusals.count(code);
         self.remove(id, Some(outcome), CallResult::Refused);
     }
 
+    /// Time after which a refused caller may find room, in milliseconds.
+    ///
+    /// `wait_ms` is the wait at the target that refused, where it is known. Spread at
+    /// random, so that callers who were refused together do not return together.
+    pub(super) fn retry_after_ms(
+        &self,
+        cx: &mut Context<'_>,
+        refusal: Refusal,
+        wait_ms: Option<u32>,
+    ) -> Option<u32> {
+        let default_ms = refusal.default_retry_after_ms();
+        if refusal.outcome != Outcome::NotRun {
+            return default_ms;
+        }
+        let least_ms = match (refusal.code, wait_ms) {
+            (RefusalCode::Overloaded, Some(wait_ms)) => wait_ms.max(MIN_RETRY_AFTER_MS),
+            (RefusalCode::Stopping | RefusalCode::TargetGone, _) => MIN_RETRY_AFTER_MS,
+            _ => default_ms.map(|default_ms| default_ms * 2 / 3)?,
+        };
+        Some(least_ms + cx.rng.random_range(0..=least_ms / 2))
+    }
+
     /// The answer of a call was passed on, or cut.
     pub(super) fn ended(&mut self, cx: &mut Context<'_>, id: CallId, attempt: u8, whole: bool) {
         let Some(call) = self.calls.get(&id) else { return };
@@ -178,7 +210,8 @@
             Some(outcome) => service.counts.count_ended(outcome),
             None => service.counts.cancelled += 1,
         }
-        self.finished.push(Finished { rule, result });
+        let service = service.name.clone();
+        self.finished.push(Finished { service, rule, result });
     }
 
     /// Tells the burn report of ended calls, and ends the calls that were made
@@ -190,7 +223,7 @@
             }
         }
         for finished in self.finished.drain(..) {
-            slo.count(&finished.rule.service, &finished.rule.policy, finished.result);
+            slo.count(&finished.service, &finished.rule.policy, finished.result);
         }
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -21,6 +21,7 @@
 mod health;
 mod metrics;
 mod refusal;
+mod split;
 mod state;
 mod table;
 mod target;
@@ -31,7 +32,7 @@
 
 use slotmap::SlotMap;
 
-pub use call::{CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, GateLoad};
+pub use call::{CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, GateLoad};
 pub use chain::{Chain, ChainError};
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
 pub use refusal::{Outcome, Refusal, RefusalCode};
@@ -89,6 +90,7 @@
     /// Services with calls in flight.
     busy_services: u32,
     refusals: metrics::RefusalCounts,
+    splits: split::Splits,
     /// Calls that ended during this event, for the burn report.
     finished: Vec<finish::Finished>,
     /// Calls whose parent ended during this event.
@@ -116,6 +118,7 @@
             deadlines: BTreeSet::new(),
             busy_services: 0,
             refusals: metrics::RefusalCounts::default(),
+            splits: split::Splits::default(),
             finished: Vec::new(),
             orphans: Vec::new(),
             close_at: None,
--- a/crates/core/src/routing/refusal.rs
+++ b/crates/core/src/routing/refusal.rs
@@ -64,6 +64,12 @@
     Stopping,
     /// The target is draining or gone, or this proxy does not own it.
     TargetGone,
+    /// The target said that it did not run the call.
+    TargetRefused,
+    /// The target answered with a server error, and the call is tried elsewhere.
+    TargetFailed,
+    /// The target's answer was not one to this call.
+    WrongAnswer,
     /// The request's body is larger than the policy allows.
     BodyTooLarge,
     /// The call went through too many proxies: probably a loop.
@@ -92,7 +98,9 @@
             Self::BodyTooLarge => 413,
             Self::HopLimit => 508,
             Self::DeadlineExceeded | Self::ChainCancelled => 504,
-            Self::Unreachable | Self::ConnectionLost => 502,
+            Self::Unreachable | Self::ConnectionLost | Self::TargetFailed | Self::WrongAnswer => {
+                502
+            }
             Self::CallerStalled => 408,
             Self::Unauthorized => 401,
             Self::BadRequest => 400,
@@ -101,15 +109,11 @@
             | Self::Overloaded
             | Self::ProxyBusy
             | Self::Stopping
-            | Self::TargetGone => 503,
+            | Self::TargetGone
+            | Self::TargetRefused => 503,
         }
     }
 
-    /// Seconds after which the caller may try again, where that can help.
-    pub fn retry_after_s(self) -> Option<u32> {
-        (self.status() == 503).then_some(1)
-    }
-
     /// One sentence for the caller.
     pub fn message(self) -> &'static str {
         match self {
@@ -120,6 +124,9 @@
             Self::ProxyBusy => "this proxy has too many calls in flight",
             Self::Stopping => "this proxy is stopping",
             Self::TargetGone => "the target takes no new work",
+            Self::TargetRefused => "the target did not run the call",
+            Self::TargetFailed => "the target answered with a server error",
+            Self::WrongAnswer => "the target sent something else than an answer to this call",
             Self::BodyTooLarge => "the request's body is larger than its policy allows",
             Self::HopLimit => "the call went through too many proxies",
             Self::DeadlineExceeded => "the deadline of the call passed",
@@ -141,3 +148,14 @@
     /// What became of the call.
     pub outcome: Outcome,
 }
+
+/// Wait before a call is tried again where nothing is known of the room, in milliseconds.
+const RETRY_AFTER_MS: u32 = 1_000;
+
+impl Refusal {
+    /// Time after which the caller may try again where nothing more is known,
+    /// in milliseconds. None where trying again cannot help.
+    pub fn default_retry_after_ms(self) -> Option<u32> {
+        (self.code.status() == 503).then_some(RETRY_AFTER_MS)
+    }
+}
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::budget::RetryBudget;
+use super::call::CallClass;
 use super::chain::Chain;
 use super::estimate::Estimate;
 use super::metrics::ServiceCounts;
@@ -12,8 +13,8 @@
 use crate::ids::{CallId, Name};
 use crate::time::Instant;
 
-/// Most attempts of one call, whatever its policy says.
-pub(super) const MAX_ATTEMPTS: usize = 8;
+/// Most attempts of one call, those included that reached no target.
+pub(super) const MAX_ATTEMPTS: usize = 4;
 /// Availability zone, region, elsewhere.
 pub(super) const TIERS: usize = 3;
 
@@ -57,9 +58,16 @@
     /// Whether the request's body is still whole at this proxy.
     pub is_replayable: bool,
     pub max_queued: u32,
+    /// Rank where calls compete for a target; 0 goes first.
+    pub priority: u8,
+    /// When an answer is of full use no longer.
+    pub useful_until: Instant,
+    pub class: CallClass,
     pub chain: Chain,
     /// Number of the present attempt.
     pub attempt: u8,
+    /// Attempts that may have reached a target.
+    pub reached: u8,
     pub stage: Stage,
     pub tried: [TargetKey; MAX_ATTEMPTS],
     /// Whether an earlier attempt may have run.
@@ -92,8 +100,8 @@
     }
 
     pub fn may_try_again(&self) -> bool {
-        let allowed = self.rule.as_ref().map_or(1, |rule| usize::from(rule.policy.max_attempts));
-        usize::from(self.attempt) < allowed.min(MAX_ATTEMPTS)
+        let allowed = self.rule.as_ref().map_or(1, |rule| rule.policy.max_attempts);
+        self.reached < allowed && usize::from(self.attempt) < MAX_ATTEMPTS
     }
 }
 
@@ -113,6 +121,8 @@
     pub retry_budget_percent: u8,
     pub max_ejected_percent: u8,
     pub slow_start_ms: u32,
+    /// Connections that each target takes, where the service says it.
+    pub max_connections: Option<u32>,
     /// Time to an answer, over all targets.
     pub latency: Estimate,
     /// The last answer of any target, and the one before it of another target.
@@ -133,6 +143,7 @@
             retry_budget_percent: defaults.retry_budget_percent,
             max_ejected_percent: defaults.max_ejected_percent,
             slow_start_ms: defaults.slow_start_ms,
+            max_connections: defaults.max_connections,
             latency: Estimate::default(),
             last_answers: Default::default(),
             counts: ServiceCounts::default(),
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -7,17 +7,25 @@
 use crate::collections::HashMap;
 use crate::config::Configuration;
 use crate::ids::Name;
-use crate::resource::{Policy, Repeatable, Route};
+use crate::resource::{Policy, Repeatable, Route, WeightedService};
+use crate::routing::call::CallClass;
 
 /// Limits of the calls of one route.
 #[derive(Clone, Debug)]
 pub(super) struct RouteRule {
-    /// Path prefix without a trailing slash; empty for every path.
+    /// Name of the route.
+    pub route: Name,
+    /// Path prefix; empty for every path. One that ends with a slash matches
+    /// only paths below it.
     prefix: CompactString,
     /// Service that answers.
     pub service: Name,
+    /// Services over which the calls are spread; empty where one answers all.
+    pub split: Vec<WeightedService>,
     /// Policy; defaults where neither route nor service names one.
     pub policy: Policy,
+    /// Calls that are expected to take alike.
+    pub class: CallClass,
 }
 
 /// The routes of one version, longest prefix first.
@@ -59,12 +67,24 @@
         .and_then(|name| configuration.policy(name))
         .cloned()
         .unwrap_or_else(|| Policy::new(route.service.clone()));
-    let prefix = route.path_prefix.trim_end_matches('/').into();
-    RouteRule { prefix, service: route.service.clone(), policy }
+    let prefix = if route.path_prefix == "/" { "" } else { route.path_prefix.as_str() };
+    let hash = blake3::hash(policy.name.as_str().as_bytes());
+    RouteRule {
+        route: route.name.clone(),
+        prefix: prefix.into(),
+        service: route.service.clone(),
+        split: route.split.clone(),
+        class: CallClass(u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])),
+        policy,
+    }
 }
 
-/// Matches by whole segments: `/seats` matches `/seats/7` and not `/seatsale`.
+/// Matches by whole segments: `/seats` matches `/seats/7` and not `/seatsale`;
+/// `/seats/` does not match `/seats` either.
 fn prefix_matches(prefix: &str, path: &str) -> bool {
+    if prefix.ends_with('/') {
+        return path.starts_with(prefix);
+    }
     path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Copy, Debug)]
 struct LoadHint {
     others: u64,
+    wait_ms: u32,
     heard_at: Instant,
     life_us: u64,
 }
@@ -82,17 +83,17 @@
     fn hear_report(&mut self, now: Instant) {
         let Some(percent) = self.record.load_percent else { return };
         let load = u64::from(self.record.slots) * u64::from(percent) / 100;
-        self.hear(load, now, REPORT_LIFE_US);
+        self.hear(load, 0, now, REPORT_LIFE_US);
     }
 
     /// Takes what the owner told of its gate with an answer.
     pub fn hear_gate(&mut self, load: GateLoad, now: Instant) {
-        self.hear(u64::from(load.in_flight + load.queued), now, GATE_HINT_LIFE_US);
+        self.hear(u64::from(load.in_flight + load.queued), load.wait_ms, now, GATE_HINT_LIFE_US);
     }
 
-    fn hear(&mut self, load: u64, now: Instant, life_us: u64) {
+    fn hear(&mut self, load: u64, wait_ms: u32, now: Instant, life_us: u64) {
         let others = load.saturating_sub(u64::from(self.in_flight));
-        self.hint = Some(LoadHint { others, heard_at: now, life_us });
+        self.hint = Some(LoadHint { others, wait_ms, heard_at: now, life_us });
     }
 
     /// An answer arrived `us` after its attempt began.
@@ -133,6 +134,16 @@
         u64::from(self.in_flight) + others
     }
 
+    /// Time after which one more call would be given a slot, as far as is
+    /// known, in milliseconds.
+    pub fn wait_ms(&self, now: Instant) -> u32 {
+        if let Some(gate) = &self.gate {
+            return gate.load().wait_ms;
+        }
+        let hint = self.hint.filter(|hint| now.since_us(hint.heard_at) < hint.life_us);
+        hint.map_or(0, |hint| hint.wait_ms)
+    }
+
     pub fn has_spare(&self, now: Instant) -> bool {
         self.expected_load(now) < self.limit()
     }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -15,7 +15,7 @@
 
 impl Routing {
     /// A version came into force at this process.
-    pub fn configure(&mut self, _cx: &mut Context<'_>, configuration: Arc<Configuration>) {
+    pub fn configure(&mut self, cx: &mut Context<'_>, configuration: Arc<Configuration>) {
         self.table = Some(RouteTable::new(&configuration));
         for service in configuration.services() {
             let key = self.service_key(&service.name);
@@ -23,9 +23,23 @@
             state.retry_budget_percent = service.retry_budget_percent;
             state.max_ejected_percent = service.max_ejected_percent;
             state.slow_start_ms = service.slow_start_ms;
+            state.max_connections = service.max_connections;
         }
+        self.splits.retain(|route| configuration.routes().any(|known| known.name == *route));
         self.configuration = configuration;
         self.forget_services();
+        let owned: Vec<TargetKey> =
+            self.targets.iter().filter(|(_, t)| t.gate.is_some()).map(|(key, _)| key).collect();
+        for key in owned {
+            self.update_gate(cx, key);
+        }
+    }
+
+    /// Connections that a target takes from all callers.
+    pub(super) fn connections_of(&self, key: TargetKey) -> u32 {
+        let target = &self.targets[key];
+        let of_service = self.services[target.service].max_connections;
+        of_service.map_or(target.record.connections, |most| most.min(target.record.connections))
     }
 
     /// The view of hosts and targets changed.
@@ -115,10 +129,11 @@
     }
 
     fn update_gate(&mut self, cx: &mut Context<'_>, key: TargetKey) {
+        let connections = self.connections_of(key);
         let target = &mut self.targets[key];
         let is_owner = target.record.owner == cx.me.id;
         if is_owner {
-            let (slots, connections) = (target.record.slots, target.record.connections);
+            let slots = target.record.slots;
             let gate = target.gate.get_or_insert_with(Gate::default);
             gate.set_limit(slots, connections);
             if target.record.state == TargetState::Ready {
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -114,7 +114,8 @@
     }
 
     pub fn start(&mut self, node: usize) {
-        let settings = ControlSettings { initial_voters: self.initial.clone() };
+        let settings =
+            ControlSettings { initial_voters: self.initial.clone(), ..ControlSettings::default() };
         let now = Instant::from_us(self.now_us);
         let node = &mut self.nodes[node];
         node.start += 1;
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -228,6 +228,8 @@
             lease_ms: LEASE_MS,
             load_percent: None,
             draining: state.standing != Standing::Ready,
+            cold_ms: 0,
+            order: None,
         };
         self.ask(owner_of(target), ApiRequest::Announce(announcement));
         let renew_us = u64::from(LEASE_MS) * 1_000 / 3;
--- a/crates/core/tests/fuzz/regressions.rs
+++ b/crates/core/tests/fuzz/regressions.rs
@@ -131,9 +131,8 @@
 }
 
 /// A proposal was doubled: one copy was answered as not proposed, the other was
-/// appended. The transport doubles no message; the fuzz network does.
+/// appended. Attempts are numbered, so that a copy is recognised.
 #[test]
-#[ignore = "KNOWN-RED"]
 fn doubled_proposal_is_refused_and_appended() {
     let actions = vec![
         Run { ms: 1983 },
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -142,7 +142,10 @@
         let seeds = (0..CONTROL_HOSTS).map(|seed| addresses(seed).peers).collect();
         CoreSettings {
             membership: MembershipSettings { seeds },
-            control: control.then_some(ControlSettings { initial_voters: voters }),
+            control: control.then_some(ControlSettings {
+                initial_voters: voters,
+                ..ControlSettings::default()
+            }),
             ..CoreSettings::default()
         }
     }
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -325,6 +325,8 @@
             lease_ms,
             load_percent: None,
             draining: false,
+            cold_ms: 0,
+            order: None,
         };
         self.at(host, |process, cx| process.membership.announce(cx, announcement));
     }
--- a/crates/core/tests/routing/bench.rs
+++ b/crates/core/tests/routing/bench.rs
@@ -12,8 +12,8 @@
 };
 use fireflylug_core::resource::Resource;
 use fireflylug_core::routing::{
-    CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal, RefusalCode,
-    Routing, RoutingSettings,
+    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
+    RefusalCode, Routing, RoutingSettings,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -57,6 +57,7 @@
         connections: 8,
         state: TargetState::Ready,
         load_percent: None,
+        cold_ms: 0,
     }
 }
 
@@ -163,7 +164,15 @@
     /// A call that another proxy forwards arrives.
     pub fn arrive_forwarded(&mut self, service: &str, id: &str, remaining_ms: u32) -> CallId {
         let target = TargetId { service: name(service), id: name(id) };
-        let head = ForwardHead { target, remaining_ms, max_queued: 16, repeatable: false };
+        let head = ForwardHead {
+            target,
+            remaining_ms,
+            max_queued: 16,
+            repeatable: false,
+            priority: 0,
+            useful_ms: remaining_ms,
+            class: CallClass::default(),
+        };
         self.arrive_with("/", |call| call.origin = CallOrigin::Proxy(head))
     }
 
--- a/crates/core/tests/routing/retries.rs
+++ b/crates/core/tests/routing/retries.rs
@@ -77,6 +77,8 @@
     bench.fail(call, 1, RefusalCode::ConnectionLost, Outcome::Unknown);
     bench.fail(call, 2, RefusalCode::TargetGone, Outcome::NotRun);
     bench.fail(call, 3, RefusalCode::TargetGone, Outcome::NotRun);
+    // Attempts that reached no target do not count: the fourth target is asked too.
+    bench.fail(call, 4, RefusalCode::TargetGone, Outcome::NotRun);
 
     let expected = refusal(RefusalCode::TargetGone, Outcome::Unknown);
     assert_eq!(bench.take_refusals(), [(call, expected)]);
--- a/crates/daemon/src/api/json.rs
+++ b/crates/daemon/src/api/json.rs
@@ -4,7 +4,9 @@
 use fireflylug_core::config::{ChangeSet, Finding, FindingCode, Operation};
 use fireflylug_core::ids::{Name, TargetId, Version};
 use fireflylug_core::membership::{MAX_LEASE_MS, TargetAnnouncement};
-use fireflylug_core::resource::{Policy, Resource, ResourceKey, ResourceKind, Route, Service};
+use fireflylug_core::resource::{
+    Limits, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
+};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
@@ -57,6 +59,8 @@
         lease_ms: body.lease_ms,
         load_percent: body.load_percent,
         draining: body.draining,
+        cold_ms: 0,
+        order: None,
     });
     if let Some(announcement) = &announcement {
         check_announcement(announcement, &mut findings);
@@ -156,7 +160,11 @@
     let kind = kind.as_ref().and_then(Value::as_str).and_then(|kind| kind.parse().ok());
     let Some(kind) = kind else {
         let place = format!("{place}.kind");
-        findings.push(Finding::new(FindingCode::Malformed, place, "use service, route or policy"));
+        findings.push(Finding::new(
+            FindingCode::Malformed,
+            place,
+            "use service, route, policy or limits",
+        ));
         return None;
     };
     typed_resource(kind, object, place, findings)
@@ -172,6 +180,8 @@
         ResourceKind::Service => typed::<Service>(object, place, findings).map(Resource::Service),
         ResourceKind::Route => typed::<Route>(object, place, findings).map(Resource::Route),
         ResourceKind::Policy => typed::<Policy>(object, place, findings).map(Resource::Policy),
+        ResourceKind::Limits => typed::<Limits>(object, place, findings).map(Resource::Limits),
+        ResourceKind::Release => typed::<Release>(object, place, findings).map(Resource::Release),
     }
 }
 
--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -7,9 +7,11 @@
 mod answers;
 mod json;
 mod parse;
+mod requests;
 mod respond;
 mod server;
 
 pub use answers::{AnswerStream, Answers, MAX_WAITING_ANSWERS};
 pub use parse::{MAX_BODY_BYTES, Parsed, RequestHead, parse};
+pub use requests::Requests;
 pub use server::ApiServer;
--- a/crates/daemon/src/api/parse.rs
+++ b/crates/daemon/src/api/parse.rs
@@ -218,6 +218,8 @@
         "services" => Some(ResourceKind::Service),
         "routes" => Some(ResourceKind::Route),
         "policies" => Some(ResourceKind::Policy),
+        "limits" => Some(ResourceKind::Limits),
+        "releases" => Some(ResourceKind::Release),
         _ => None,
     }
 }
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -17,7 +17,7 @@
 use super::handle::Slot;
 use super::headers;
 use super::pool::Connection;
-use super::proxy::Proxy;
+use super::proxy::{Proxy, Side};
 
 /// A call that the reducer still knows. Dropped early, it reports that the caller is gone.
 pub(super) struct OpenCall {
@@ -138,7 +138,9 @@
     let Answer { response, connection, request_body } = answer;
     let (mut parts, body) = response.into_parts();
     headers::strip(&mut parts.headers);
-    parts.headers.insert(headers::OUTCOME, headers::outcome_value(Outcome::Ran));
+    if open.proxy.settings.dialect.has_mesh_headers {
+        parts.headers.insert(headers::OUTCOME, headers::outcome_value(Outcome::Ran));
+    }
     if let Some(load) = load {
         headers::add_load(&mut parts.headers, load);
     }
@@ -155,22 +157,30 @@
 /// An answer of the mesh itself: JSON with a code and a message.
 pub(super) fn refuse(
     proxy: &Proxy,
+    side: Side,
     refusal: Refusal,
     load: Option<GateLoad>,
+    retry_after_ms: Option<u32>,
 ) -> Response<AnswerBody> {
+    let dialect = &proxy.settings.dialect;
     let Refusal { code, outcome } = refusal;
     let message = code.message();
     let text =
         format!("{{\"code\":\"{code}\",\"message\":\"{message}\",\"outcome\":\"{outcome}\"}}\n");
     let mut response = Response::new(AnswerBody::Whole(Some(text.into())));
-    *response.status_mut() =
-        StatusCode::from_u16(code.status()).expect("the status of a code is in range");
+    let status = match side {
+        Side::Callers => dialect.status(refusal),
+        Side::Proxies => code.status(),
+    };
+    *response.status_mut() = StatusCode::from_u16(status).expect("the status is in range");
     let all = response.headers_mut();
     all.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     all.insert(headers::ERROR, HeaderValue::from_static(code.into()));
     all.insert(headers::OUTCOME, headers::outcome_value(outcome));
-    if let Some(seconds) = code.retry_after_s() {
-        all.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    if let Some(wait_ms) = retry_after_ms
+        && let Ok(value) = dialect.retry_after(wait_ms).parse()
+    {
+        all.insert(header::RETRY_AFTER, value);
     }
     if let Some(load) = load {
         headers::add_load(all, load);
--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -8,13 +8,14 @@
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, CallOrigin, GateLoad, Outcome, Refusal, RefusalCode,
 };
-use http::header::{self, HeaderMap};
+use http::header::{self, HeaderMap, HeaderValue};
 use http::request::Parts;
-use http::{Method, Request, Response, Uri, Version};
+use http::{Method, Request, Response, StatusCode, Uri, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::{Mutex, Notify};
 
+use super::CallDialect;
 use super::answer::{self, Answer, AnswerBody, OpenCall};
 use super::body::BodySource;
 use super::headers;
@@ -40,14 +41,18 @@
     let (parts, body) = request.into_parts();
     let origin = match origin(&proxy, side, &parts.headers) {
         Ok(origin) => origin,
-        Err(code) => return not_run(&proxy, code),
+        Err(code) => return not_run(&proxy, side, code),
     };
-    let Some(chain) = headers::chain(&parts.headers) else {
-        return not_run(&proxy, RefusalCode::BadRequest);
+    let Some(mut chain) = headers::chain(&parts.headers) else {
+        return not_run(&proxy, side, RefusalCode::BadRequest);
     };
+    if side == Side::Callers {
+        let given_ms = headers::caller_deadline_ms(&parts.headers, &proxy.settings.dialect);
+        chain.remaining_ms = chain.remaining_ms.into_iter().chain(given_ms).min();
+    }
     let body = match BodySource::read(body).await {
         Ok(body) => body,
-        Err(code) => return not_run(&proxy, code),
+        Err(code) => return not_run(&proxy, side, code),
     };
     let head = CallHead {
         origin,
@@ -58,15 +63,30 @@
         is_replayable: body.is_replayable(),
         chain,
     };
+    let mut parts = outgoing(parts);
+    if side == Side::Callers {
+        set_caller_service(&proxy, &mut parts.headers);
+    }
     let (call, slot) = proxy.handle.open(broken);
     slot.pause_progress();
     let open = OpenCall { proxy, call, slot, is_open: true };
     open.submit(CallEvent::Arrived { call, head });
-    drive(open, Outgoing { parts: outgoing(parts), body: Mutex::new(body) }).await
+    drive(open, side, Outgoing { parts, body: Mutex::new(body) }).await
+}
+
+fn not_run(proxy: &Proxy, side: Side, code: RefusalCode) -> Response<AnswerBody> {
+    let refusal = Refusal { code, outcome: Outcome::NotRun };
+    answer::refuse(proxy, side, refusal, None, refusal.default_retry_after_ms())
 }
 
-fn not_run(proxy: &Proxy, code: RefusalCode) -> Response<AnswerBody> {
-    answer::refuse(proxy, Refusal { code, outcome: Outcome::NotRun }, None)
+/// Says whose call it is, whatever the caller says.
+fn set_caller_service(proxy: &Proxy, all: &mut HeaderMap) {
+    let name = &proxy.settings.dialect.caller_service;
+    all.remove(name);
+    let service = proxy.settings.caller_service.as_ref();
+    if let Some(value) = service.and_then(|service| service.parse().ok()) {
+        all.insert(name, value);
+    }
 }
 
 fn origin(proxy: &Proxy, side: Side, all: &HeaderMap) -> Result<CallOrigin, RefusalCode> {
@@ -142,7 +162,7 @@
 
 type Running<'a> = Pin<Box<dyn Future<Output = Result<Answer, Failure>> + Send + 'a>>;
 
-async fn drive(mut open: OpenCall, outgoing: Outgoing) -> Response<AnswerBody> {
+async fn drive(mut open: OpenCall, side: Side, outgoing: Outgoing) -> Response<AnswerBody> {
     let proxy = Arc::clone(&open.proxy);
     let slot = Arc::clone(&open.slot);
     let mut attempt = 0;
@@ -165,6 +185,8 @@
             CallEffect::Forward { attempt: number, .. }
             | CallEffect::Dispatch { attempt: number, .. } => {
                 attempt = number;
+                // The answer of an attempt that the reducer has given up.
+                answered = None;
                 running = Some(Box::pin(start(&proxy, &outgoing, effect)));
             }
             CallEffect::Relay { load, .. } => {
@@ -178,9 +200,9 @@
                 let failure = Failure::new(RefusalCode::DeadlineExceeded, Outcome::Unknown);
                 report_failure(&open, &outgoing, attempt, failure).await;
             }
-            CallEffect::Refuse { refusal, load, .. } => {
+            CallEffect::Refuse { refusal, load, retry_after_ms, .. } => {
                 open.close();
-                return answer::refuse(&proxy, refusal, load);
+                return answer::refuse(&proxy, side, refusal, load, retry_after_ms);
             }
             CallEffect::Abort { .. }
             | CallEffect::CloseKeepAlive
@@ -227,11 +249,20 @@
     let mut head = outgoing.head();
     match effect {
         CallEffect::Dispatch {
-            address, connections, repeatable, chain, max_body_bytes, ..
+            address,
+            connections,
+            repeatable,
+            chain,
+            max_body_bytes,
+            target,
+            ..
         } => {
-            headers::add_for_target(&mut head.headers, &chain);
+            let dialect = &proxy.settings.dialect;
+            headers::add_for_target(&mut head.headers, dialect, &chain, &target);
+            let id = head.headers.get(&dialect.request_id).cloned();
             let wanted = wanted(address, connections as usize, repeatable);
-            send(&proxy.targets, wanted, head, &outgoing.body, max_body_bytes).await
+            let sent = send(&proxy.targets, wanted, head, &outgoing.body, max_body_bytes).await;
+            from_target(dialect, id.as_ref(), sent?).await
         }
         CallEffect::Forward { address, head: forward, chain, max_body_bytes, .. } => {
             let key = proxy.key_value.as_ref();
@@ -250,16 +281,51 @@
     Wanted { address, max_open, max_idle }
 }
 
-/// Tells an owner's refusal from a target's answer.
-async fn from_owner(answer: Answer) -> Result<Answer, Failure> {
+/// Tells a target's answer to this call from a refusal, and from what is no
+/// answer to this call.
+async fn from_target(
+    dialect: &CallDialect,
+    id: Option<&HeaderValue>,
+    answer: Answer,
+) -> Result<Answer, Failure> {
     let all = answer.response.headers();
-    let Some((code, outcome)) = headers::refusal(all) else { return Ok(answer) };
-    let load = headers::load(all);
+    let status = answer.response.status();
+    let echoed = all.get(&dialect.request_id);
+    if echoed.is_some() && id.is_some() && echoed != id {
+        // A late answer to an earlier call; the one to this call may come yet.
+        return Err(Failure::new(RefusalCode::WrongAnswer, Outcome::Unknown));
+    }
+    if all.contains_key(&dialect.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
+        let code = match status {
+            StatusCode::MISDIRECTED_REQUEST => RefusalCode::TargetGone,
+            _ => RefusalCode::TargetRefused,
+        };
+        drain(answer).await;
+        return Err(Failure::new(code, Outcome::NotRun));
+    }
+    let lacks_stamp = dialect.stamp.as_ref().is_some_and(|stamp| !all.contains_key(stamp));
+    if status.is_success() && lacks_stamp {
+        return Err(Failure::new(RefusalCode::WrongAnswer, Outcome::Unknown));
+    }
+    Ok(answer)
+}
+
+/// Reads a short answer to its end, so that its connection can be used again.
+async fn drain(answer: Answer) {
     let Answer { response, connection, request_body } = answer;
+    let is_closing = response.headers().contains_key(header::CONNECTION);
     let rest = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect().await;
-    if rest.is_ok() && request_body.is_done() {
+    if rest.is_ok() && request_body.is_done() && !is_closing {
         connection.give_back();
     }
+}
+
+/// Tells an owner's refusal from a target's answer.
+async fn from_owner(answer: Answer) -> Result<Answer, Failure> {
+    let all = answer.response.headers();
+    let Some((code, outcome)) = headers::refusal(all) else { return Ok(answer) };
+    let load = headers::load(all);
+    drain(answer).await;
     Err(Failure { refusal: Refusal { code, outcome }, load })
 }
 
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -5,15 +5,19 @@
 //! | `fireflylug-outcome` | mesh to caller | `ran`, `not-run` or `unknown` |
 //! | `fireflylug-error` | mesh to caller | code of an answer that the mesh gave itself |
 //! | `fireflylug-chain` | mesh to target, target to mesh | opaque: copied by targets to calls that they make for this one |
-//! | `fireflylug-deadline-ms` | mesh to target | time left, in milliseconds |
+//! | `fireflylug-deadline-ms` | caller to mesh, mesh to target | time left, in milliseconds |
+//! | `fireflylug-caller-service` | mesh to target | service of the caller |
+//! | `fireflylug-target` | mesh to target | id of the target that the call is for |
+//! | `fireflylug-not-run` | target to mesh | the target did not run the call |
 //! | `fireflylug-forward` | ingress to owner | what the owner must know |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
-//! | `fireflylug-load` | owner to ingress | `in_flight.queued` of the target |
+//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms` of the target |
 
 use fireflylug_core::ids::{Name, TargetId};
-use fireflylug_core::routing::{Chain, ForwardHead, GateLoad, Outcome, RefusalCode};
+use fireflylug_core::routing::{CallClass, Chain, ForwardHead, GateLoad, Outcome, RefusalCode};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
+use super::CallDialect;
 use crate::SharedKey;
 
 /// What became of a call.
@@ -22,7 +26,6 @@
 pub(super) const ERROR: HeaderName = HeaderName::from_static("fireflylug-error");
 /// Calls that led to this one.
 pub(super) const CHAIN: HeaderName = HeaderName::from_static("fireflylug-chain");
-const DEADLINE_MS: HeaderName = HeaderName::from_static("fireflylug-deadline-ms");
 const FORWARD: HeaderName = HeaderName::from_static("fireflylug-forward");
 const KEY: HeaderName = HeaderName::from_static("fireflylug-key");
 const LOAD: HeaderName = HeaderName::from_static("fireflylug-load");
@@ -69,11 +72,27 @@
 }
 
 /// Adds what a target is told.
-pub(super) fn add_for_target(headers: &mut HeaderMap, chain: &Chain) {
-    headers.insert(CHAIN, value(chain));
+pub(super) fn add_for_target(
+    headers: &mut HeaderMap,
+    dialect: &CallDialect,
+    chain: &Chain,
+    target: &TargetId,
+) {
+    if dialect.has_mesh_headers {
+        headers.insert(CHAIN, value(chain));
+    }
     if let Some(remaining_ms) = chain.remaining_ms {
-        headers.insert(DEADLINE_MS, HeaderValue::from(remaining_ms));
+        headers.insert(&dialect.deadline_ms, HeaderValue::from(remaining_ms));
     }
+    headers.insert(&dialect.expected_target, value(&target.id));
+}
+
+/// Time that a caller gives its call, in milliseconds.
+pub(super) fn caller_deadline_ms(headers: &HeaderMap, dialect: &CallDialect) -> Option<u32> {
+    let text = headers.get(&dialect.deadline_ms)?.to_str().ok()?;
+    let ms: f64 = text.trim().parse().ok()?;
+    // Casting saturates.
+    (ms.is_finite() && ms >= 0.0).then_some(ms as u32)
 }
 
 /// Adds what the owner of a target is told.
@@ -84,10 +103,14 @@
     key: Option<&HeaderValue>,
 ) {
     headers.insert(CHAIN, value(chain));
-    let ForwardHead { target, remaining_ms, max_queued, repeatable } = head;
+    let ForwardHead { target, remaining_ms, max_queued, repeatable, priority, useful_ms, class } =
+        head;
     let repeatable = u8::from(*repeatable);
-    headers
-        .insert(FORWARD, value(format_args!("{target} {remaining_ms} {max_queued} {repeatable}")));
+    let text = format_args!(
+        "{target} {remaining_ms} {max_queued} {repeatable} {priority} {useful_ms} {}",
+        class.0
+    );
+    headers.insert(FORWARD, value(text));
     if let Some(key) = key {
         headers.insert(KEY, key.clone());
     }
@@ -125,6 +148,9 @@
         remaining_ms: fields.next()?.parse().ok()?,
         max_queued: fields.next()?.parse().ok()?,
         repeatable: fields.next()? == "1",
+        priority: fields.next()?.parse().ok()?,
+        useful_ms: fields.next()?.parse().ok()?,
+        class: CallClass(fields.next()?.parse().ok()?),
     })
 }
 
@@ -138,13 +164,18 @@
 
 /// Adds the load of a target to an owner's answer.
 pub(super) fn add_load(headers: &mut HeaderMap, load: GateLoad) {
-    headers.insert(LOAD, value(format_args!("{}.{}", load.in_flight, load.queued)));
+    let GateLoad { in_flight, queued, wait_ms } = load;
+    headers.insert(LOAD, value(format_args!("{in_flight}.{queued}.{wait_ms}")));
 }
 
 /// The load of a target as its owner told it.
 pub(super) fn load(headers: &HeaderMap) -> Option<GateLoad> {
-    let (in_flight, queued) = headers.get(LOAD)?.to_str().ok()?.split_once('.')?;
-    Some(GateLoad { in_flight: in_flight.parse().ok()?, queued: queued.parse().ok()? })
+    let mut fields = headers.get(LOAD)?.to_str().ok()?.split('.');
+    Some(GateLoad {
+        in_flight: fields.next()?.parse().ok()?,
+        queued: fields.next()?.parse().ok()?,
+        wait_ms: fields.next()?.parse().ok()?,
+    })
 }
 
 /// The refusal that an owner answered with.
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod body;
+mod dialect;
 mod drive;
 mod handle;
 mod headers;
@@ -15,6 +16,8 @@
 
 use std::sync::Arc;
 
+use compact_str::CompactString;
+pub use dialect::{CallDialect, StatusRule};
 pub use handle::CallHandle;
 use tokio::net::TcpListener;
 
@@ -28,6 +31,10 @@
     pub key: Option<SharedKey>,
     /// Addresses replaced before connecting.
     pub translation: Translation,
+    /// What callers and targets speak.
+    pub dialect: Arc<CallDialect>,
+    /// Service of the callers of this host, which targets are told.
+    pub caller_service: Option<CompactString>,
 }
 
 /// Serves callers and other proxies until the process takes no more calls and
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,19 +5,21 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use compact_str::CompactString;
 use eyre::{WrapErr, eyre};
 use fireflylug_core::consensus::{ControlSettings, RecoveredDisk};
 use fireflylug_core::context::{Addresses, Identity};
 use fireflylug_core::ids::NodeId;
 use fireflylug_core::membership::MembershipSettings;
+use fireflylug_core::routing::RoutingSettings;
 use fireflylug_core::state::CoreSettings;
 use fireflylug_core::{Event, State};
 use fireflylug_settings::Settings;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
-use crate::api::{Answers, ApiServer};
-use crate::calls::{CallHandle, CallSettings};
+use crate::api::{Answers, ApiServer, Requests};
+use crate::calls::{CallDialect, CallHandle, CallSettings};
 use crate::disk::Disk;
 use crate::metrics::Metrics;
 use crate::peers::{PeerHandle, PeerSettings};
@@ -33,6 +35,7 @@
     tasks: JoinSet<()>,
     api: ApiServer,
     calls: CallHandle,
+    requests: Requests,
     stop_limit: Duration,
 }
 
@@ -51,6 +54,12 @@
     /// bound, the key file or the data folder cannot be read, or the addresses
     /// file cannot be written; the error names it.
     pub async fn start(settings: Settings) -> eyre::Result<Self> {
+        Self::start_with(settings, CallDialect::default()).await
+    }
+
+    /// Starts a daemon whose callers and targets speak another dialect than
+    /// its own. Otherwise the same as [`Daemon::start`].
+    pub async fn start_with(settings: Settings, dialect: CallDialect) -> eyre::Result<Self> {
         let key = settings.key_file.as_deref().map(SharedKey::from_file).transpose()?;
         let listeners = Listeners::bind(&settings.listen).await?;
         let listening = listeners.addresses()?;
@@ -58,14 +67,21 @@
         let wiring = Wiring::new(&settings, &me)?;
         let runtime = Arc::clone(&wiring.runtime);
         let calls = wiring.calls.clone();
-        let security = Security { key, translation: translation(&settings) };
+        let requests = Requests::new(Arc::clone(&runtime), wiring.answers.clone());
+        let caller_service = settings.caller_service.as_ref().map(|name| name.as_str().into());
+        let security = Security {
+            key,
+            translation: translation(&settings),
+            dialect: Arc::new(dialect),
+            caller_service,
+        };
         let mut tasks = JoinSet::new();
         let api = wiring.spawn(&mut tasks, listeners, me, security)?;
         if let Some(file) = &settings.addresses_file {
             write_addresses(file, listening)?;
         }
         let stop_limit = Duration::from_millis(settings.stop_limit_ms);
-        Ok(Self { addresses: listening, runtime, tasks, api, calls, stop_limit })
+        Ok(Self { addresses: listening, runtime, tasks, api, calls, requests, stop_limit })
     }
 
     /// Where the daemon listens, with the ports that the system chose.
@@ -78,6 +94,11 @@
         &self.runtime
     }
 
+    /// Asks the daemon's resource API from within the program.
+    pub fn requests(&self) -> Requests {
+        self.requests.clone()
+    }
+
     /// Waits until the reducer ends the process without having been asked to
     /// stop here, as after a failed disk.
     pub async fn exited(&self) {
@@ -125,6 +146,8 @@
 struct Security {
     key: Option<SharedKey>,
     translation: Translation,
+    dialect: Arc<CallDialect>,
+    caller_service: Option<CompactString>,
 }
 
 /// The reducer with the ends of the edges that are not served yet.
@@ -168,10 +191,10 @@
         security: Security,
     ) -> eyre::Result<ApiServer> {
         let runtime = self.runtime;
-        let Security { key, translation } = security;
+        let Security { key, translation, dialect, caller_service } = security;
         let settings = PeerSettings { me, key: key.clone(), translation: translation.clone() };
         tasks.spawn(peers::run(Arc::clone(&runtime), self.peers, listeners.peers, settings));
-        let settings = CallSettings { key: key.clone(), translation };
+        let settings = CallSettings { key: key.clone(), translation, dialect, caller_service };
         tasks.spawn(calls::run(
             Arc::clone(&runtime),
             self.calls,
@@ -246,7 +269,12 @@
 fn core_settings(settings: &Settings) -> CoreSettings {
     let control = settings.control.as_ref().map(|control| ControlSettings {
         initial_voters: control.initial_voters.iter().map(NodeId::of_host).collect(),
-        ..ControlSettings::default()
+        initial_addresses: match settings.voters.from_seeds {
+            true => settings.seeds.clone(),
+            false => Vec::new(),
+        },
+        joins_only: settings.voters.joins_only,
+        kept_voters: settings.voters.tolerated_losses.map(|losses| 2 * losses + 1),
     });
     CoreSettings {
         membership: MembershipSettings {
@@ -254,6 +282,10 @@
             ..MembershipSettings::default()
         },
         control,
+        routing: RoutingSettings {
+            stop_notice_ms: settings.stop_notice_ms,
+            ..RoutingSettings::default()
+        },
         ..CoreSettings::default()
     }
 }
--- a/crates/daemon/src/main_loop.rs
+++ b/crates/daemon/src/main_loop.rs
@@ -1,5 +1,6 @@
 //! The whole of `fireflylugd`, so that its binary stays thin.
 
+use std::future::Future;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -60,19 +61,29 @@
     }
 }
 
-/// Serves until a signal, then stops. Returns whether everything in flight was finished.
 async fn serve(settings: Settings) -> eyre::Result<bool> {
+    serve_until_signal(Daemon::start(settings)).await
+}
+
+/// Serves until a signal, then stops. Returns whether everything in flight was finished.
+pub async fn serve_until_signal(
+    start: impl Future<Output = eyre::Result<Daemon>>,
+) -> eyre::Result<bool> {
     // Listening for signals first: one that comes during the start must not be lost.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let daemon = Daemon::start(settings).await?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let daemon = start.await?;
     let at = daemon.addresses();
     note(&format!("listening: peers {}, forward {}", at.peers, at.forward));
     note(&format!("listening: resource API {}, calls {}", at.api, at.calls));
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = daemon.exited() => eyre::bail!("a part of the process failed; see the log above"),
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => note("the settings may have changed; they count from the next start"),
+            () = daemon.exited() => eyre::bail!("a part of the process failed; see the log above"),
+        }
     }
     note("stopping gracefully");
     let finished = daemon.stop().await;
--- a/crates/measure/src/calls/mesh.rs
+++ b/crates/measure/src/calls/mesh.rs
@@ -187,6 +187,8 @@
             lease_ms: LEASE_MS,
             load_percent: None,
             draining: false,
+            cold_ms: 0,
+            order: None,
         };
         self.tell(index, ApiRequest::Announce(announcement.clone()));
         self.announced.push(announcement);
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -205,6 +205,7 @@
             connections: 120,
             state: TargetState::Ready,
             load_percent: None,
+            cold_ms: 0,
         };
         self.slots.insert(record.target.clone(), vec![Instant::ZERO; SLOTS as usize]);
         self.with(|routing, _, cx| {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks a raw file into [`Settings`].
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use fireflylug_core::context::Addresses;
@@ -10,8 +10,8 @@
 use crate::raw::RawSettings;
 use crate::reader::{Reader, Value, parse_address};
 use crate::{
-    Advertise, ControlSection, DEFAULT_STOP_LIMIT_MS, LogLevel, Settings, SettingsFinding,
-    default_listen,
+    Advertise, ControlSection, DEFAULT_STOP_LIMIT_MS, DEFAULT_STOP_NOTICE_MS, LogLevel, Settings,
+    SettingsFinding, VoterRules, default_listen,
 };
 
 /// Most voters of the replicated log.
@@ -34,13 +34,17 @@
     let region = reader.required_name("host", "region");
     let availability_zone = reader.required_name("host", "availability_zone");
     let key_file = path(&reader, "security", "key_file", folder);
-    let listen = listen(&mut reader, key_file.is_some());
+    let trusted_network = reader.switch("security", "trusted_network").unwrap_or(false);
+    let listen = listen(&mut reader, key_file.is_some() || trusted_network);
     let advertise = advertise(&mut reader);
-    let seeds = reader.list("join", "seeds", parse_address);
-    let control = control(&mut reader, host.as_ref(), folder);
+    let seeds = seeds(&mut reader);
+    let voters = voter_rules(&mut reader);
+    let control = control(&mut reader, host.as_ref(), folder, voters);
+    let caller_service = reader.optional_name("callers", "service");
     let translate = translate(&mut reader);
     let log_level = log_level(&mut reader);
-    let stop_limit_ms = stop_limit_ms(&mut reader);
+    let stop_limit_ms = time_ms(&mut reader, "stop", "limit_ms", DEFAULT_STOP_LIMIT_MS);
+    let stop_notice_ms = time_ms(&mut reader, "stop", "notice_ms", DEFAULT_STOP_NOTICE_MS);
     let addresses_file = path(&reader, "listen", "addresses_file", folder);
 
     let findings = reader.into_findings();
@@ -53,11 +57,15 @@
                 advertise,
                 seeds,
                 control,
+                voters,
+                caller_service,
+                trusted_network,
                 key_file,
                 addresses_file,
                 translate,
                 log_level,
                 stop_limit_ms,
+                stop_notice_ms,
             })
         }
         _ => Err(findings),
@@ -65,7 +73,7 @@
 }
 
 fn listen(reader: &mut Reader, has_key: bool) -> Addresses {
-    let defaults = default_listen();
+    let defaults = base_listen(reader);
     let mut taken: Vec<(SocketAddr, &str)> = Vec::new();
     let mut at = |key: &'static str, default: SocketAddr| {
         let given = reader.address("listen", key);
@@ -89,10 +97,56 @@
     }
 }
 
+/// The addresses of processes that name one address and a range of ports.
+fn base_listen(reader: &mut Reader) -> Addresses {
+    let defaults = default_listen();
+    let address = reader.optional("listen", "address").and_then(|value| {
+        reader.parsed(&value, |text| {
+            text.parse::<IpAddr>().map_err(|_| format!("{text:?} is no IP address"))
+        })
+    });
+    let first_port = port(reader, "listen", "first_port");
+    let ip = address.unwrap_or(defaults.peers.ip());
+    let first_port = first_port.unwrap_or(defaults.peers.port());
+    let at = |offset: u16| SocketAddr::new(ip, first_port.saturating_add(offset));
+    Addresses { peers: at(0), forward: at(1), api: at(2), calls: at(3) }
+}
+
+fn port(reader: &mut Reader, section: &str, key: &str) -> Option<u16> {
+    let value = reader.optional(section, key)?;
+    reader.parsed(&value, |text| match text.parse() {
+        Ok(port) if port > 0 => Ok(port),
+        _ => Err(format!("{text:?} is no port; write 1 to 65535")),
+    })
+}
+
+/// The seeds, with their port replaced where the settings name one: others may
+/// be known by the address of another of their listeners.
+fn seeds(reader: &mut Reader) -> Vec<SocketAddr> {
+    let seeds = reader.list("join", "seeds", parse_address);
+    match port(reader, "join", "seed_port") {
+        Some(port) => seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect(),
+        None => seeds,
+    }
+}
+
+fn voter_rules(reader: &mut Reader) -> VoterRules {
+    let from_seeds = reader.switch("control", "voters_from_seeds").unwrap_or(false);
+    let forms = reader.switch("control", "forms_first_set").unwrap_or(true);
+    let tolerated_losses = reader.optional("control", "tolerated_losses").and_then(|value| {
+        reader.parsed(&value, |text| match text.parse() {
+            Ok(losses) if losses <= MAX_VOTERS / 2 => Ok(losses),
+            _ => Err(format!("{text:?}: write 0 to {}", MAX_VOTERS / 2)),
+        })
+    });
+    VoterRules { from_seeds, joins_only: !forms, tolerated_losses }
+}
+
 fn check_key(reader: &mut Reader, value: &Value, address: SocketAddr, has_key: bool) {
     if !address.ip().is_loopback() && !has_key {
         let message = "an address that other hosts reach needs a shared key; \
-                       set key_file under [security]";
+                       set key_file under [security], or trusted_network where nobody else \
+                       reaches it";
         reader.find_at(value, message.to_owned());
     }
 }
@@ -109,7 +163,12 @@
     Advertise { peers: at("peers"), forward: at("forward"), api: at("api"), calls: at("calls") }
 }
 
-fn control(reader: &mut Reader, host: Option<&Name>, folder: &Path) -> Option<ControlSection> {
+fn control(
+    reader: &mut Reader,
+    host: Option<&Name>,
+    folder: &Path,
+    voters: VoterRules,
+) -> Option<ControlSection> {
     let section = reader.section("control");
     check_role(reader, section);
     let line = section?;
@@ -119,6 +178,9 @@
         reader.find(Some(line), "[control] data_dir", message.to_owned());
     }
     let mut initial_voters = reader.list("control", "initial_voters", |text| Name::new(text));
+    if voters.from_seeds || voters.joins_only {
+        return Some(ControlSection { data_dir: data_dir?, initial_voters });
+    }
     if initial_voters.is_empty() {
         initial_voters.extend(host.cloned());
     }
@@ -178,15 +240,15 @@
     level.unwrap_or(LogLevel::Info)
 }
 
-fn stop_limit_ms(reader: &mut Reader) -> u64 {
-    let value = reader.optional("stop", "limit_ms");
+fn time_ms(reader: &mut Reader, section: &str, key: &str, default_ms: u64) -> u64 {
+    let value = reader.optional(section, key);
     let limit_ms = value.and_then(|value| {
         reader.parsed(&value, |text| match text.parse() {
             Ok(limit_ms) if (1..=MAX_STOP_LIMIT_MS).contains(&limit_ms) => Ok(limit_ms),
             _ => Err(format!("{text:?}: write 1 to {MAX_STOP_LIMIT_MS} milliseconds")),
         })
     });
-    limit_ms.unwrap_or(DEFAULT_STOP_LIMIT_MS)
+    limit_ms.unwrap_or(default_ms)
 }
 
 fn path(reader: &Reader, section: &str, key: &str, folder: &Path) -> Option<PathBuf> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -30,6 +30,10 @@
 /// Longest time that a graceful stop waits, in milliseconds, where the settings say nothing.
 pub const DEFAULT_STOP_LIMIT_MS: u64 = 30_000;
 
+/// Time for which a stopping process still takes calls, in milliseconds, where
+/// the settings say nothing.
+pub const DEFAULT_STOP_NOTICE_MS: u64 = 1_000;
+
 /// Data folder of a process that is started without settings.
 pub const DEFAULT_DATA_DIR: &str = "fireflylug-data";
 
@@ -48,6 +52,13 @@
     pub seeds: Vec<SocketAddr>,
     /// Present where the process is a control replica.
     pub control: Option<ControlSection>,
+    /// How the voters come about where they are not named.
+    pub voters: VoterRules,
+    /// Service of the callers of this host, which targets are told.
+    pub caller_service: Option<Name>,
+    /// Whether addresses that other hosts reach need no shared key, because
+    /// nobody else can reach them.
+    pub trusted_network: bool,
     /// File that holds the shared key; none is allowed on loopback only.
     pub key_file: Option<PathBuf>,
     /// File to which the daemon writes the addresses that it listens at, as
@@ -59,6 +70,20 @@
     pub log_level: LogLevel,
     /// Longest time that a graceful stop waits for what is in flight, in milliseconds.
     pub stop_limit_ms: u64,
+    /// Time for which a stopping process still takes calls, in milliseconds.
+    pub stop_notice_ms: u64,
+}
+
+/// How the voters of the replicated log come about.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct VoterRules {
+    /// Whether the first voters are the control replicas at the seeds.
+    pub from_seeds: bool,
+    /// Whether this replica never forms the first set: it joins one.
+    pub joins_only: bool,
+    /// Voters that may be lost at once. Where given, the leader keeps enough
+    /// voters for it and replaces those that fall silent.
+    pub tolerated_losses: Option<usize>,
 }
 
 /// Addresses announced to others, each where it differs from the one listened at.
@@ -110,11 +135,15 @@
             advertise: Advertise::default(),
             seeds: Vec::new(),
             control: None,
+            voters: VoterRules::default(),
+            caller_service: None,
+            trusted_network: false,
             key_file: None,
             addresses_file: None,
             translate: Vec::new(),
             log_level: LogLevel::Info,
             stop_limit_ms: DEFAULT_STOP_LIMIT_MS,
+            stop_notice_ms: DEFAULT_STOP_NOTICE_MS,
         }
     }
 
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -11,16 +11,20 @@
 use crate::raw::{RawEntry, RawSettings};
 
 /// Sections and keys that exist. The keys of `translate` are chosen freely.
-const KNOWN: [(&str, &[&str]); 9] = [
+const KNOWN: [(&str, &[&str]); 10] = [
     ("host", &["name", "region", "availability_zone", "role"]),
-    ("listen", &["peers", "forward", "api", "calls", "addresses_file"]),
+    ("listen", &["address", "first_port", "peers", "forward", "api", "calls", "addresses_file"]),
     ("advertise", &["peers", "forward", "api", "calls"]),
-    ("join", &["seeds"]),
-    ("control", &["data_dir", "initial_voters"]),
-    ("security", &["key_file"]),
+    ("join", &["seeds", "seed_port"]),
+    ("callers", &["service"]),
+    (
+        "control",
+        &["data_dir", "initial_voters", "voters_from_seeds", "forms_first_set", "tolerated_losses"],
+    ),
+    ("security", &["key_file", "trusted_network"]),
     ("log", &["level"]),
     ("translate", &[]),
-    ("stop", &["limit_ms"]),
+    ("stop", &["limit_ms", "notice_ms"]),
 ];
 
 /// A value with its place.
@@ -97,6 +101,22 @@
         Some((address, value))
     }
 
+    /// A name, where it is given.
+    pub fn optional_name(&mut self, section: &str, key: &str) -> Option<Name> {
+        let value = self.optional(section, key)?;
+        self.parsed(&value, |text| Name::new(text))
+    }
+
+    /// A switch, where it is given.
+    pub fn switch(&mut self, section: &str, key: &str) -> Option<bool> {
+        let value = self.optional(section, key)?;
+        self.parsed(&value, |text| match text {
+            "yes" | "true" => Ok(true),
+            "no" | "false" => Ok(false),
+            _ => Err(format!("{text:?}: write yes or no")),
+        })
+    }
+
     /// A list whose items are separated by commas. Empty where it is not given.
     pub fn list<T, E: Display>(
         &mut self,
--- a/crates/settings/src/write.rs
+++ b/crates/settings/src/write.rs
@@ -42,7 +42,17 @@
     if let Some(control) = &settings.control {
         set("control", "data_dir", path(&control.data_dir));
         set("control", "initial_voters", list(&control.initial_voters));
+        let voters = &settings.voters;
+        set("control", "voters_from_seeds", switch(voters.from_seeds));
+        set("control", "forms_first_set", switch(!voters.joins_only));
+        if let Some(losses) = voters.tolerated_losses {
+            set("control", "tolerated_losses", losses.to_string());
+        }
+    }
+    if let Some(service) = &settings.caller_service {
+        set("callers", "service", service.to_string());
     }
+    set("security", "trusted_network", switch(settings.trusted_network));
     if let Some(file) = &settings.key_file {
         set("security", "key_file", path(file));
     }
@@ -51,9 +61,14 @@
         set("translate", &format!("pair_{index}"), translation(pair));
     }
     set("stop", "limit_ms", settings.stop_limit_ms.to_string());
+    set("stop", "notice_ms", settings.stop_notice_ms.to_string());
     text(&ini)
 }
 
+fn switch(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
+}
+
 fn text(ini: &Ini) -> String {
     let mut bytes = Vec::new();
     ini.write_to_policy(&mut bytes, EscapePolicy::Nothing).expect("a vector takes every byte");
--- a/crates/store/examples/accepts.rs
+++ b/crates/store/examples/accepts.rs
@@ -47,7 +47,8 @@
 impl Bench {
     fn new(folder: &Path) -> Self {
         let identity = identity();
-        let settings = ControlSettings { initial_voters: vec![identity.id] };
+        let settings =
+            ControlSettings { initial_voters: vec![identity.id], ..ControlSettings::default() };
         let (store, recovered) = Store::open(folder).expect("the folder opens");
         let replica = ControlReplica::new(settings, recovered, Instant::ZERO);
         Self {
