Restarts cost less: targets found by their health, leaving told late, disks reopened

Change: others hear of a stop 0.5 s before calls are refused; a started daemon asks the target of its host for its health and announces it; a failed data folder is opened again once it can be (test: replica whose disk failed takes part again); pings after 1.2 s, broken after 3 s; word of a control replica counts from 0.75 s after a start (a leader without a quorum leads for 0.6 s). Tests for the voters that a leader keeps.

--- a/crates/core/src/consensus/disk.rs
+++ b/crates/core/src/consensus/disk.rs
@@ -54,6 +54,8 @@
         /// What failed, with the file.
         error: String,
     },
+    /// After a failure, the folder was opened again.
+    Reopened(RecoveredDisk),
 }
 
 /// What the disk held when the process started.
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -215,15 +215,31 @@
 
     /// The disk finished a command, or failed.
     pub fn disk(&mut self, cx: &mut Context<'_>, event: DiskEvent) {
+        if let DiskEvent::Reopened(recovered) = event {
+            return self.reopen(cx, recovered);
+        }
         if !self.begin(cx) {
             return;
         }
         match event {
             DiskEvent::Synced { sequence } => self.take_synced(cx, sequence),
             DiskEvent::Failed { error } => self.fail(cx, &error),
+            DiskEvent::Reopened(_) => {}
         }
     }
 
+    /// Takes part again, with what the disk holds after its failure: the same
+    /// as a restart of the process.
+    fn reopen(&mut self, cx: &mut Context<'_>, recovered: RecoveredDisk) {
+        let text = "The disk works again; this control replica starts anew from what it holds.";
+        cx.log(LogLevel::Info, LogPart::Disk, text.to_owned());
+        let outputs = self.take_outputs();
+        let replica = Self::new(self.settings.clone(), recovered, cx.now);
+        let known_replicas = std::mem::take(&mut self.known_replicas);
+        *self = Self { known_replicas, outputs, ..replica };
+        self.begin(cx);
+    }
+
     /// The process stops: hands the lead over where it has it.
     pub fn stop(&mut self, cx: &mut Context<'_>) {
         if self.begin(cx) {
--- a/crates/core/src/distribution/ready.rs
+++ b/crates/core/src/distribution/ready.rs
@@ -16,7 +16,7 @@
 /// Time after the start from which the word of a control replica vouches for a
 /// version, in milliseconds. A leader that lost its quorum still leads for an
 /// election timeout, and its word takes a one-way delay to arrive.
-const VOUCH_AFTER_START_MS: u64 = 1_000;
+const VOUCH_AFTER_START_MS: u64 = 750;
 
 /// Time after the start for which word of a control replica is waited for, in
 /// milliseconds, before that of a neighbour that serves suffices: a zone that
--- a/crates/core/src/membership/leases.rs
+++ b/crates/core/src/membership/leases.rs
@@ -52,6 +52,10 @@
         self.leases.contains_key(target)
     }
 
+    pub fn holds_at(&self, address: SocketAddr) -> bool {
+        self.leases.values().any(|lease| lease.address == address)
+    }
+
     pub fn targets(&self) -> Vec<TargetId> {
         self.leases.keys().cloned().collect()
     }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -261,6 +261,11 @@
         self.leases.targets().into_iter().find(|target| target.id == *id)
     }
 
+    /// Whether a target at an address is announced to this process.
+    pub fn has_own_target_at(&self, address: SocketAddr) -> bool {
+        self.leases.holds_at(address)
+    }
+
     /// This process stops: its targets take no new work from here on.
     pub fn stop(&mut self, cx: &mut Context<'_>) {
         self.stopping = true;
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -21,6 +21,7 @@
     // A call says nothing of the control replica, and there are many calls.
     let is_call = matches!(event, Event::Call(_));
     take(state, event, now, &mut effects);
+    leave_in_time(state, now, &mut effects);
     settle(state, now, &mut effects);
     if !is_call {
         pass_control_word(state, now);
@@ -100,12 +101,22 @@
             if let Some(control) = &mut state.control {
                 control.stop(&mut cx);
             }
-            state.membership.stop(&mut cx);
             state.routing.stop(&mut cx);
         }
     }
 }
 
+/// Tells the others of a stop a little before calls are refused: until then
+/// the targets of this host are of use to them.
+fn leave_in_time(state: &mut State, now: Instant, effects: &mut Vec<Effect>) {
+    if state.is_leaving || !state.routing.is_leaving(now) {
+        return;
+    }
+    state.is_leaving = true;
+    let mut cx = context!(state, now, effects);
+    state.membership.stop(&mut cx);
+}
+
 fn take_message(
     state: &mut State,
     from: NodeId,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -57,6 +57,10 @@
 /// calls on connections that were just accepted are still on their way.
 const LAST_CALLS_MS: u64 = 100;
 
+/// Time before the first refusal at which the other proxies are told of a stop,
+/// in milliseconds: what they have sent by then is still taken.
+const LEAVE_LEAD_MS: u64 = 500;
+
 /// Settings of the call path.
 #[derive(Clone, Debug)]
 pub struct RoutingSettings {
@@ -95,6 +99,8 @@
     finished: Vec<finish::Finished>,
     /// Calls whose parent ended during this event.
     orphans: Vec<CallId>,
+    /// When a stopping process tells the others of it.
+    leave_at: Option<Instant>,
     /// When a stopping process accepts no more connections.
     close_at: Option<Instant>,
     /// When a stopping process begins to refuse calls.
@@ -121,6 +127,7 @@
             splits: split::Splits::default(),
             finished: Vec::new(),
             orphans: Vec::new(),
+            leave_at: None,
             close_at: None,
             refuse_at: None,
             is_refusing: false,
@@ -148,11 +155,15 @@
     pub fn next_deadline(&self) -> Instant {
         let call = self.deadlines.first().map_or(Instant::NEVER, |(due, _)| *due);
         let stop = self.refuse_at.filter(|_| !self.is_refusing).unwrap_or(Instant::NEVER);
-        call.min(stop).min(self.close_at.unwrap_or(Instant::NEVER))
+        let leave = self.leave_at.unwrap_or(Instant::NEVER);
+        call.min(stop).min(leave).min(self.close_at.unwrap_or(Instant::NEVER))
     }
 
     /// Does what is due.
     pub fn tick(&mut self, cx: &mut Context<'_>, slo: &mut Slo) {
+        if self.leave_at.is_some_and(|at| at <= cx.now) {
+            self.leave_at = None;
+        }
         if self.close_at.is_some_and(|at| at <= cx.now) {
             self.close_at = None;
             cx.emit(Effect::Call(CallEffect::CloseListeners));
@@ -179,11 +190,18 @@
             return;
         }
         let close_at = cx.now.plus_ms(self.settings.stop_notice_ms);
+        let lead_ms = LEAVE_LEAD_MS.min(self.settings.stop_notice_ms);
+        self.leave_at = Some(cx.now.plus_ms(self.settings.stop_notice_ms - lead_ms));
         self.close_at = Some(close_at);
         self.refuse_at = Some(close_at.plus_ms(LAST_CALLS_MS));
         cx.emit(Effect::Call(CallEffect::CloseKeepAlive));
     }
 
+    /// Whether the process stops and it is time to tell the others.
+    pub fn is_leaving(&self, now: Instant) -> bool {
+        self.refuse_at.is_some() && self.leave_at.is_none_or(|at| at <= now)
+    }
+
     /// Whether no call is in flight, and none will be taken if the process is stopping.
     pub fn is_idle(&self) -> bool {
         let notice_over = self.refuse_at.is_none() || self.is_refusing;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -36,6 +36,8 @@
     pub(crate) slo: Slo,
     pub(crate) api: Api,
     pub(crate) stopping: bool,
+    /// Whether the other processes were told of the stop.
+    pub(crate) is_leaving: bool,
     pub(crate) exited: bool,
 }
 
@@ -56,6 +58,7 @@
             slo: Slo::new(),
             api: Api::new(),
             stopping: false,
+            is_leaving: false,
             exited: false,
             me,
         }
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -402,3 +402,60 @@
     assert!(cluster.max_heartbeat_bytes < 100, "{} bytes", cluster.max_heartbeat_bytes);
     assert!(most < 2_000, "{most} bytes in a second");
 }
+
+#[test]
+fn replica_whose_disk_failed_takes_part_again_once_it_works() {
+    let (mut cluster, leader) = led_cluster(3, 41);
+    let failing = followers(3, leader)[0];
+    let other = followers(3, leader)[1];
+    cluster.nodes[failing].disk_fails = true;
+    assert!(is_accepted(&propose(&mut cluster, leader, "before")));
+    cluster.run_for(500);
+    let failed = cluster.status(failing).expect("it runs").role;
+
+    cluster.reopen_disk(failing);
+    cluster.run_for(1_500);
+    cluster.isolate(other);
+    let outcome = propose(&mut cluster, leader, "after");
+
+    assert_eq!(failed, ControlRole::Failed);
+    assert!(is_accepted(&outcome), "{outcome:?}");
+    cluster.run_for(500);
+    assert!(cluster.configuration(failing).get(&service_key("before")).is_some());
+}
+
+#[test]
+fn silent_voter_gives_its_place_to_a_replica_that_has_caught_up() {
+    let mut cluster = Cluster::new_keeping(4, 3, 42);
+    cluster.run_for(3_000);
+    let leader = wait_for_leader(&mut cluster, None);
+    let silent = followers(3, leader)[0];
+    cluster.isolate(silent);
+
+    cluster.run_for(6_000);
+    let leader = wait_for_leader(&mut cluster, Some(silent));
+    let outcome = propose(&mut cluster, leader, "seatdesk");
+    let voters = cluster.status(leader).expect("it runs").voters;
+
+    assert!(is_accepted(&outcome));
+    assert_eq!(voters.voters().len(), 3);
+    assert!(voters.disk_of(cluster.id(silent)).is_none(), "{voters:?}");
+    assert!(voters.disk_of(cluster.id(3)).is_some(), "{voters:?}");
+}
+
+#[test]
+fn missing_voters_are_let_in_up_to_the_number_that_is_kept() {
+    let mut cluster = Cluster::new_keeping(6, 3, 43);
+
+    cluster.run_for(5_000);
+
+    let leader = wait_for_leader(&mut cluster, None);
+    let voters = cluster.status(leader).expect("it runs").voters;
+    assert_eq!(voters.voters().len(), 3);
+    cluster.kept_voters = Some(5);
+    cluster.restart_all();
+    cluster.run_for(6_000);
+    let leader = wait_for_leader(&mut cluster, None);
+    let voters = cluster.status(leader).expect("it runs").voters;
+    assert_eq!(voters.voters().len(), 5, "{voters:?}");
+}
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -64,6 +64,8 @@
     /// How often a replica started from nothing of itself.
     pub resets: u32,
     pub max_heartbeat_bytes: usize,
+    /// Voters that the leader keeps; none leaves them to operators.
+    pub kept_voters: Option<usize>,
     initial: Vec<NodeId>,
     queue: BTreeMap<(u64, u64), Occurrence>,
     next_occurrence: u64,
@@ -93,6 +95,7 @@
             counts_bytes: false,
             resets: 0,
             max_heartbeat_bytes: 0,
+            kept_voters: None,
             initial,
             queue: BTreeMap::new(),
             next_occurrence: 0,
@@ -109,13 +112,41 @@
         cluster
     }
 
+    /// The same, with leaders that keep the number of first voters.
+    pub fn new_keeping(count: usize, voters: usize, seed: u64) -> Self {
+        let mut cluster = Self::new(count, voters, seed);
+        cluster.kept_voters = Some(voters);
+        cluster.restart_all();
+        cluster
+    }
+
+    /// Starts every replica anew, with what its disk holds.
+    pub fn restart_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.crash(node);
+            self.start(node);
+        }
+    }
+
+    /// Lets the disk of a replica work again, and tells the replica what it holds.
+    pub fn reopen_disk(&mut self, node: usize) {
+        self.nodes[node].disk_fails = false;
+        self.nodes[node].disk.crash(0);
+        let recovered = self.nodes[node].disk.recover();
+        self.nodes[node].sync_under_way = false;
+        self.drive(node, |replica, cx| replica.disk(cx, DiskEvent::Reopened(recovered)));
+    }
+
     pub fn id(&self, node: usize) -> NodeId {
         self.nodes[node].identity.id
     }
 
     pub fn start(&mut self, node: usize) {
-        let settings =
-            ControlSettings { initial_voters: self.initial.clone(), ..ControlSettings::default() };
+        let settings = ControlSettings {
+            initial_voters: self.initial.clone(),
+            kept_voters: self.kept_voters,
+            ..ControlSettings::default()
+        };
         let now = Instant::from_us(self.now_us);
         let node = &mut self.nodes[node];
         node.start += 1;
--- a/crates/daemon/src/calls/dialect.rs
+++ b/crates/daemon/src/calls/dialect.rs
@@ -29,6 +29,10 @@
     pub expected_target: HeaderName,
     /// In an answer: the target did not run the call.
     pub not_run: HeaderName,
+    /// In the answer to a question for its health: the id of a target.
+    pub target_id: HeaderName,
+    /// In the same: its running calls, waiting calls and slots, with commas between.
+    pub target_load: HeaderName,
     /// In every answer of a target that ran the call; none where targets have
     /// no such header. A success without it is no answer to the call.
     pub stamp: Option<HeaderName>,
@@ -47,6 +51,8 @@
             caller_service: HeaderName::from_static("fireflylug-caller-service"),
             expected_target: HeaderName::from_static("fireflylug-target"),
             not_run: HeaderName::from_static("fireflylug-not-run"),
+            target_id: HeaderName::from_static("fireflylug-target-id"),
+            target_load: HeaderName::from_static("fireflylug-target-load"),
             stamp: None,
             has_mesh_headers: true,
             statuses: StatusRule::ByCode,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::api::{Answers, ApiServer, Requests};
 use crate::calls::{CallDialect, CallHandle, CallSettings};
 use crate::disk::Disk;
+use crate::local_target::{self, LocalTarget};
 use crate::metrics::Metrics;
 use crate::peers::{PeerHandle, PeerSettings};
 use crate::runtime::Edges;
@@ -36,6 +37,7 @@
     api: ApiServer,
     calls: CallHandle,
     requests: Requests,
+    dialect: Arc<CallDialect>,
     stop_limit: Duration,
 }
 
@@ -68,11 +70,12 @@
         let runtime = Arc::clone(&wiring.runtime);
         let calls = wiring.calls.clone();
         let requests = Requests::new(Arc::clone(&runtime), wiring.answers.clone());
+        let dialect = Arc::new(dialect);
         let caller_service = settings.caller_service.as_ref().map(|name| name.as_str().into());
         let security = Security {
             key,
             translation: translation(&settings),
-            dialect: Arc::new(dialect),
+            dialect: Arc::clone(&dialect),
             caller_service,
         };
         let mut tasks = JoinSet::new();
@@ -81,7 +84,7 @@
             write_addresses(file, listening)?;
         }
         let stop_limit = Duration::from_millis(settings.stop_limit_ms);
-        Ok(Self { addresses: listening, runtime, tasks, api, calls, requests, stop_limit })
+        Ok(Self { addresses: listening, runtime, tasks, api, calls, requests, dialect, stop_limit })
     }
 
     /// Where the daemon listens, with the ports that the system chose.
@@ -99,6 +102,14 @@
         self.requests.clone()
     }
 
+    /// Looks for the target of this host, which may have gone on running while
+    /// the daemon was restarted.
+    pub fn find_target(&mut self, target: LocalTarget) {
+        let (runtime, requests) = (Arc::clone(&self.runtime), self.requests.clone());
+        let dialect = Arc::clone(&self.dialect);
+        self.tasks.spawn(local_target::find(runtime, requests, dialect, target));
+    }
+
     /// Waits until the reducer ends the process without having been asked to
     /// stop here, as after a failed disk.
     pub async fn exited(&self) {
--- a/crates/daemon/src/disk/mod.rs
+++ b/crates/daemon/src/disk/mod.rs
@@ -17,6 +17,9 @@
 /// How often a locked folder is tried again.
 const MAX_LOCK_TRIES: u32 = 40;
 
+/// Time between tries to open the folder of a disk that failed.
+const REOPEN_PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
+
 /// Time between tries of a locked folder.
 const LOCK_RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
@@ -77,6 +80,7 @@
 
 /// Runs what waits, with one sync for all of it, until the end or a failure.
 fn run(commands: &Receiver<DiskCommand>, mut store: Store, submit: impl Fn(DiskEvent) -> bool) {
+    let folder = store.folder().to_owned();
     while let Ok(first) = commands.recv() {
         let mut batch = vec![first];
         batch.extend(commands.try_iter().take(MAX_BATCH - 1));
@@ -86,8 +90,29 @@
             Err(error) => DiskEvent::Failed { error: error.to_string() },
         };
         let has_failed = matches!(event, DiskEvent::Failed { .. });
-        if !submit(event) || has_failed {
+        if !submit(event) {
             return;
         }
+        if has_failed {
+            drop(store);
+            let recovered;
+            (store, recovered) = open_when_possible(&folder);
+            // Sent before the reducer knew of the failure.
+            while commands.try_recv().is_ok() {}
+            if !submit(DiskEvent::Reopened(recovered)) {
+                return;
+            }
+        }
+    }
+}
+
+/// Opens the folder once the disk takes writes again. What a failed sync left
+/// behind is not trusted: the folder is read anew, as after a restart.
+fn open_when_possible(folder: &Path) -> (Store, RecoveredDisk) {
+    loop {
+        std::thread::sleep(REOPEN_PAUSE);
+        if let Ok(opened) = Store::open(folder) {
+            return opened;
+        }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 pub mod disk;
 pub mod key;
+pub mod local_target;
 pub mod log;
 pub mod main_loop;
 pub mod metrics;
--- a/crates/daemon/src/peers/connection.rs
+++ b/crates/daemon/src/peers/connection.rs
@@ -21,16 +21,16 @@
 use crate::Runtime;
 
 /// Time without a received frame after which the other end is pinged, in milliseconds.
-const PING_AFTER_MS: u64 = 5_000;
+const PING_AFTER_MS: u64 = 1_200;
 
 /// Time without a received frame after which a connection counts as broken, in milliseconds.
-const BROKEN_AFTER_MS: u64 = 15_000;
+const BROKEN_AFTER_MS: u64 = 3_000;
 
 /// Time without a message after which a connection is closed, in milliseconds.
 const IDLE_AFTER_MS: u64 = 90_000;
 
 /// Time between two looks at the above, in milliseconds.
-const CHECK_EVERY_MS: u64 = 2_500;
+const CHECK_EVERY_MS: u64 = 600;
 
 type Socket = WebSocketStream<TcpStream>;
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -80,6 +80,11 @@
         Ok((store, recovered))
     }
 
+    /// The folder.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     /// Carries out commands in order and returns once all of them are synced.
     ///
     /// # Errors
