Structured logs of decisions; attempts to propose answered by key; elections soon after a start

Change: decisions about calls as JSON lines with request id, inputs and their age, bounded, written by a thread that drops rather than waits; each attempt of an operator's request has a key of its own (regression test, failed first); replicas ask for votes as soon as a majority answered them and no leader is heard; appends tell how long ago a majority followed the leader, and word counts from 0.35 s after a start; a relay asks its parent each 1.5 s; targets of a tier that were not observed are tried.

--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -11,7 +11,7 @@
 
 use rand::Rng;
 
-use super::message::{ApiMessage, ProposalAttempt, ReadAnswer, ReadQuery};
+use super::message::{ApiMessage, ReadAnswer, ReadQuery};
 use super::request::ApiResponse;
 use super::{ApiError, ErrorCode};
 use crate::Effect;
@@ -33,6 +33,21 @@
 /// Most requests that wait at one process.
 const MAX_WAITING: usize = 1_024;
 
+/// Bits of the key of an attempt that number it within its request.
+const ATTEMPT_BITS: u32 = 8;
+
+/// Key of one attempt, by which other processes answer it. Every attempt has
+/// one of its own: a second copy of an answer must not count for a later attempt.
+fn attempt_key(request: RequestId, attempts: usize) -> RequestId {
+    let number = attempts as u64 & ((1 << ATTEMPT_BITS) - 1);
+    RequestId(request.0 << ATTEMPT_BITS | number)
+}
+
+/// The request of an attempt.
+fn request_of(attempt: RequestId) -> RequestId {
+    RequestId(attempt.0 >> ATTEMPT_BITS)
+}
+
 /// What is passed on.
 #[derive(Clone)]
 pub(super) enum Work {
@@ -71,9 +86,9 @@
         }
     }
 
-    fn message(&self, request: RequestId, attempt: ProposalAttempt) -> ApiMessage {
+    fn message(&self, request: RequestId, incarnation: u64) -> ApiMessage {
         match self.clone() {
-            Self::Change(change) => ApiMessage::Propose { request, change, attempt },
+            Self::Change(change) => ApiMessage::Propose { request, change, incarnation },
             Self::ReplaceVoter { old, new } => ApiMessage::ReplaceVoter { request, old, new },
             Self::Read(query) => ApiMessage::Read { request, query },
         }
@@ -87,9 +102,8 @@
     attempts: usize,
     /// Where the latest attempt went, while it is not answered.
     asked: Option<NodeId>,
-    /// Replicas that were sent the work and have not said what became of it,
-    /// once for each attempt.
-    open: Vec<NodeId>,
+    /// Attempts that were sent to a replica which has not said what became of them.
+    open: Vec<(NodeId, RequestId)>,
     /// Why the latest attempt failed.
     failure: Option<ApiError>,
 }
@@ -164,7 +178,7 @@
         membership: &Membership,
         own: Option<Option<NodeId>>,
         request: RequestId,
-    ) -> Option<Work> {
+    ) -> Option<(RequestId, Work)> {
         let hint = self.leader;
         let waiting = self.waiting.get_mut(&request)?;
         let to = match own {
@@ -177,17 +191,16 @@
         waiting.asked = to;
         let wait_ms = if to.is_some() { ATTEMPT_LIMIT_MS } else { retry_ms(cx) };
         waiting.attempt_at = cx.now.plus_ms(wait_ms);
-        waiting.open.extend(to);
+        let key = attempt_key(request, waiting.attempts);
+        waiting.open.extend(to.map(|to| (to, key)));
         // An attempt that is not answered in time may have gone to the wrong replica.
         if waiting.attempts > 1 {
             self.leader = None;
         }
         let local = to == Some(cx.me.id);
-        let work = local.then(|| waiting.work.clone());
+        let work = local.then(|| (key, waiting.work.clone()));
         if let Some(to) = to.filter(|_| !local) {
-            let number = waiting.attempts as u32;
-            let attempt = ProposalAttempt { incarnation: cx.me.incarnation, number };
-            cx.send(to, waiting.work.message(request, attempt));
+            cx.send(to, waiting.work.message(key, cx.me.incarnation));
         }
         self.schedule();
         work
@@ -198,9 +211,10 @@
         &mut self,
         cx: &mut Context<'_>,
         from: NodeId,
-        request: RequestId,
+        attempt: RequestId,
         outcome: ChangeOutcome,
     ) {
+        let request = request_of(attempt);
         let Some(waiting) = self.waiting.get_mut(&request) else {
             return;
         };
@@ -208,7 +222,9 @@
             ChangeOutcome::Accepted { version } => Ok(ApiResponse::Accepted { version }),
             // Not proposed at all: the replica does not lead any more.
             ChangeOutcome::Refused(error) if error.code == ErrorCode::Unavailable => {
-                waiting.answered_by(from);
+                if !waiting.answered_by(from, attempt) {
+                    return;
+                }
                 return self.retry(cx, request, Some(error));
             }
             ChangeOutcome::Refused(error) => Err(error),
@@ -225,9 +241,10 @@
         &mut self,
         cx: &mut Context<'_>,
         from: NodeId,
-        request: RequestId,
+        attempt: RequestId,
         read: Result<ReadAnswer, ApiError>,
     ) {
+        let request = request_of(attempt);
         if !self.waiting.contains_key(&request) {
             return;
         }
@@ -249,13 +266,16 @@
         &mut self,
         cx: &mut Context<'_>,
         from: NodeId,
-        request: RequestId,
+        attempt: RequestId,
         leader: Option<(NodeId, SocketAddr)>,
     ) {
+        let request = request_of(attempt);
         let Some(waiting) = self.waiting.get_mut(&request) else {
             return;
         };
-        waiting.answered_by(from);
+        if !waiting.answered_by(from, attempt) {
+            return;
+        }
         if let Some((peer, address)) = leader.filter(|(peer, _)| *peer != from) {
             cx.emit(Effect::LearnAddress { peer, address });
             self.leader = Some(peer);
@@ -296,11 +316,11 @@
 }
 
 impl Waiting {
-    /// Closes one attempt at `replica`: it can no longer be committed.
-    fn answered_by(&mut self, replica: NodeId) {
-        if let Some(index) = self.open.iter().position(|open| *open == replica) {
-            self.open.swap_remove(index);
-        }
+    /// Closes one attempt at `replica`: it can no longer be committed. Returns
+    /// false where it was closed before.
+    fn answered_by(&mut self, replica: NodeId, attempt: RequestId) -> bool {
+        let index = self.open.iter().position(|open| *open == (replica, attempt));
+        index.map(|index| self.open.swap_remove(index)).is_some()
     }
 
     fn timeout(self) -> ApiError {
--- a/crates/core/src/api/message.rs
+++ b/crates/core/src/api/message.rs
@@ -11,8 +11,8 @@
 use crate::membership::Member;
 use crate::resource::{ResourceKey, ResourceKind};
 
-/// Messages about operators' requests. `request` is the key at the process
-/// where the request arrived.
+/// Messages about operators' requests. `request` is the key of one attempt at
+/// the process where the request arrived.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ApiMessage {
     /// Please propose this change.
@@ -21,8 +21,8 @@
         request: RequestId,
         /// The change, with an idempotency key.
         change: ChangeRequest,
-        /// Which attempt of the request this is.
-        attempt: ProposalAttempt,
+        /// Incarnation of the process at which the request arrived.
+        incarnation: u64,
     },
     /// Please propose that one process votes in the place of another.
     ReplaceVoter {
@@ -63,16 +63,6 @@
     },
 }
 
-/// Number of an attempt to have a change proposed. A copy of a message that was
-/// taken already is recognised by it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct ProposalAttempt {
-    /// Incarnation of the process at which the request arrived.
-    pub incarnation: u64,
-    /// Grows with each attempt of the request.
-    pub number: u32,
-}
-
 /// What to read of a configuration.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ReadQuery {
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 
 pub use error::{ApiError, ErrorCode};
-pub use message::{ApiMessage, ProposalAttempt, ReadAnswer, ReadQuery};
+pub use message::{ApiMessage, ReadAnswer, ReadQuery};
 pub use request::{ApiRequest, ApiResponse, Freshness, WatchEvent};
 pub use status::{ReplicaReport, ReplicaStatus, StatusReport, TargetCounts, ZoneMembers};
 pub use watch::{MAX_HISTORY_EVENTS, MAX_WATCHES};
@@ -137,9 +137,9 @@
         message: ApiMessage,
     ) {
         match message {
-            ApiMessage::Propose { request, change, attempt } => {
+            ApiMessage::Propose { request, change, incarnation } => {
                 let origin = Origin { node: from, request };
-                if !self.taken.take(cx.now, origin, attempt) {
+                if !self.taken.take(cx.now, origin, incarnation) {
                     // A copy: the first one is answered, or has been.
                     return;
                 }
@@ -253,7 +253,8 @@
         let Some(control) = parts.control.as_deref_mut() else {
             return;
         };
-        let origin = Origin { node: cx.me.id, request };
+        let (key, work) = work;
+        let origin = Origin { node: cx.me.id, request: key };
         match work {
             Work::Change(change) => control.propose(cx, origin, change),
             Work::ReplaceVoter { old, new } => control.propose_voters(cx, origin, old, new),
--- a/crates/core/src/api/proposals.rs
+++ b/crates/core/src/api/proposals.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 
-use super::message::ProposalAttempt;
 use crate::consensus::Origin;
 use crate::time::Instant;
 
@@ -16,31 +15,28 @@
 /// Most proposals that are remembered. The oldest goes first.
 const MAX_REMEMBERED: usize = 4_096;
 
-/// The newest attempt of each request that was taken lately.
+/// Attempts that were taken lately, each with the incarnation of its process.
 #[derive(Default)]
 pub(super) struct TakenProposals {
     by_origin: BTreeMap<Origin, Taken>,
 }
 
 struct Taken {
-    attempt: ProposalAttempt,
+    incarnation: u64,
     forget_at: Instant,
 }
 
 impl TakenProposals {
-    /// Notes an attempt. Returns false where it, or a later one, was taken already.
-    pub(super) fn take(&mut self, now: Instant, origin: Origin, attempt: ProposalAttempt) -> bool {
-        let order = |attempt: ProposalAttempt| (attempt.incarnation, attempt.number);
-        if let Some(taken) = self.by_origin.get(&origin)
-            && order(attempt) <= order(taken.attempt)
-        {
+    /// Notes an attempt. Returns false where it was taken already.
+    pub(super) fn take(&mut self, now: Instant, origin: Origin, incarnation: u64) -> bool {
+        if self.by_origin.get(&origin).is_some_and(|taken| incarnation <= taken.incarnation) {
             return false;
         }
         if self.by_origin.len() >= MAX_REMEMBERED {
             self.forget(now);
         }
         let forget_at = now.plus_ms(REMEMBER_MS);
-        self.by_origin.insert(origin, Taken { attempt, forget_at });
+        self.by_origin.insert(origin, Taken { incarnation, forget_at });
         true
     }
 
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use rand::Rng;
+
 use super::entry::{Payload, Voter};
 use super::message::{ConsensusMessage, Floor, VoteRequest, VoteResponse};
 use super::peer::Peer;
@@ -12,6 +14,10 @@
 use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
 
+/// Time within which a replica that was started asks for votes where it hears of
+/// no leader, in milliseconds.
+const FIRST_CAMPAIGN_WITHIN_MS: u64 = 150;
+
 impl ControlReplica {
     /// No leader was heard from in time.
     pub(super) fn campaign(&mut self, cx: &mut Context<'_>) {
@@ -33,6 +39,16 @@
         self.elect_when_granted(cx);
     }
 
+    /// After a start, a majority answered and no leader was heard: there may be
+    /// none to wait for, as where all replicas were restarted at once. Asking
+    /// for votes disturbs no leader that is there.
+    pub(super) fn campaign_soon(&mut self, cx: &mut Context<'_>) {
+        if self.leader.is_none() && matches!(self.role, Role::Follower) {
+            let wait_ms = cx.rng.random_range(0..=FIRST_CAMPAIGN_WITHIN_MS);
+            self.role_deadline = self.role_deadline.min(cx.now.plus_ms(wait_ms));
+        }
+    }
+
     /// The leader stops and asks this replica to take over.
     pub(super) fn take_campaign(&mut self, cx: &mut Context<'_>, from: NodeId, term: u64) {
         let me = self.me(cx);
--- a/crates/core/src/consensus/floors.rs
+++ b/crates/core/src/consensus/floors.rs
@@ -113,6 +113,7 @@
         if self.is_quorum(|voter| voter.node == me || answered.contains(&voter.node)) {
             self.floors.answered = None;
             self.answer_leader(cx, None);
+            self.campaign_soon(cx);
         }
     }
 }
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -14,6 +14,7 @@
 use crate::api::{ApiError, ErrorCode};
 use crate::context::Context;
 use crate::ids::{NodeId, Version};
+use crate::time::Instant;
 
 /// Size of the log at which it is compacted, in bytes.
 const COMPACT_BYTES: usize = 1024 * 1024;
@@ -51,7 +52,9 @@
         // A leader knows what is committed once an entry of its own term is.
         if self.commit == append.commit && self.log.term_at(self.commit) == Some(append.term) {
             self.is_confirmed = true;
-            self.caught_up_at = Some(cx.now);
+            let age_us = u64::from(append.quorum_age_ms) * 1_000;
+            let current_at = Instant::from_us(cx.now.as_us().saturating_sub(age_us));
+            self.caught_up_at = self.caught_up_at.max(Some(current_at));
         }
         self.apply_committed(cx);
         self.answer_leader(cx, None);
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -110,6 +110,7 @@
         bytes: usize,
     ) {
         let acknowledged = self.acknowledged();
+        let quorum_age_ms = cx.now.since_ms(self.current_at(cx.now)) as u32;
         let Role::Leader(leadership) = &mut self.role else { return };
         let Some(peer) = leadership.peers.get_mut(&node) else { return };
         let prev_index = match peer.sending {
@@ -138,6 +139,7 @@
             prev_term,
             commit: self.commit,
             round: leadership.round,
+            quorum_age_ms,
             entries,
             acknowledged,
         };
--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -127,6 +127,9 @@
     /// Round of heartbeats, to be echoed.
     #[serde(rename = "r")]
     pub round: u64,
+    /// Time since a majority was last known to follow the leader, in milliseconds.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    pub quorum_age_ms: u32,
     /// The entries.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub entries: Vec<Arc<Entry>>,
@@ -135,6 +138,10 @@
     pub acknowledged: Vec<(DiskId, u64)>,
 }
 
+fn is_zero(value: &u32) -> bool {
+    *value == 0
+}
+
 /// Answers an append or a snapshot.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct AppendResponse {
--- a/crates/core/src/distribution/ready.rs
+++ b/crates/core/src/distribution/ready.rs
@@ -14,9 +14,10 @@
 const NEIGHBOURS_TIMEOUT_MS: u64 = 2_000;
 
 /// Time after the start from which the word of a control replica vouches for a
-/// version, in milliseconds. A leader that lost its quorum still leads for an
-/// election timeout, and its word takes a one-way delay to arrive.
-const VOUCH_AFTER_START_MS: u64 = 750;
+/// version, in milliseconds. Its word is dated by when a majority was last
+/// known to follow the leader; the answers of that majority may have been under
+/// way for a one-way delay.
+const VOUCH_AFTER_START_MS: u64 = 350;
 
 /// Time after the start for which word of a control replica is waited for, in
 /// milliseconds, before that of a neighbour that serves suffices: a zone that
@@ -26,7 +27,7 @@
 /// Time after the others were first known before a process serves, in
 /// milliseconds. In it they all hear of this process, so that none says that
 /// a version is in force everywhere without it.
-const KNOWN_TO_OTHERS_AFTER_MS: u64 = 300;
+const KNOWN_TO_OTHERS_AFTER_MS: u64 = 200;
 
 /// What a process waits for before it serves.
 pub(super) struct Readiness {
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -18,12 +18,16 @@
 /// Time between two reports that ask for an answer, in milliseconds.
 pub const REFRESH_EVERY_MS: u64 = 5_000;
 
+/// The same for a relay, in milliseconds: a whole availability zone waits where
+/// its parent was cut off silently.
+const RELAY_REFRESH_EVERY_MS: u64 = 1_500;
+
 /// The same while a process that was started waits for word of a control
 /// replica, in milliseconds.
 const ASK_AGAIN_AFTER_MS: u64 = 250;
 
 /// Time after which a parent that did not answer is replaced, in milliseconds.
-const ANSWER_TIMEOUT_MS: u64 = 2_000;
+const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
 /// Upper bound of the first wait after every candidate failed, in milliseconds.
 const FIRST_WAIT_MS: u64 = 100;
@@ -129,8 +133,10 @@
             return;
         };
         self.upstream.asked_at = Some(cx.now);
-        let jitter_ms = cx.rng.random_range(0..REFRESH_EVERY_MS / 5);
-        self.upstream.next_ask_at = cx.now.plus_ms(REFRESH_EVERY_MS - jitter_ms);
+        let every_ms =
+            if self.upstream.is_relay { RELAY_REFRESH_EVERY_MS } else { REFRESH_EVERY_MS };
+        let jitter_ms = cx.rng.random_range(0..every_ms / 5);
+        self.upstream.next_ask_at = cx.now.plus_ms(every_ms - jitter_ms);
         self.send_report(cx, membership, parent, true);
     }
 
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -6,7 +6,7 @@
 use crate::consensus::{DiskCommand, DiskEvent};
 use crate::ids::{NodeId, RequestId};
 use crate::message::PeerMessage;
-use crate::routing::{CallEffect, CallEvent};
+use crate::routing::{CallEffect, CallEvent, Decision};
 
 /// One thing that happened to the process.
 #[derive(Clone, Debug)]
@@ -88,6 +88,8 @@
     },
     /// Do something with a call.
     Call(CallEffect),
+    /// Write a log line about a call.
+    Decided(Decision),
     /// Write a log line.
     Log {
         /// Level.
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -4,6 +4,7 @@
 
 use super::call::{CallClass, CallHead, CallOrigin, ForwardHead};
 use super::chain::Chain;
+use super::decision::{Decision, Step};
 use super::finish::Finished;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Call, MAX_ATTEMPTS, Stage};
@@ -32,6 +33,14 @@
                 let refusal = Refusal { code, outcome: Outcome::NotRun };
                 let retry_after_ms = self.retry_after_ms(cx, refusal, None);
                 let refuse = CallEffect::Refuse { call: id, refusal, load: None, retry_after_ms };
+                let step = Step::Refused {
+                    code,
+                    outcome: Outcome::NotRun,
+                    attempts: 0,
+                    after_ms: 0,
+                    retry_after_ms,
+                };
+                cx.emit(Effect::Decided(Decision { call: id, step }));
                 cx.emit(Effect::Call(refuse));
             }
         }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::call::{CallClass, ForwardHead, GateLoad};
 use super::chain::Chain;
+use super::decision::{Decision, Step};
 use super::gate::{Admission, Ticket};
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
@@ -25,6 +26,7 @@
         loop {
             let Some(target) = self.choose(cx, id) else { return self.give_up(cx, id) };
             self.count_attempt(id, target);
+            self.tell_choice(cx, id, target);
             if self.targets[target].gate.is_none() {
                 return self.forward(cx, id, target);
             }
@@ -48,6 +50,19 @@
         }
     }
 
+    fn tell_choice(&self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
+        let target = &self.targets[key];
+        let step = Step::Chosen {
+            attempt: self.calls[&id].attempt,
+            target: target.record.target.clone(),
+            load: target.expected_load(cx.now),
+            load_age_ms: target.load_age_ms(cx.now),
+            waits: !target.has_spare(cx.now),
+            version: self.configuration.version(),
+        };
+        cx.emit(Effect::Decided(Decision { call: id, step }));
+    }
+
     fn count_attempt(&mut self, id: CallId, target: TargetKey) {
         let call = self.call_mut(id);
         call.begin_attempt(target);
@@ -76,6 +91,13 @@
             Admission::Queued => {
                 self.call_mut(id).stage = Stage::Queued(target);
                 self.set_due(id, deadline);
+                let at = &self.targets[target];
+                let step = Step::Queued {
+                    target: at.record.target.clone(),
+                    queued: at.gate.as_ref().map_or(0, |gate| gate.load().queued),
+                    remaining_ms: deadline.since_ms(cx.now),
+                };
+                cx.emit(Effect::Decided(Decision { call: id, step }));
                 self.refuse_hopeless(cx, target);
             }
             Admission::Shed => return false,
@@ -203,6 +225,16 @@
                 return;
             }
         }
+        if status >= FIRST_SERVER_ERROR {
+            let call = &self.calls[&id];
+            let step = Step::ServerError {
+                attempt,
+                target: self.targets[running.target].record.target.clone(),
+                status,
+                after_ms: cx.now.since_ms(call.arrived_at),
+            };
+            cx.emit(Effect::Decided(Decision { call: id, step }));
+        }
         let call = self.call_mut(id);
         call.stage = Stage::Relaying(running);
         call.status = status;
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -9,7 +9,7 @@
 use rand::seq::IteratorRandom;
 
 use super::state::TIERS;
-use super::target::Pace;
+use super::target::{Pace, UNKNOWN_LATENCY_US};
 use super::{Routing, ServiceKey, TargetKey};
 use crate::context::Context;
 use crate::ids::CallId;
@@ -43,8 +43,10 @@
         }
         let (mut best, mut least_cost) = (None, u64::MAX);
         for tier in 0..TIERS {
-            for target in self.compared(cx, call, service, tier) {
-                let cost = self.cost(cx, call, target, tier);
+            let compared = self.compared(cx, call, service, tier);
+            let pace = self.pace(call, service, tier, &compared);
+            for target in compared {
+                let cost = self.cost(cx, call, target, tier, pace);
                 if cost < least_cost {
                     (best, least_cost) = (Some(target), cost);
                 }
@@ -72,15 +74,32 @@
         usable.choose_multiple(cx.rng, MAX_COMPARED)
     }
 
+    /// What is expected of a target of a tier that was not observed lately: the
+    /// best that was observed in the tier, so that it is tried.
+    fn pace(&self, call: CallId, service: ServiceKey, tier: usize, compared: &[TargetKey]) -> Pace {
+        let class = self.calls[&call].class;
+        let observed = compared.iter().filter_map(|key| self.targets[*key].observed_us(class));
+        let best_us = observed.min();
+        let elsewhere_us = || {
+            let typical_us = self.services[service].typical_us(class);
+            typical_us.unwrap_or(UNKNOWN_LATENCY_US) + TIER_DETOUR_US[tier]
+        };
+        Pace { class, reference_us: best_us.unwrap_or_else(elsewhere_us) }
+    }
+
     /// What a call at a target is expected to cost, in microseconds. One that
     /// would wait costs more than every one that would not.
-    fn cost(&self, cx: &mut Context<'_>, call: CallId, target: TargetKey, tier: usize) -> u64 {
+    fn cost(
+        &self,
+        cx: &mut Context<'_>,
+        call: CallId,
+        target: TargetKey,
+        tier: usize,
+        pace: Pace,
+    ) -> u64 {
         let call = &self.calls[&call];
         let state = &self.services[call.service];
         let target = &self.targets[target];
-        let detour_us = TIER_DETOUR_US[tier];
-        let typical_us = state.typical_us(call.class);
-        let pace = Pace { class: call.class, typical_us, detour_us };
         let is_bulk = call.rule.as_ref().is_some_and(|rule| rule.policy.bulk);
         let tier_percent =
             if is_bulk { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -3,9 +3,11 @@
 
 use super::Routing;
 use super::call::GateLoad;
+use super::decision::{Decision, Step};
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Stage};
 use crate::context::Context;
+use crate::event::Effect;
 use crate::ids::CallId;
 
 impl Routing {
@@ -57,7 +59,12 @@
         if !self.calls.contains_key(&id) {
             return;
         }
-        if self.take_failure(cx, id, refusal) {
+        let attempt = self.calls[&id].attempt;
+        let is_retried = self.take_failure(cx, id, refusal);
+        let Refusal { code, outcome } = refusal;
+        let step = Step::AttemptFailed { attempt, code, outcome, is_retried };
+        cx.emit(Effect::Decided(Decision { call: id, step }));
+        if is_retried {
             self.try_next(cx, id);
         } else {
             self.give_up(cx, id);
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
+use super::decision::{Decision, Step};
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
 use super::table::RouteRule;
@@ -15,6 +16,9 @@
 use crate::slo::{CallResult, Slo};
 use crate::time::Instant;
 
+/// Time after which a proxy that was just started may serve, in milliseconds.
+const START_RETRY_AFTER_MS: u32 = 400;
+
 /// Least time after which a refused caller may try again, in milliseconds.
 const MIN_RETRY_AFTER_MS: u32 = 100;
 
@@ -44,6 +48,15 @@
         let wait_ms = target.map(|target| target.wait_ms(cx.now));
         let retry_after_ms = self.retry_after_ms(cx, refusal, wait_ms);
         let refuse = CallEffect::Refuse { call: id, refusal, load, retry_after_ms };
+        let call = &self.calls[&id];
+        let step = Step::Refused {
+            code,
+            outcome,
+            attempts: call.attempt,
+            after_ms: cx.now.since_ms(call.arrived_at),
+            retry_after_ms,
+        };
+        cx.emit(Effect::Decided(Decision { call: id, step }));
         cx.emit(Effect::Call(refuse));
         self.refusals.count(code);
         self.remove(id, Some(outcome), CallResult::Refused);
@@ -66,6 +79,7 @@
         let least_ms = match (refusal.code, wait_ms) {
             (RefusalCode::Overloaded, Some(wait_ms)) => wait_ms.max(MIN_RETRY_AFTER_MS),
             (RefusalCode::Stopping | RefusalCode::TargetGone, _) => MIN_RETRY_AFTER_MS,
+            (RefusalCode::NoConfiguration, _) => START_RETRY_AFTER_MS,
             _ => default_ms.map(|default_ms| default_ms * 2 / 3)?,
         };
         Some(least_ms + cx.rng.random_range(0..=least_ms / 2))
@@ -90,7 +104,10 @@
 
     /// The caller hung up: the edge has dropped the attempt.
     pub(super) fn caller_gone(&mut self, cx: &mut Context<'_>, id: CallId) {
-        if self.calls.contains_key(&id) {
+        if let Some(call) = self.calls.get(&id) {
+            let after_ms = cx.now.since_ms(call.arrived_at);
+            let step = Step::CallerGone { attempts: call.attempt, after_ms };
+            cx.emit(Effect::Decided(Decision { call: id, step }));
             self.drop_attempt(cx, id);
             self.remove(id, None, CallResult::Cancelled);
         }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -14,6 +14,7 @@
 mod call;
 mod chain;
 mod choose;
+mod decision;
 mod estimate;
 mod failure;
 mod finish;
@@ -34,6 +35,7 @@
 
 pub use call::{CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, GateLoad};
 pub use chain::{Chain, ChainError};
+pub use decision::{Decision, Step};
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
 pub use refusal::{Outcome, Refusal, RefusalCode};
 
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -20,7 +20,7 @@
 /// Most classes whose latency is kept apart.
 const MAX_CLASSES: usize = 64;
 /// Latency of a target that has none observed yet, in microseconds.
-const UNKNOWN_LATENCY_US: u64 = 1_000;
+pub(super) const UNKNOWN_LATENCY_US: u64 = 1_000;
 /// Time without an answer after which an observed latency counts for half, in microseconds.
 const LATENCY_HALF_LIFE_US: u64 = 5_000_000;
 
@@ -156,6 +156,16 @@
         hint.map_or(0, |hint| hint.wait_ms)
     }
 
+    /// Age of what others told of the load, in milliseconds. None where nothing
+    /// that counts was told, and 0 where this proxy admits every call itself.
+    pub fn load_age_ms(&self, now: Instant) -> Option<u64> {
+        if self.gate.is_some() {
+            return Some(0);
+        }
+        let hint = self.hint.filter(|hint| now.since_us(hint.heard_at) < hint.life_us);
+        hint.map(|hint| now.since_ms(hint.heard_at))
+    }
+
     pub fn has_spare(&self, now: Instant) -> bool {
         self.expected_load(now) < self.limit()
     }
@@ -184,28 +194,29 @@
         time_us / self.weight(now, slow_start_ms) * 1_000 / success * 1_000 / success
     }
 
-    /// Time to an answer as observed here, as far as that is recent; what is
-    /// usual for the service otherwise, so that a target that was slow once is
-    /// tried again.
+    /// Time to an answer as observed here, where one was.
+    pub fn observed_us(&self, class: CallClass) -> Option<u64> {
+        let (observed, _) = self.by_class.get(&class)?;
+        Some(observed.mean_us().max(UNKNOWN_LATENCY_US))
+    }
+
+    /// Time to an answer as observed here, as far as that is recent; the
+    /// reference otherwise, so that a target that was slow once is tried again.
     fn answer_us(&self, now: Instant, pace: Pace) -> u64 {
-        let typical_us = pace.typical_us.unwrap_or(UNKNOWN_LATENCY_US) + pace.detour_us;
-        let Some((observed, at)) = self.by_class.get(&pace.class) else { return typical_us };
+        let Some((observed, at)) = self.by_class.get(&pace.class) else {
+            return pace.reference_us;
+        };
         let halvings = (now.since_us(*at) / LATENCY_HALF_LIFE_US).min(32);
         let observed_us = observed.mean_us().max(UNKNOWN_LATENCY_US);
-        if observed_us >= typical_us {
-            typical_us + ((observed_us - typical_us) >> halvings)
-        } else {
-            typical_us - ((typical_us - observed_us) >> halvings)
-        }
+        let excess_us = observed_us.saturating_sub(pace.reference_us);
+        pace.reference_us.min(observed_us) + (excess_us >> halvings)
     }
 }
 
-/// What is usual for a call, where a target itself was not observed.
+/// What is expected of a target that was not observed lately.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pace {
     pub class: CallClass,
-    /// Time to an answer, over all targets of the service, in microseconds.
-    pub typical_us: Option<u64>,
-    /// Time by which answers come later for the way to the target, in microseconds.
-    pub detour_us: u64,
+    /// Time to an answer, in microseconds.
+    pub reference_us: u64,
 }
--- a/crates/core/tests/fuzz/regressions.rs
+++ b/crates/core/tests/fuzz/regressions.rs
@@ -179,3 +179,61 @@
 
     run(8338122721600848643, actions);
 }
+
+/// A call that its ingress had given up was taken for one that a stop cut off
+/// (seed 23, case 528). The fault was the check's.
+#[test]
+fn call_that_was_given_up_is_not_cut_off_by_a_stop() {
+    let actions = vec![
+        TargetDies { target: 1 },
+        Crash { host: 5 },
+        Run { ms: 2515 },
+        Isolate { host: 0 },
+        Run { ms: 236 },
+        Run { ms: 1143 },
+        Run { ms: 1102 },
+        Call { host: 2, repeatable: false },
+        Call { host: 0, repeatable: true },
+        Call { host: 2, repeatable: false },
+        Stop { host: 3 },
+    ];
+
+    run(16162208857464566849, actions);
+}
+
+/// A second copy of the answer to an attempt closed a later attempt at the same
+/// replica, which was committed (seed 23, case 503).
+#[test]
+fn copy_of_an_answer_closed_a_later_attempt() {
+    let actions = vec![
+        CutZone { zone: 1 },
+        Race { hosts: [2, 5], unit: 2 },
+        Run { ms: 612 },
+        Put { host: 4, unit: 0, conditional: false },
+        Run { ms: 1757 },
+        Delete { host: 2, unit: 1 },
+        Run { ms: 754 },
+        Call { host: 3, repeatable: false },
+        Call { host: 7, repeatable: false },
+        Call { host: 0, repeatable: false },
+        Run { ms: 2928 },
+        Run { ms: 465 },
+        Read { host: 3 },
+        Crash { host: 2 },
+        Call { host: 5, repeatable: false },
+        Put { host: 3, unit: 0, conditional: false },
+        Run { ms: 2739 },
+        CutZone { zone: 2 },
+        Weather(Net { lost_percent: 14, doubled_percent: 15, max_delay_ms: 74 }),
+        Call { host: 4, repeatable: false },
+        Call { host: 7, repeatable: false },
+        Run { ms: 901 },
+        Run { ms: 998 },
+        Put { host: 1, unit: 0, conditional: false },
+        CutZone { zone: 0 },
+        Run { ms: 531 },
+        Run { ms: 635 },
+    ];
+
+    run(6503485279314356825, actions);
+}
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -351,6 +351,7 @@
             }
             Effect::Answer { request, response } => self.answered(host, request, response),
             Effect::Call(effect) => self.call_effect(host, effect),
+            Effect::Decided(_) => {}
             Effect::Log { level, part, text } => {
                 if self.trace {
                     println!("{} {host} {level:?} {part}: {text}", self.now_us);
--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -67,7 +67,9 @@
     if side == Side::Callers {
         set_caller_service(&proxy, &mut parts.headers);
     }
-    let (call, slot) = proxy.handle.open(broken);
+    let request_id = parts.headers.get(&proxy.settings.dialect.request_id);
+    let request_id = request_id.and_then(|id| id.to_str().ok()).map(CompactString::from);
+    let (call, slot) = proxy.handle.open(broken, request_id);
     slot.pause_progress();
     let open = OpenCall { proxy, call, slot, is_open: true };
     open.submit(CallEvent::Arrived { call, head });
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -5,13 +5,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use compact_str::CompactString;
 use fireflylug_core::collections::HashMap;
 use fireflylug_core::ids::CallId;
-use fireflylug_core::routing::CallEffect;
+use fireflylug_core::routing::{CallEffect, Decision};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::log::DecisionLog;
+
 /// Takes effects on calls without blocking.
 #[derive(Clone, Debug, Default)]
 pub struct CallHandle {
@@ -26,6 +29,7 @@
     connections: TaskTracker,
     killed: CancellationToken,
     started: Instant,
+    decisions: DecisionLog,
 }
 
 impl Default for Shared {
@@ -37,6 +41,7 @@
             connections: TaskTracker::new(),
             killed: CancellationToken::new(),
             started: Instant::now(),
+            decisions: DecisionLog::default(),
         }
     }
 }
@@ -60,6 +65,13 @@
         Self::default()
     }
 
+    /// Writes what was decided about a call to the log.
+    pub fn tell(&self, decision: &Decision) {
+        let slot = self.slot(decision.call);
+        let request_id = slot.as_ref().and_then(|slot| slot.request_id.as_deref());
+        self.shared.decisions.write(request_id.unwrap_or("-"), &decision.step);
+    }
+
     /// Does something with a call.
     pub fn run(&self, effect: CallEffect) {
         match effect.call() {
@@ -112,13 +124,18 @@
     }
 
     /// Makes a slot for a new call on the connection that `broken` closes.
-    pub(super) fn open(&self, broken: Arc<Notify>) -> (CallId, Arc<Slot>) {
+    pub(super) fn open(
+        &self,
+        broken: Arc<Notify>,
+        request_id: Option<CompactString>,
+    ) -> (CallId, Arc<Slot>) {
         let call = CallId(self.shared.next_call.fetch_add(1, Ordering::Relaxed));
         let slot = Arc::new(Slot {
             effects: Mutex::default(),
             pushed: Notify::new(),
             broken,
             progress_ms: AtomicU64::new(self.now_ms()),
+            request_id,
         });
         self.slots().insert(call, Arc::clone(&slot));
         (call, slot)
@@ -166,6 +183,8 @@
     broken: Arc<Notify>,
     /// When the answer last made progress, in milliseconds; 0 while none is passed on.
     progress_ms: AtomicU64,
+    /// Id that the caller gave the call, for the log.
+    request_id: Option<CompactString>,
 }
 
 impl Slot {
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -2,12 +2,24 @@
 //!
 //! spdlog-rs writes them through one logger for the whole program. The daemon
 //! calls [`set_up`] once; a program that runs several daemons may do so too.
+//! Lines are text on the standard error, or JSON on the standard output. JSON
+//! lines are written by a thread of their own; where it cannot keep up, lines
+//! are dropped rather than waited for.
+
+use std::num::NonZeroUsize;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use fireflylug_core::event::{LogLevel, LogPart};
-use fireflylug_settings::LogLevel as LeastLevel;
-use spdlog::sink::StdStreamSink;
-use spdlog::{Level, LevelFilter, Logger};
+use fireflylug_core::routing::Step;
+use fireflylug_settings::{LogFormat, LogLevel as LeastLevel};
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger, ThreadPool};
+
+/// Most lines that wait for the thread that writes JSON.
+const MAX_WAITING_LINES: usize = 2_048;
 
 /// Writes a log line.
 pub fn write(level: LogLevel, part: LogPart, text: &str) {
@@ -19,10 +31,13 @@
     }
 }
 
-/// Sends log lines of `least` and above to the standard error, with the name
-/// of the host. Replaces the logger of the whole program.
-pub fn set_up(host: &str, least: LeastLevel) -> eyre::Result<()> {
-    let sink = StdStreamSink::builder().stderr().build_arc().wrap_err("cannot make a log sink")?;
+/// Sends log lines of `least` and above where `format` says, with the name of
+/// the host. Replaces the logger of the whole program.
+pub fn set_up(host: &str, least: LeastLevel, format: LogFormat) -> eyre::Result<()> {
+    let sink: Arc<dyn Sink> = match format {
+        LogFormat::Text => StdStreamSink::builder().stderr().build_arc()?,
+        LogFormat::Json => json_sink().wrap_err("cannot make a log sink")?,
+    };
     let logger = Logger::builder()
         .name(host)
         .sink(sink)
@@ -34,6 +49,18 @@
     Ok(())
 }
 
+fn json_sink() -> eyre::Result<Arc<dyn Sink>> {
+    let output = StdStreamSink::builder().stdout().formatter(JsonFormatter::new()).build_arc()?;
+    let capacity = NonZeroUsize::new(MAX_WAITING_LINES).expect("it is above 0");
+    let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(output)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
+    Ok(sink)
+}
+
 fn spdlog_level(least: LeastLevel) -> Level {
     match least {
         LeastLevel::Debug => Level::Debug,
@@ -42,3 +69,105 @@
         LeastLevel::Error => Level::Error,
     }
 }
+
+/// Lines about unusual decisions that may be written in each interval.
+const MAX_UNUSUAL: u32 = 60;
+/// Lines about the usual course of calls that may be written in each interval.
+const MAX_USUAL: u32 = 5;
+/// Length of an interval.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Writes decisions about calls, a bounded number in each interval.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    budget: Mutex<Budget>,
+}
+
+#[derive(Debug, Default)]
+struct Budget {
+    began_at: Option<Instant>,
+    usual: u32,
+    unusual: u32,
+    left_out: u64,
+}
+
+impl Budget {
+    /// Whether one more line may be written now. Returns the number of lines
+    /// left out before it where an interval begins.
+    fn take(&mut self, is_usual: bool) -> (bool, u64) {
+        let now = Instant::now();
+        let mut left_out = 0;
+        if self.began_at.is_none_or(|began_at| now.duration_since(began_at) >= INTERVAL) {
+            left_out = self.left_out;
+            *self = Self { began_at: Some(now), ..Self::default() };
+        }
+        let (used, most) =
+            if is_usual { (&mut self.usual, MAX_USUAL) } else { (&mut self.unusual, MAX_UNUSUAL) };
+        let may_write = *used < most;
+        *used += u32::from(may_write);
+        self.left_out += u64::from(!may_write);
+        (may_write, left_out)
+    }
+}
+
+impl DecisionLog {
+    /// Writes one decision about the call with this id, unless too many were
+    /// written lately. What is left out is counted, and the count is written.
+    pub fn write(&self, request: &str, step: &Step) {
+        let (may_write, left_out) = {
+            let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+            budget.take(step.is_usual())
+        };
+        if left_out > 0 {
+            spdlog::info!("calls: decisions were left out", kv: { left_out });
+        }
+        if may_write {
+            write_step(request, step);
+        }
+    }
+}
+
+fn write_step(request: &str, step: &Step) {
+    let name: &'static str = step.into();
+    match step {
+        Step::Chosen { attempt, target, load, load_age_ms, waits, version } => {
+            let target = target.to_string();
+            let load_age_ms = load_age_ms.map_or(-1, |age_ms| age_ms as i64);
+            spdlog::info!("calls: {name}", kv: {
+                request, attempt = *attempt, target = target.as_str(), load = *load,
+                load_age_ms, waits = *waits, version = version.0
+            });
+        }
+        Step::Queued { target, queued, remaining_ms } => {
+            let target = target.to_string();
+            spdlog::info!("calls: {name}", kv: {
+                request, target = target.as_str(), queued = *queued, remaining_ms = *remaining_ms
+            });
+        }
+        Step::AttemptFailed { attempt, code, outcome, is_retried } => {
+            let (code, outcome): (&str, &str) = (code.into(), outcome.into());
+            spdlog::info!("calls: {name}", kv: {
+                request, attempt = *attempt, code, outcome, is_retried = *is_retried
+            });
+        }
+        Step::Refused { code, outcome, attempts, after_ms, retry_after_ms } => {
+            let (code, outcome): (&str, &str) = (code.into(), outcome.into());
+            let retry_after_ms = retry_after_ms.map_or(-1, i64::from);
+            spdlog::info!("calls: {name}", kv: {
+                request, code, outcome, attempts = *attempts, after_ms = *after_ms, retry_after_ms
+            });
+        }
+        Step::ServerError { attempt, target, status, after_ms } => {
+            let target = target.to_string();
+            spdlog::info!("calls: {name}", kv: {
+                request, attempt = *attempt, target = target.as_str(), status = *status,
+                after_ms = *after_ms
+            });
+        }
+        Step::CallerGone { attempts, after_ms } => {
+            spdlog::info!("calls: {name}", kv: {
+                request, attempts = *attempts, after_ms = *after_ms
+            });
+        }
+    }
+}
--- a/crates/daemon/src/main_loop.rs
+++ b/crates/daemon/src/main_loop.rs
@@ -51,7 +51,7 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    let served = log::set_up(settings.host.as_str(), settings.log_level)
+    let served = log::set_up(settings.host.as_str(), settings.log_level, settings.log_format)
         .and_then(|()| Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?))
         .and_then(|runtime| runtime.block_on(serve(settings)));
     match served {
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -123,6 +123,7 @@
                 }
             }
             Effect::Answer { request, response } => self.edges.answers.answer(request, response),
+            Effect::Decided(decision) => self.edges.calls.tell(&decision),
             Effect::Call(effect) => self.edges.calls.run(effect),
             Effect::Log { level, part, text } => crate::log::write(level, part, &text),
             Effect::Exit => self.exit.notify_one(),
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -12,7 +12,7 @@
 
 use std::process::ExitCode;
 
-use fireflylug_settings::LogLevel;
+use fireflylug_settings::{LogFormat, LogLevel};
 use gumdrop::Options as _;
 
 pub use args::{Measurement, Options};
@@ -34,7 +34,7 @@
 /// Runs the measurement that the arguments name. Returns whether every bound holds.
 fn measure(raw: args::RawArgs) -> eyre::Result<bool> {
     let options = Options::from_raw(&raw)?;
-    fireflylug_daemon::log::set_up("measure", LogLevel::Error)?;
+    fireflylug_daemon::log::set_up("measure", LogLevel::Error, LogFormat::Text)?;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let report = runtime.block_on(run(&options))?;
     // Daemons that a measurement left behind end with the process.
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -10,8 +10,8 @@
 use crate::raw::RawSettings;
 use crate::reader::{Reader, Value, parse_address};
 use crate::{
-    Advertise, ControlSection, DEFAULT_STOP_LIMIT_MS, DEFAULT_STOP_NOTICE_MS, LogLevel, Settings,
-    SettingsFinding, VoterRules, default_listen,
+    Advertise, ControlSection, DEFAULT_STOP_LIMIT_MS, DEFAULT_STOP_NOTICE_MS, LogFormat, LogLevel,
+    Settings, SettingsFinding, VoterRules, default_listen,
 };
 
 /// Most voters of the replicated log.
@@ -43,6 +43,7 @@
     let caller_service = reader.optional_name("callers", "service");
     let translate = translate(&mut reader);
     let log_level = log_level(&mut reader);
+    let log_format = log_format(&mut reader);
     let stop_limit_ms = time_ms(&mut reader, "stop", "limit_ms", DEFAULT_STOP_LIMIT_MS);
     let stop_notice_ms = time_ms(&mut reader, "stop", "notice_ms", DEFAULT_STOP_NOTICE_MS);
     let addresses_file = path(&reader, "listen", "addresses_file", folder);
@@ -64,6 +65,7 @@
                 addresses_file,
                 translate,
                 log_level,
+                log_format,
                 stop_limit_ms,
                 stop_notice_ms,
             })
@@ -240,6 +242,14 @@
     level.unwrap_or(LogLevel::Info)
 }
 
+fn log_format(reader: &mut Reader) -> LogFormat {
+    let value = reader.optional("log", "format");
+    let format = value.and_then(|value| {
+        reader.parsed(&value, |text| text.parse().map_err(|_| one_of(text, LogFormat::VARIANTS)))
+    });
+    format.unwrap_or(LogFormat::Text)
+}
+
 fn time_ms(reader: &mut Reader, section: &str, key: &str, default_ms: u64) -> u64 {
     let value = reader.optional(section, key);
     let limit_ms = value.and_then(|value| {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -68,6 +68,8 @@
     pub translate: Vec<(SocketAddr, SocketAddr)>,
     /// Least level of log lines: debug, info, warn or error.
     pub log_level: LogLevel,
+    /// Form of log lines.
+    pub log_format: LogFormat,
     /// Longest time that a graceful stop waits for what is in flight, in milliseconds.
     pub stop_limit_ms: u64,
     /// Time for which a stopping process still takes calls, in milliseconds.
@@ -108,6 +110,18 @@
     pub initial_voters: Vec<Name>,
 }
 
+/// Form of log lines.
+#[derive(
+    Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumString, strum::VariantNames,
+)]
+#[strum(serialize_all = "lowercase")]
+pub enum LogFormat {
+    /// Text on the standard error.
+    Text,
+    /// JSON on the standard output, one object a line.
+    Json,
+}
+
 /// Least level of log lines.
 #[derive(
     Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumString, strum::VariantNames,
@@ -142,6 +156,7 @@
             addresses_file: None,
             translate: Vec::new(),
             log_level: LogLevel::Info,
+            log_format: LogFormat::Text,
             stop_limit_ms: DEFAULT_STOP_LIMIT_MS,
             stop_notice_ms: DEFAULT_STOP_NOTICE_MS,
         }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -22,7 +22,7 @@
         &["data_dir", "initial_voters", "voters_from_seeds", "forms_first_set", "tolerated_losses"],
     ),
     ("security", &["key_file", "trusted_network"]),
-    ("log", &["level"]),
+    ("log", &["level", "format"]),
     ("translate", &[]),
     ("stop", &["limit_ms", "notice_ms"]),
 ];
--- a/crates/settings/src/write.rs
+++ b/crates/settings/src/write.rs
@@ -57,6 +57,7 @@
         set("security", "key_file", path(file));
     }
     set("log", "level", settings.log_level.to_string());
+    set("log", "format", settings.log_format.to_string());
     for (index, pair) in settings.translate.iter().enumerate() {
         set("translate", &format!("pair_{index}"), translation(pair));
     }
--- a/examples/minibus/main.rs
+++ b/examples/minibus/main.rs
@@ -63,7 +63,8 @@
 
 async fn run() -> eyre::Result<Report> {
     let folder = tempfile::tempdir()?;
-    fireflylug_daemon::log::set_up("minibus", fireflylug_settings::LogLevel::Error)?;
+    let format = fireflylug_settings::LogFormat::Text;
+    fireflylug_daemon::log::set_up("minibus", fireflylug_settings::LogLevel::Error, format)?;
     let mut report = Report::default();
 
     println!("starting 14 daemons and 14 targets in 4 availability zones");
