--- a/crates/fault/src/target.rs
+++ b/crates/fault/src/target.rs
@@ -230,7 +230,11 @@
         return Err(io::ErrorKind::ConnectionReset.into());
     }
     let cut = options.reset_at == Some(ResetStage::MidBody);
-    Ok(respond(status, options.body_bytes, cut))
+    let mut response = respond(status, options.body_bytes, cut);
+    if let Some((name, value)) = options.answer_header {
+        response.headers_mut().insert(name, header::HeaderValue::from_static(value));
+    }
+    Ok(response)
 }
 
 fn count_run(shared: &Shared, headers: &hyper::HeaderMap) {
--- a/crates/fault/src/target_options.rs
+++ b/crates/fault/src/target_options.rs
@@ -30,6 +30,8 @@
     pub draining: bool,
     /// Stage at which each connection is closed.
     pub reset_at: Option<ResetStage>,
+    /// A header of each answer, with its value.
+    pub answer_header: Option<(&'static str, &'static str)>,
     /// Where each call calls on, under the same path, before it answers.
     pub next_hop: Option<SocketAddr>,
 }
@@ -50,10 +52,17 @@
             stalled: false,
             draining: false,
             reset_at: None,
+            answer_header: None,
             next_hop: None,
         }
     }
 
+    /// Sets a header of each answer.
+    pub const fn with_answer_header(mut self, name: &'static str, value: &'static str) -> Self {
+        self.answer_header = Some((name, value));
+        self
+    }
+
     /// Sets the calls that run at once.
     pub const fn with_slots(mut self, slots: usize) -> Self {
         self.slots = slots;
