Large answers bounded by the link of a host; load patterns as tests

Change: on a host whose link is below 100 Mbit/s a third of the slots takes calls with large answers, which hold a place on the link until it has carried them; owners that take no connection are left after 0.4 s; unused connections are closed after 8 s. Tests name the loads: manifests on a slow link, calls that a running call waits for, a burst, a slow near target, a split over few calls.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -90,6 +90,7 @@
             priority: rule.policy.priority,
             useful_until,
             class: rule.class,
+            is_bulk: rule.policy.bulk,
             chain: Chain { hops: head.chain.hops + 1, ..head.chain },
             rule: Some(rule),
             ..new_call(cx.now, head, service, deadline)
@@ -120,6 +121,7 @@
             priority: forward.priority,
             useful_until: deadline.min(cx.now.plus_ms(u64::from(forward.useful_ms))),
             class: forward.class,
+            is_bulk: forward.bulk,
             ..new_call(cx.now, head, target.service, deadline)
         };
         Ok((call, Some(key)))
@@ -192,6 +194,7 @@
         priority: 0,
         useful_until: deadline,
         class: CallClass::default(),
+        is_bulk: false,
         chain: head.chain,
         attempt: 0,
         reached: 0,
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -84,6 +84,7 @@
             deadline,
             max_queued: call.max_queued,
             class: call.class,
+            is_bulk: call.is_bulk,
         };
         let Some(gate) = &mut self.targets[target].gate else { return false };
         match gate.admit(ticket, cx.now) {
@@ -111,8 +112,8 @@
         while let Some(gate) = &mut self.targets[target].gate
             && let Some(id) = gate.next_waiting()
         {
-            let deadline = self.calls[&id].deadline;
-            if gate.admit_waiting(cx.now, deadline) {
+            let call = &self.calls[&id];
+            if gate.admit_waiting(cx.now, call.deadline, call.is_bulk) {
                 self.dispatch(cx, id, target);
             } else {
                 let code = RefusalCode::DeadlineExceeded;
@@ -164,6 +165,7 @@
             priority: call.priority,
             useful_ms: u32::try_from(call.useful_until.since_ms(cx.now)).unwrap_or(u32::MAX),
             class: call.class,
+            bulk: call.is_bulk,
         };
         cx.emit(Effect::Call(CallEffect::Forward {
             call: id,
@@ -319,6 +321,7 @@
         let call = self.calls.get(&id);
         let is_ingress = call.is_some_and(Call::is_ingress);
         let class = call.map_or(CallClass::default(), |call| call.class);
+        let is_bulk = call.is_some_and(|call| call.is_bulk);
         let target = &mut self.targets[attempt.target];
         target.health.end_probe();
         target.attempts -= 1;
@@ -326,7 +329,7 @@
         if attempt.holds_slot
             && let Some(gate) = &mut target.gate
         {
-            gate.release(cx.now, attempt.began_at, completed, class);
+            gate.release(cx.now, attempt.began_at, completed, class, is_bulk);
             self.admit_waiting(cx, attempt.target);
         }
         self.forget_target(attempt.target);
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -36,6 +36,8 @@
     pub useful_ms: u32,
     /// Kind of the call, for estimates of how long it takes.
     pub class: CallClass,
+    /// Whether the answer is large.
+    pub bulk: bool,
 }
 
 /// Calls of one policy, as far as estimates of their duration go.
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -23,7 +23,7 @@
 /// links between zones and regions are left to others.
 const TIER_COST_PERCENT: [u64; TIERS] = [0, 5, 35];
 /// The same for calls with large answers.
-const BULK_TIER_COST_PERCENT: [u64; TIERS] = [0, 40, 200];
+const BULK_TIER_COST_PERCENT: [u64; TIERS] = [0, 30, 200];
 /// Most targets of a tier that are compared for one call.
 const MAX_COMPARED: usize = 12;
 /// Chance in the comparison, in percent either way.
@@ -100,14 +100,16 @@
         let call = &self.calls[&call];
         let state = &self.services[call.service];
         let target = &self.targets[target];
-        let is_bulk = call.rule.as_ref().is_some_and(|rule| rule.policy.bulk);
+        let is_bulk = call.is_bulk;
         let tier_percent =
             if is_bulk { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
         let tier_us = call.useful_until.since_us(call.arrived_at) * tier_percent / 100;
         let noise_percent = cx.rng.random_range(100 - NOISE_PERCENT..=100 + NOISE_PERCENT);
         let answer_us = target.cost_us(cx.now, state.slow_start_ms, pace) * noise_percent / 100;
         // A large answer from another region is worth a wait here.
-        let waits = !target.has_spare(cx.now) || (is_bulk && tier == TIERS - 1);
+        let is_far = tier == TIERS - 1;
+        let waits =
+            !target.has_spare(cx.now) || (is_bulk && (is_far || target.is_link_taken(cx.now)));
         answer_us + tier_us + if waits { WAITING_COST_US } else { 0 }
     }
 
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -28,7 +28,8 @@
         }
         call.is_replayable &= replayable;
         if call.is_ingress() {
-            self.observe_failure(cx, running, refusal, load);
+            let is_bulk = call.is_bulk;
+            self.observe_failure(cx, running, refusal, load, is_bulk);
         }
         self.release(cx, id, running, false);
         self.attempt_failed(cx, id, refusal);
@@ -40,9 +41,14 @@
         attempt: Attempt,
         refusal: Refusal,
         load: Option<GateLoad>,
+        is_bulk: bool,
     ) {
         if let Some(load) = load {
-            self.targets[attempt.target].hear_gate(load, cx.now);
+            let target = &mut self.targets[attempt.target];
+            target.hear_gate(load, cx.now);
+            if is_bulk && refusal.code == RefusalCode::Overloaded {
+                target.refuse_bulk(load.wait_ms, cx.now);
+            }
         }
         let says_of_target = match refusal.code {
             RefusalCode::Overloaded | RefusalCode::ProxyBusy | RefusalCode::Stopping => false,
--- a/crates/core/src/routing/gate.rs
+++ b/crates/core/src/routing/gate.rs
@@ -37,6 +37,8 @@
     /// Most calls that may wait before this one.
     pub max_queued: u32,
     pub class: CallClass,
+    /// Whether the answer is large.
+    pub is_bulk: bool,
 }
 
 /// A call that waits.
@@ -54,6 +56,10 @@
     }
 }
 
+/// Of so many slots one is for a call with a large answer where the link of the
+/// host is slow: more of them would only wait for each other, and hold slots.
+const SLOW_LINK_BULK_SHARE: u32 = 3;
+
 /// One call in so many slots may wait that will be answered late.
 const LATE_SHARE: usize = 4;
 
@@ -63,6 +69,10 @@
     /// Calls that the target takes at once: the lesser of slots and connections.
     limit: u32,
     in_flight: u32,
+    /// Calls with large answers that the link of the host carries at once. None
+    /// where the link is no matter.
+    bulk_limit: Option<u32>,
+    bulk_in_flight: u32,
     /// Calls that wait, the next one first.
     queue: Vec<Waiting>,
     /// Time for which a call holds a slot, over all classes.
@@ -75,8 +85,20 @@
 const MAX_CLASSES: usize = 64;
 
 impl Gate {
-    pub fn set_limit(&mut self, slots: u32, connections: u32) {
+    pub fn set_limit(&mut self, slots: u32, connections: u32, is_link_slow: bool) {
         self.limit = slots.min(connections);
+        let bulk_limit = (self.limit / SLOW_LINK_BULK_SHARE).max(1);
+        self.bulk_limit = is_link_slow.then_some(bulk_limit);
+    }
+
+    /// Whether a call with a large answer would find the link taken by others.
+    fn is_link_taken(&self, is_bulk: bool) -> bool {
+        is_bulk && self.bulk_limit.is_some_and(|limit| self.bulk_in_flight >= limit)
+    }
+
+    fn take_slot(&mut self, is_bulk: bool) {
+        self.in_flight += 1;
+        self.bulk_in_flight += u32::from(is_bulk);
     }
 
     pub fn load(&self) -> GateLoad {
@@ -87,13 +109,15 @@
 
     /// Whether the call would be given a slot at once.
     pub fn has_free_slot(&self) -> bool {
-        self.in_flight < self.limit && self.queue.is_empty()
+        // Those that wait for the link keep nobody else from a slot.
+        let waits = |waiting: &Waiting| !self.is_link_taken(waiting.ticket.is_bulk);
+        self.in_flight < self.limit && !self.queue.iter().any(waits)
     }
 
     /// Takes a call in, or says that it cannot be answered in time.
     pub fn admit(&mut self, ticket: Ticket, now: Instant) -> Admission {
-        if self.has_free_slot() {
-            self.in_flight += 1;
+        if self.has_free_slot() && !self.is_link_taken(ticket.is_bulk) {
+            self.take_slot(ticket.is_bulk);
             return Admission::Admitted;
         }
         let longest = ticket.max_queued.min(self.limit) as usize;
@@ -119,15 +143,16 @@
     /// Whether a call at a place of the queue can be expected to be answered
     /// while that is of full use.
     fn is_in_time(&self, ticket: &Ticket, place: usize, now: Instant) -> bool {
-        let answered_at = now.plus_us(self.wait_us(place) + self.longest_us(ticket.class));
+        let wait_us = self.wait_us(place).max(self.link_wait_us(ticket));
+        let answered_at = now.plus_us(wait_us + self.longest_us(ticket.class));
         answered_at <= ticket.useful_until.min(ticket.deadline)
     }
 
     /// Whether a call may wait at the end, to be answered late.
     fn may_be_late(&self, ticket: &Ticket, now: Instant) -> bool {
         let late = self.queue.iter().filter(|waiting| waiting.is_late).count();
-        let answered_at =
-            now.plus_us(self.wait_us(self.queue.len()) + self.longest_us(ticket.class));
+        let wait_us = self.wait_us(self.queue.len()).max(self.link_wait_us(ticket));
+        let answered_at = now.plus_us(wait_us + self.longest_us(ticket.class));
         late < self.limit as usize / LATE_SHARE && answered_at <= ticket.deadline
     }
 
@@ -136,6 +161,19 @@
         (place as u64 + 1) * self.held.mean_us() / u64::from(self.limit.max(1))
     }
 
+    /// Time until the link has room for one more large answer.
+    fn link_wait_us(&self, ticket: &Ticket) -> u64 {
+        let Some(limit) = self.bulk_limit.filter(|_| self.is_link_taken(ticket.is_bulk)) else {
+            return 0;
+        };
+        let before = self
+            .queue
+            .iter()
+            .filter(|waiting| waiting.ticket.is_bulk && waiting.ticket.call != ticket.call);
+        let held = self.held_by_class.get(&ticket.class).unwrap_or(&self.held);
+        (before.count() as u64 + 1) * held.mean_us() / u64::from(limit.max(1))
+    }
+
     /// Time for which few calls of a class hold their slot longer.
     fn longest_us(&self, class: CallClass) -> u64 {
         let of_class = self.held_by_class.get(&class).unwrap_or(&self.held);
@@ -180,8 +218,10 @@
         admitted_at: Instant,
         completed: bool,
         class: CallClass,
+        is_bulk: bool,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.bulk_in_flight = self.bulk_in_flight.saturating_sub(u32::from(is_bulk));
         if !completed {
             return;
         }
@@ -194,14 +234,20 @@
 
     /// Takes the call that is next out of the queue, where a slot is free for it.
     pub fn next_waiting(&mut self) -> Option<CallId> {
-        let is_free = self.in_flight < self.limit && !self.queue.is_empty();
-        is_free.then(|| self.queue.remove(0).ticket.call)
+        if self.in_flight >= self.limit {
+            return None;
+        }
+        let may_begin = |waiting: &Waiting| !self.is_link_taken(waiting.ticket.is_bulk);
+        let place = self.queue.iter().position(may_begin)?;
+        Some(self.queue.remove(place).ticket.call)
     }
 
     /// Gives a free slot to a call that waited, unless it is too late for it.
-    pub fn admit_waiting(&mut self, now: Instant, deadline: Instant) -> bool {
+    pub fn admit_waiting(&mut self, now: Instant, deadline: Instant, is_bulk: bool) -> bool {
         let in_time = now.plus_us(self.held.mean_us()) <= deadline && now < deadline;
-        self.in_flight += u32::from(in_time);
+        if in_time {
+            self.take_slot(is_bulk);
+        }
         in_time
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -71,11 +71,13 @@
     /// Time for which a stopping proxy still takes calls, so that callers and
     /// other proxies learn of the stop before it refuses, in milliseconds.
     pub stop_notice_ms: u64,
+    /// Whether a few large answers at once fill the link of this host.
+    pub is_link_slow: bool,
 }
 
 impl Default for RoutingSettings {
     fn default() -> Self {
-        Self { max_calls: 4_096, stop_notice_ms: 1_000 }
+        Self { max_calls: 4_096, stop_notice_ms: 1_000, is_link_slow: false }
     }
 }
 
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -64,6 +64,8 @@
     /// When an answer is of full use no longer.
     pub useful_until: Instant,
     pub class: CallClass,
+    /// Whether the answer is large.
+    pub is_bulk: bool,
     pub chain: Chain,
     /// Number of the present attempt.
     pub attempt: u8,
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -17,6 +17,10 @@
 const COLD_WEIGHT: u64 = 100;
 /// Share of calls of a warm target, in thousandths.
 const FULL_WEIGHT: u64 = 1_000;
+/// Least and longest time for which a host that had no room for a large answer is
+/// given no other one where another host may have room, in milliseconds.
+const MIN_LINK_WAIT_MS: u64 = 50;
+const MAX_LINK_WAIT_MS: u64 = 500;
 /// Most classes whose latency is kept apart.
 const MAX_CLASSES: usize = 64;
 /// Latency of a target that has none observed yet, in microseconds.
@@ -52,6 +56,8 @@
     last_answer_at: Instant,
     ready_since: Instant,
     hint: Option<LoadHint>,
+    /// Until when the link of the target's host has no room for large answers.
+    link_taken_until: Instant,
 }
 
 impl Target {
@@ -68,6 +74,7 @@
             last_answer_at: now,
             ready_since: now,
             hint: None,
+            link_taken_until: Instant::ZERO,
         };
         target.hear_report(now);
         target
@@ -98,6 +105,17 @@
         self.hear(u64::from(load.in_flight + load.queued), load.wait_ms, now, GATE_HINT_LIFE_US);
     }
 
+    /// The owner had no room for a call with a large answer.
+    pub fn refuse_bulk(&mut self, wait_ms: u32, now: Instant) {
+        let wait_ms = u64::from(wait_ms).clamp(MIN_LINK_WAIT_MS, MAX_LINK_WAIT_MS);
+        self.link_taken_until = now.plus_ms(wait_ms);
+    }
+
+    /// Whether large answers are known to wait for the link of the target's host.
+    pub fn is_link_taken(&self, now: Instant) -> bool {
+        now < self.link_taken_until
+    }
+
     fn hear(&mut self, load: u64, wait_ms: u32, now: Instant, life_us: u64) {
         let others = load.saturating_sub(u64::from(self.in_flight));
         self.hint = Some(LoadHint { others, wait_ms, heard_at: now, life_us });
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -135,7 +135,7 @@
         if is_owner {
             let slots = target.record.slots;
             let gate = target.gate.get_or_insert_with(Gate::default);
-            gate.set_limit(slots, connections);
+            gate.set_limit(slots, connections, self.settings.is_link_slow);
             if target.record.state == TargetState::Ready {
                 self.admit_waiting(cx, key);
                 return;
--- a/crates/core/tests/routing/bench.rs
+++ b/crates/core/tests/routing/bench.rs
@@ -172,6 +172,7 @@
             priority: 0,
             useful_ms: remaining_ms,
             class: CallClass::default(),
+            bulk: false,
         };
         self.arrive_with("/", |call| call.origin = CallOrigin::Proxy(head))
     }
--- a/crates/core/tests/routing/choice.rs
+++ b/crates/core/tests/routing/choice.rs
@@ -237,3 +237,53 @@
     let order: Vec<String> = bench.take_attempts().into_iter().map(|b| b.target).collect();
     assert_eq!(order, ["any", "long", "hosted"]);
 }
+
+/// Calls of a calm day: a slow target of the own zone is no reason to be late.
+#[test]
+fn a_slow_near_target_leaves_calls_to_a_faster_one_in_the_region() {
+    let policy = fireflylug_core::resource::Policy::new(name("quick")).with_target_latency_ms(800);
+    let mut bench = ingress(&[("near", "z1", "r1"), ("region", "z2", "r1")]);
+    bench.configure(vec![
+        Resource::Policy(policy),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/", name("seatdesk"))),
+    ]);
+    let mut counts = BTreeMap::new();
+
+    for _ in 0..60 {
+        bench.arrive("/", true);
+        let begun = bench.take_attempts().remove(0);
+        bench.pass_ms(if begun.target == "near" { 600 } else { 100 });
+        bench.complete(begun.call, begun.attempt);
+        bench.take();
+        *counts.entry(begun.target).or_insert(0) += 1;
+    }
+
+    assert!(counts["region"] > 3 * counts["near"], "{counts:?}");
+}
+
+/// Parts of a split route get their shares, also over few calls.
+#[rstest]
+#[case(200, 10)]
+#[case(1_000, 10)]
+fn a_split_keeps_its_weights_over_few_calls(#[case] calls: u32, #[case] percent: u32) {
+    let part = |service: &str, weight| fireflylug_core::resource::WeightedService {
+        service: name(service),
+        weight,
+    };
+    let split = vec![part("seatdesk", 100 - percent), part("bookbook", percent)];
+    let mut bench = Bench::new(
+        "host-a",
+        vec![
+            Resource::Service(Service::new(name("seatdesk"))),
+            Resource::Service(Service::new(name("bookbook"))),
+            Resource::Route(Route::new(name("seats"), "/", name("seatdesk")).with_split(split)),
+        ],
+    );
+    ["seatdesk", "bookbook"].iter().for_each(|s| bench.target(record(s, s, "host-a")));
+
+    let attempts = run(&mut bench, calls, |_| true);
+
+    let expected = calls * percent / 100;
+    assert!(attempts["bookbook"].abs_diff(expected) <= 2, "{attempts:?}");
+}
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -198,3 +198,93 @@
     assert_eq!(bench.take_refusals(), [(child, expected)]);
     assert!(bench.routing.is_idle());
 }
+
+/// Drivers pull manifests: large answers on a host whose link is slow.
+#[test]
+fn large_answers_on_a_slow_link_leave_slots_to_other_calls() {
+    let settings = RoutingSettings { is_link_slow: true, ..RoutingSettings::default() };
+    let mut bench = Bench::without_configuration("host-a", settings);
+    let pull = Policy { bulk: true, ..Policy::new(name("pull")) };
+    let mut all = resources();
+    all.push(Resource::Policy(pull));
+    all.push(Resource::Route(
+        Route::new(name("sheets"), "/sheets", name("seatdesk")).with_policy(name("pull")),
+    ));
+    bench.configure(all);
+    let mut target = record("seatdesk", "one", "host-a");
+    (target.slots, target.connections) = (6, 6);
+    bench.target(target);
+
+    let pulls: Vec<CallId> = (0..4).map(|_| bench.arrive("/sheets", true)).collect();
+    let seats: Vec<CallId> = (0..4).map(|_| bench.arrive("/seats", true)).collect();
+
+    let begun: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(begun, [pulls[0], pulls[1], seats[0], seats[1], seats[2], seats[3]]);
+    bench.complete(pulls[0], 1);
+    let next: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(next, [pulls[2]]);
+}
+
+/// A running call waits for what it called: shorter target latency goes first.
+#[test]
+fn a_call_whose_answer_is_of_use_for_a_shorter_time_goes_first() {
+    let mut bench = owner();
+    let quick = Policy::new(name("fares")).with_deadline_ms(2_000).with_target_latency_ms(200);
+    let slow = Policy::new(name("quick")).with_deadline_ms(2_000).with_target_latency_ms(1_000);
+    bench.configure(vec![
+        Resource::Policy(quick),
+        Resource::Policy(slow),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
+        Resource::Route(
+            Route::new(name("fares"), "/fares", name("seatdesk")).with_policy(name("fares")),
+        ),
+    ]);
+    let running: Vec<CallId> = (0..4).map(|_| bench.arrive("/seats", true)).collect();
+    let waiting = bench.arrive("/seats", true);
+    let called = bench.arrive("/fares", true);
+    bench.take();
+
+    bench.complete(running[0], 1);
+    bench.complete(running[1], 1);
+
+    let begun: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(begun, [called, waiting]);
+}
+
+/// Many users come at once: nobody is kept waiting for an answer that is of no
+/// use any more, and a call of a higher rank goes ahead.
+#[test]
+fn in_a_burst_calls_wait_only_as_long_as_their_answers_are_of_use() {
+    let mut bench = owner();
+    let urgent = Policy::new(name("urgent")).with_deadline_ms(5_000).with_target_latency_ms(700);
+    let usual = Policy::new(name("quick"))
+        .with_deadline_ms(5_000)
+        .with_target_latency_ms(450)
+        .with_priority(1);
+    bench.configure(vec![
+        Resource::Policy(urgent),
+        Resource::Policy(usual),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
+        Resource::Route(
+            Route::new(name("book"), "/book", name("seatdesk")).with_policy(name("urgent")),
+        ),
+    ]);
+    let warm: Vec<CallId> = (0..4).map(|_| bench.arrive("/seats", true)).collect();
+    bench.pass_ms(200);
+    warm.iter().for_each(|call| bench.complete(*call, 1));
+    (0..4).for_each(|_| _ = bench.arrive("/seats", true));
+    bench.take();
+
+    let usual: Vec<CallId> = (0..8).map(|_| bench.arrive("/seats", true)).collect();
+    let book = bench.arrive("/book", true);
+    let refused: Vec<CallId> = bench.take_refusals().into_iter().map(|(call, _)| call).collect();
+
+    assert!(!refused.is_empty() && !refused.contains(&book), "{refused:?}");
+    assert!(refused.iter().all(|call| usual.contains(call)));
+    bench.pass_ms(100);
+    bench.complete(CallId(5), 1);
+    let next: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(next, [book]);
+}
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -12,12 +12,15 @@
 use http::{Response, StatusCode, Version};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Duration, Instant};
+use tokio_util::sync::PollSemaphore;
 
 use super::body::BodyProgress;
 use super::handle::Slot;
 use super::headers;
 use super::pool::Connection;
-use super::proxy::{Proxy, Side};
+use super::proxy::{BulkLanes, Proxy, Side};
 
 /// A call that the reducer still knows. Dropped early, it reports that the caller is gone.
 pub(super) struct OpenCall {
@@ -62,20 +65,70 @@
     Relay(Box<Relay>),
 }
 
+/// Answers of at least this many bytes wait for a place on a slow link.
+const BULK_BYTES: u64 = 32 * 1024;
+
 /// A target's answer on its way to the caller.
 pub(super) struct Relay {
     body: Incoming,
+    /// Waits for a place on the link, then holds it.
+    lane: Lane,
     /// Absent once the answer ended.
     open: Option<(OpenCall, Connection)>,
     attempt: u8,
     request_body: BodyProgress,
 }
 
+/// A place on the link of this host for one large answer.
+enum Lane {
+    /// None is needed.
+    Free,
+    /// Waits for one.
+    Waiting { places: PollSemaphore, bytes: u64 },
+    /// Held until the link has carried the answer.
+    Held { permit: OwnedSemaphorePermit, carried_at: Instant },
+}
+
+impl Lane {
+    /// Small answers go ahead of large ones, which go one after the other:
+    /// they would only slow each other down.
+    fn new(proxy: &Proxy, side: Side, body: &Incoming) -> Self {
+        let bytes = body.size_hint().lower();
+        match &proxy.bulk_lanes {
+            Some(lanes) if side == Side::Proxies && bytes >= BULK_BYTES => {
+                Self::Waiting { places: PollSemaphore::new(Arc::clone(&lanes.places)), bytes }
+            }
+            _ => Self::Free,
+        }
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>, lanes: Option<&BulkLanes>) -> Poll<()> {
+        let Self::Waiting { places, bytes } = self else { return Poll::Ready(()) };
+        let permit = std::task::ready!(places.poll_acquire(cx));
+        let carried_at = Instant::now() + lanes.map_or(Duration::ZERO, |l| l.time_of(*bytes));
+        // The semaphore is never closed.
+        *self = permit.map_or(Self::Free, |permit| Self::Held { permit, carried_at });
+        Poll::Ready(())
+    }
+
+    /// Gives the place back once the link has carried what was written: the
+    /// system takes bytes faster than the link does.
+    fn give_back(&mut self) {
+        if let Self::Held { permit, carried_at } = std::mem::replace(self, Self::Free) {
+            tokio::spawn(async move {
+                tokio::time::sleep_until(carried_at).await;
+                drop(permit);
+            });
+        }
+    }
+}
+
 impl Relay {
     /// Reports the end. The connection is used again only where nothing of
     /// request and answer is left on it.
     fn end(&mut self, whole: bool) {
         let Some((mut open, connection)) = self.open.take() else { return };
+        self.lane.give_back();
         if whole && self.request_body.is_done() {
             connection.give_back();
         } else {
@@ -98,6 +151,9 @@
             Self::Whole(body) => return Poll::Ready(body.take().map(|b| Ok(Frame::data(b)))),
             Self::Relay(relay) => relay,
         };
+        let lanes = relay.open.as_ref().map(|(open, _)| Arc::clone(&open.proxy));
+        let lanes = lanes.as_ref().and_then(|proxy| proxy.bulk_lanes.as_ref());
+        std::task::ready!(relay.lane.poll(cx, lanes));
         let polled = Pin::new(&mut relay.body).poll_frame(cx);
         match &polled {
             Poll::Pending => {}
@@ -131,6 +187,7 @@
 /// Passes a target's answer on.
 pub(super) fn relay(
     open: OpenCall,
+    side: Side,
     attempt: u8,
     answer: Answer,
     load: Option<GateLoad>,
@@ -147,7 +204,8 @@
     parts.version = Version::HTTP_11;
     close_if_stopping(&open.proxy, &mut parts.headers);
     open.proxy.handle.note_progress(&open.slot);
-    let mut relay = Relay { body, open: Some((open, connection)), attempt, request_body };
+    let lane = Lane::new(&open.proxy, side, &body);
+    let mut relay = Relay { body, lane, open: Some((open, connection)), attempt, request_body };
     if relay.body.is_end_stream() {
         relay.end(true);
     }
--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -193,7 +193,7 @@
             }
             CallEffect::Relay { load, .. } => {
                 if let Some(answer) = answered.take() {
-                    return answer::relay(open, attempt, answer, load);
+                    return answer::relay(open, side, attempt, answer, load);
                 }
             }
             CallEffect::Cancel { .. } => {
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -103,11 +103,19 @@
     key: Option<&HeaderValue>,
 ) {
     headers.insert(CHAIN, value(chain));
-    let ForwardHead { target, remaining_ms, max_queued, repeatable, priority, useful_ms, class } =
-        head;
-    let repeatable = u8::from(*repeatable);
+    let ForwardHead {
+        target,
+        remaining_ms,
+        max_queued,
+        repeatable,
+        priority,
+        useful_ms,
+        class,
+        bulk,
+    } = head;
+    let (repeatable, bulk) = (u8::from(*repeatable), u8::from(*bulk));
     let text = format_args!(
-        "{target} {remaining_ms} {max_queued} {repeatable} {priority} {useful_ms} {}",
+        "{target} {remaining_ms} {max_queued} {repeatable} {priority} {useful_ms} {} {bulk}",
         class.0
     );
     headers.insert(FORWARD, value(text));
@@ -151,6 +159,7 @@
         priority: fields.next()?.parse().ok()?,
         useful_ms: fields.next()?.parse().ok()?,
         class: CallClass(fields.next()?.parse().ok()?),
+        bulk: fields.next()? == "1",
     })
 }
 
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -18,6 +18,7 @@
 
 use compact_str::CompactString;
 pub use dialect::{CallDialect, StatusRule};
+use fireflylug_settings::LinkLanes;
 pub use handle::CallHandle;
 use tokio::net::TcpListener;
 
@@ -35,6 +36,8 @@
     pub dialect: Arc<CallDialect>,
     /// Service of the callers of this host, which targets are told.
     pub caller_service: Option<CompactString>,
+    /// Large answers that are passed to other hosts at once; none is no bound.
+    pub bulk_lanes: Option<LinkLanes>,
 }
 
 /// Serves callers and other proxies until the process takes no more calls and
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -17,11 +17,11 @@
 use super::body::CallBody;
 
 /// Time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a connection whose answer has just ended to be ready again.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
 /// Time after which an unused connection is closed.
-const MAX_IDLE: Duration = Duration::from_secs(30);
+const MAX_IDLE: Duration = Duration::from_secs(8);
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use super::handle::{CallHandle, Phase};
 use super::pool::Pool;
@@ -51,6 +51,22 @@
     pub key_value: Option<HeaderValue>,
     pub targets: Pool,
     pub owners: Pool,
+    /// Places for large answers on the link of this host.
+    pub bulk_lanes: Option<BulkLanes>,
+}
+
+/// Places for large answers on the link of this host.
+pub(super) struct BulkLanes {
+    pub places: Arc<Semaphore>,
+    /// Bytes that the link carries of one answer in a second.
+    bytes_a_second: f64,
+}
+
+impl BulkLanes {
+    /// Time that the link takes for an answer.
+    pub fn time_of(&self, bytes: u64) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / self.bytes_a_second)
+    }
 }
 
 impl Proxy {
@@ -59,7 +75,11 @@
         let key = settings.key.clone();
         let key_value = key.as_ref().map(headers::key_value);
         let (targets, owners) = Default::default();
-        Arc::new(Self { runtime, handle, settings, key, key_value, targets, owners })
+        let bulk_lanes = settings.bulk_lanes.map(|link| BulkLanes {
+            places: Arc::new(Semaphore::new(link.lanes)),
+            bytes_a_second: link.bytes_a_second,
+        });
+        Arc::new(Self { runtime, handle, settings, key, key_value, targets, owners, bulk_lanes })
     }
 
     /// Accepts connections until the process accepts no more.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,7 +14,7 @@
 use fireflylug_core::routing::RoutingSettings;
 use fireflylug_core::state::CoreSettings;
 use fireflylug_core::{Event, State};
-use fireflylug_settings::Settings;
+use fireflylug_settings::{LinkLanes, Settings};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
@@ -76,6 +76,7 @@
             key,
             translation: translation(&settings),
             dialect: Arc::clone(&dialect),
+            bulk_lanes: settings.bulk_lanes(),
             caller_service,
         };
         let mut tasks = JoinSet::new();
@@ -159,6 +160,7 @@
     translation: Translation,
     dialect: Arc<CallDialect>,
     caller_service: Option<CompactString>,
+    bulk_lanes: Option<LinkLanes>,
 }
 
 /// The reducer with the ends of the edges that are not served yet.
@@ -202,10 +204,11 @@
         security: Security,
     ) -> eyre::Result<ApiServer> {
         let runtime = self.runtime;
-        let Security { key, translation, dialect, caller_service } = security;
+        let Security { key, translation, dialect, caller_service, bulk_lanes } = security;
         let settings = PeerSettings { me, key: key.clone(), translation: translation.clone() };
         tasks.spawn(peers::run(Arc::clone(&runtime), self.peers, listeners.peers, settings));
-        let settings = CallSettings { key: key.clone(), translation, dialect, caller_service };
+        let settings =
+            CallSettings { key: key.clone(), translation, dialect, caller_service, bulk_lanes };
         tasks.spawn(calls::run(
             Arc::clone(&runtime),
             self.calls,
@@ -295,6 +298,7 @@
         control,
         routing: RoutingSettings {
             stop_notice_ms: settings.stop_notice_ms,
+            is_link_slow: settings.is_link_slow(),
             ..RoutingSettings::default()
         },
         ..CoreSettings::default()
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -41,6 +41,7 @@
     let voters = voter_rules(&mut reader);
     let control = control(&mut reader, host.as_ref(), folder, voters);
     let caller_service = reader.optional_name("callers", "service");
+    let link_mbps = link_mbps(&mut reader);
     let translate = translate(&mut reader);
     let log_level = log_level(&mut reader);
     let log_format = log_format(&mut reader);
@@ -61,6 +62,7 @@
                 voters,
                 caller_service,
                 trusted_network,
+                link_mbps,
                 key_file,
                 addresses_file,
                 translate,
@@ -114,6 +116,14 @@
     Addresses { peers: at(0), forward: at(1), api: at(2), calls: at(3) }
 }
 
+fn link_mbps(reader: &mut Reader) -> Option<f64> {
+    let value = reader.optional("listen", "link_mbps")?;
+    reader.parsed(&value, |text| match text.parse::<f64>() {
+        Ok(mbps) if mbps > 0.0 && mbps.is_finite() => Ok(mbps),
+        _ => Err(format!("{text:?}: write megabits a second, such as 100")),
+    })
+}
+
 fn port(reader: &mut Reader, section: &str, key: &str) -> Option<u16> {
     let value = reader.optional(section, key)?;
     reader.parsed(&value, |text| match text.parse() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -34,11 +34,20 @@
 /// the settings say nothing.
 pub const DEFAULT_STOP_NOTICE_MS: u64 = 1_000;
 
+/// Rate below which large answers are kept from filling the link, in megabits a second.
+const SLOW_LINK_MBPS: f64 = 100.0;
+/// Time that a small answer may wait for large ones on the link, in seconds.
+const MAX_LINK_WAIT_S: f64 = 0.1;
+/// Share of the link that large answers may take.
+const BULK_LINK_SHARE: f64 = 0.85;
+/// Bytes of one connection that may be under way at once.
+const WINDOW_BYTES: f64 = 65_536.0;
+
 /// Data folder of a process that is started without settings.
 pub const DEFAULT_DATA_DIR: &str = "fireflylug-data";
 
 /// Checked settings of one daemon.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the host.
     pub host: Name,
@@ -59,6 +68,8 @@
     /// Whether addresses that other hosts reach need no shared key, because
     /// nobody else can reach them.
     pub trusted_network: bool,
+    /// Rate of the link of this host, in megabits a second; not known where absent.
+    pub link_mbps: Option<f64>,
     /// File that holds the shared key; none is allowed on loopback only.
     pub key_file: Option<PathBuf>,
     /// File to which the daemon writes the addresses that it listens at, as
@@ -76,6 +87,15 @@
     pub stop_notice_ms: u64,
 }
 
+/// Places for large answers on the link of a host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinkLanes {
+    /// Large answers that are carried at once.
+    pub lanes: usize,
+    /// Bytes that the link carries of each in a second.
+    pub bytes_a_second: f64,
+}
+
 /// How the voters of the replicated log come about.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct VoterRules {
@@ -152,6 +172,7 @@
             voters: VoterRules::default(),
             caller_service: None,
             trusted_network: false,
+            link_mbps: None,
             key_file: None,
             addresses_file: None,
             translate: Vec::new(),
@@ -199,6 +220,20 @@
         write::to_ini(self)
     }
 
+    /// Large answers that the link of this host carries at once without making
+    /// small ones wait for long. None where that is no matter.
+    pub fn bulk_lanes(&self) -> Option<LinkLanes> {
+        let bytes_a_second = self.link_mbps.filter(|mbps| *mbps < SLOW_LINK_MBPS)? * 125_000.0;
+        let lanes = ((bytes_a_second * MAX_LINK_WAIT_S / WINDOW_BYTES) as usize).max(1);
+        let bytes_a_second = bytes_a_second * BULK_LINK_SHARE / lanes as f64;
+        Some(LinkLanes { lanes, bytes_a_second })
+    }
+
+    /// Whether a few large answers at once fill the link of this host.
+    pub fn is_link_slow(&self) -> bool {
+        self.link_mbps.is_some_and(|mbps| mbps < SLOW_LINK_MBPS)
+    }
+
     /// Sets the addresses to join through.
     pub fn with_seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
         self.seeds = seeds;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -13,7 +13,19 @@
 /// Sections and keys that exist. The keys of `translate` are chosen freely.
 const KNOWN: [(&str, &[&str]); 10] = [
     ("host", &["name", "region", "availability_zone", "role"]),
-    ("listen", &["address", "first_port", "peers", "forward", "api", "calls", "addresses_file"]),
+    (
+        "listen",
+        &[
+            "address",
+            "first_port",
+            "peers",
+            "forward",
+            "api",
+            "calls",
+            "addresses_file",
+            "link_mbps",
+        ],
+    ),
     ("advertise", &["peers", "forward", "api", "calls"]),
     ("join", &["seeds", "seed_port"]),
     ("callers", &["service"]),
--- a/crates/settings/src/write.rs
+++ b/crates/settings/src/write.rs
@@ -24,6 +24,9 @@
     if let Some(file) = &settings.addresses_file {
         set("listen", "addresses_file", path(file));
     }
+    if let Some(mbps) = settings.link_mbps {
+        set("listen", "link_mbps", mbps.to_string());
+    }
     let advertise = &settings.advertise;
     let advertised = [
         ("peers", advertise.peers),
