--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -46,6 +46,8 @@
     },
     /// Something happened to a call.
     Call(CallEvent),
+    /// The settings name these processes to join through from now on.
+    SeedsChanged(Vec<SocketAddr>),
     /// The process was asked to stop gracefully.
     Stop,
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -181,6 +181,17 @@
         self.view.take_changes()
     }
 
+    /// The processes to join through changed: they are dialed soon, also where
+    /// others are in touch.
+    pub fn set_seeds(&mut self, cx: &Context<'_>, mut seeds: Vec<SocketAddr>) {
+        seeds.retain(|seed| *seed != cx.me.addresses.peers);
+        if seeds == self.settings.seeds {
+            return;
+        }
+        self.dial_at = if seeds.is_empty() { Instant::NEVER } else { cx.now };
+        self.settings.seeds = seeds;
+    }
+
     /// When [`Membership::tick`] is due.
     pub fn next_deadline(&self) -> Instant {
         let first_suspect = self.suspects.values().copied().min().unwrap_or(Instant::NEVER);
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -96,6 +96,7 @@
         }
         Event::ApiClosed { request } => state.api.closed(&mut cx, request),
         Event::Call(event) => state.routing.step(&mut cx, &mut state.slo, event),
+        Event::SeedsChanged(seeds) => state.membership.set_seeds(&cx, seeds),
         Event::Stop => {
             state.stopping = true;
             if let Some(control) = &mut state.control {
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -190,7 +190,9 @@
         let is_ingress = call.is_ingress();
         let target = &mut self.targets[target];
         target.attempts += 1;
-        target.in_flight += u32::from(is_ingress);
+        if is_ingress {
+            target.begin_call(cx.now);
+        }
         self.set_due(id, due);
     }
 
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -54,6 +54,9 @@
     /// Time to an answer by class, with when the last one came.
     by_class: HashMap<CallClass, (Estimate, Instant)>,
     last_answer_at: Instant,
+    /// Since when calls of this proxy wait for an answer: the last one, or the
+    /// first call after a time without any.
+    waiting_since: Instant,
     ready_since: Instant,
     hint: Option<LoadHint>,
     /// Until when the link of the target's host has no room for large answers.
@@ -72,6 +75,7 @@
             latency: Estimate::default(),
             by_class: HashMap::default(),
             last_answer_at: now,
+            waiting_since: now,
             ready_since: now,
             hint: None,
             link_taken_until: Instant::ZERO,
@@ -125,6 +129,7 @@
     pub fn observe(&mut self, class: CallClass, us: u64, now: Instant) {
         self.latency.observe(us);
         self.last_answer_at = now;
+        self.waiting_since = now;
         if self.by_class.len() < MAX_CLASSES || self.by_class.contains_key(&class) {
             let (estimate, at) = self.by_class.entry(class).or_default();
             estimate.observe(us);
@@ -137,6 +142,14 @@
         self.ready_since = now;
     }
 
+    /// A call of this proxy begins at the target.
+    pub fn begin_call(&mut self, now: Instant) {
+        if self.in_flight == 0 {
+            self.waiting_since = now;
+        }
+        self.in_flight += 1;
+    }
+
     pub fn last_answer_at(&self) -> Instant {
         self.last_answer_at
     }
@@ -201,7 +214,11 @@
 
     /// Expected time to the answer of one more call, in microseconds.
     pub fn cost_us(&self, now: Instant, slow_start_ms: u32, pace: Pace) -> u64 {
-        let answer_us = self.answer_us(now, pace);
+        let mut answer_us = self.answer_us(now, pace);
+        if self.in_flight > 0 {
+            // What has not answered for so long will not answer sooner.
+            answer_us = answer_us.max(now.since_us(self.waiting_since));
+        }
         let (load, limit) = (self.expected_load(now), self.limit().max(1));
         // Targets that are nearly full are often slower.
         let crowded_us = answer_us * load.min(limit) / limit / 2;
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -238,3 +238,17 @@
         m.running().all(|(_, process)| m.alive_at(process) == m.len())
     });
 }
+
+/// The seeds are exchanged for others while a host is alone with dead ones.
+#[rstest]
+fn new_seeds_are_dialed_by_a_host_that_runs() {
+    let mut mesh = Mesh::started(&two_regions(4), 12);
+    let seeds = vec![mesh.identity(1).addresses.peers];
+
+    let dials = mesh.at(5, |process, cx| {
+        process.membership.set_seeds(cx, seeds.clone());
+        process.membership.next_deadline() <= cx.now
+    });
+
+    assert!(dials, "the new seeds are due at once");
+}
--- a/crates/core/tests/routing/choice.rs
+++ b/crates/core/tests/routing/choice.rs
@@ -287,3 +287,26 @@
     let expected = calls * percent / 100;
     assert!(attempts["bookbook"].abs_diff(expected) <= 2, "{attempts:?}");
 }
+
+/// Bookings at a target that has become slow or silent: its answers are late
+/// news, the calls that wait there are not (incident inc-5d4b).
+#[test]
+fn a_target_that_stopped_answering_gets_no_more_calls_while_others_answer() {
+    let mut bench = ingress(&SIX[..3]);
+    run(&mut bench, 100, |_| true);
+
+    let mut stuck = 0;
+    for _ in 0..60 {
+        bench.arrive("/", false);
+        let begun = bench.take_attempts().remove(0);
+        bench.pass_ms(10);
+        if begun.target == "t2" {
+            stuck += 1;
+        } else {
+            bench.complete(begun.call, begun.attempt);
+        }
+        bench.take();
+    }
+
+    assert!((1..=2).contains(&stuck), "{stuck} calls at the silent target");
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -103,6 +103,12 @@
         self.requests.clone()
     }
 
+    /// Takes over what may change while the daemon runs: the processes to join
+    /// through. Everything else counts from the next start.
+    pub fn reload(&self, settings: &Settings) {
+        self.runtime.submit(Event::SeedsChanged(settings.seeds.clone()));
+    }
+
     /// Looks for the target of this host, which may have gone on running while
     /// the daemon was restarted.
     pub fn find_target(&mut self, target: LocalTarget) {
--- a/crates/daemon/src/main_loop.rs
+++ b/crates/daemon/src/main_loop.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::{Duration, SystemTime};
 
 use eyre::WrapErr;
 use fireflylug_core::event::{LogLevel, LogPart};
@@ -32,7 +33,7 @@
             Err(error) => fail(&error, EXIT_USAGE),
         },
         Command::Run(file) => match read_settings(file.as_deref()) {
-            Ok(settings) => run(settings),
+            Ok(settings) => run(settings, file.as_deref()),
             Err(error) => fail(&error, EXIT_USAGE),
         },
     }
@@ -50,10 +51,10 @@
     Ok(settings)
 }
 
-fn run(settings: Settings) -> ExitCode {
+fn run(settings: Settings, file: Option<&Path>) -> ExitCode {
     let served = log::set_up(settings.host.as_str(), settings.log_level, settings.log_format)
         .and_then(|()| Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?))
-        .and_then(|runtime| runtime.block_on(serve(settings)));
+        .and_then(|runtime| runtime.block_on(serve(settings, file)));
     match served {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(EXIT_CUT_OFF),
@@ -61,13 +62,15 @@
     }
 }
 
-async fn serve(settings: Settings) -> eyre::Result<bool> {
-    serve_until_signal(Daemon::start(settings)).await
+async fn serve(settings: Settings, file: Option<&Path>) -> eyre::Result<bool> {
+    serve_until_signal(Daemon::start(settings), file).await
 }
 
-/// Serves until a signal, then stops. Returns whether everything in flight was finished.
+/// Serves until a signal, then stops. Returns whether everything in flight was
+/// finished. The settings file is read again on SIGHUP and whenever it changed.
 pub async fn serve_until_signal(
     start: impl Future<Output = eyre::Result<Daemon>>,
+    file: Option<&Path>,
 ) -> eyre::Result<bool> {
     // Listening for signals first: one that comes during the start must not be lost.
     let mut terminate = signal(SignalKind::terminate())?;
@@ -77,11 +80,13 @@
     let at = daemon.addresses();
     note(&format!("listening: peers {}, forward {}", at.peers, at.forward));
     note(&format!("listening: resource API {}, calls {}", at.api, at.calls));
+    let mut modified = file.and_then(modified_at);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => note("the settings may have changed; they count from the next start"),
+            _ = hangup.recv() => reload(&daemon, file),
+            () = changed(file, &mut modified) => reload(&daemon, file),
             () = daemon.exited() => eyre::bail!("a part of the process failed; see the log above"),
         }
     }
@@ -91,6 +96,38 @@
     Ok(finished)
 }
 
+/// Reads the settings file again. A file with mistakes changes nothing.
+fn reload(daemon: &Daemon, file: Option<&Path>) {
+    let Some(file) = file else { return note("there is no settings file to read again") };
+    match Settings::from_file(file) {
+        Ok(settings) => {
+            daemon.reload(&settings);
+            note("settings read again; seeds count now, the rest from the next start");
+        }
+        Err(error) => log::write(LogLevel::Warn, LogPart::Daemon, &error.to_string()),
+    }
+}
+
+/// Time between looks at the settings file.
+const LOOK_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Waits until the settings file is another one than at `modified`.
+async fn changed(file: Option<&Path>, modified: &mut Option<SystemTime>) {
+    let Some(file) = file else { return std::future::pending().await };
+    loop {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        let now = modified_at(file);
+        if now != *modified {
+            *modified = now;
+            return;
+        }
+    }
+}
+
+fn modified_at(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|metadata| metadata.modified()).ok()
+}
+
 fn note(text: &str) {
     log::write(LogLevel::Info, LogPart::Daemon, text);
 }
