--- a/crates/daemon/tests/calls/fixture.rs
+++ b/crates/daemon/tests/calls/fixture.rs
@@ -73,8 +73,13 @@
     address
 }
 
-/// An address where nothing listens.
+/// An address where nothing listens. The port stays taken, so that no other
+/// listener is given it meanwhile.
 pub async fn closed_port() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port is free");
+    let address = socket.local_addr().expect("the socket has an address");
+    // Bound for as long as the tests run; it never listens.
+    std::mem::forget(socket);
+    address
 }
