Review: less work per answer frame and per decision, one form of twins

Cause: reading the whole change once more. - An answer's body took a reference to the whole call path for each frame, only to find how long the link takes. The time is now worked out once, when the answer begins. - Each decision about a call looked its slot up under a lock before the log said that it writes no more lines in this second. The log is asked first. - The bounded estimates by class stood in the gate and in the target, each with its own limit: ByClass serves both.

Ruled out: ServiceState.latency_by_class as ByClass (it has no bound today, so that would change behaviour); one function for the two refusals in arrive.rs and finish.rs (its parameters outgrow what it saves).

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::event::{Effect, LogLevel, LogPart};
-use crate::ids::{Locality, Name, NodeId};
+use crate::ids::{CallId, Locality, Name, NodeId};
+use crate::routing::{Decision, Step};
 use crate::time::Instant;
 
 /// Addresses at which a process listens, as others reach them.
@@ -71,6 +72,11 @@
         self.emit(Effect::Send { to, message: message.into() });
     }
 
+    /// Adds what was decided about a call, for the log.
+    pub fn decide(&mut self, call: CallId, step: Step) {
+        self.emit(Effect::Decided(Decision { call, step }));
+    }
+
     /// Adds a log line.
     pub fn log(&mut self, level: LogLevel, part: LogPart, text: String) {
         self.emit(Effect::Log { level, part, text });
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -4,7 +4,7 @@
 
 use super::call::{CallClass, CallHead, CallOrigin, ForwardHead};
 use super::chain::Chain;
-use super::decision::{Decision, Step};
+use super::decision::Step;
 use super::finish::Finished;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Call, MAX_ATTEMPTS, Stage};
@@ -40,7 +40,7 @@
                     after_ms: 0,
                     retry_after_ms,
                 };
-                cx.emit(Effect::Decided(Decision { call: id, step }));
+                cx.decide(id, step);
                 cx.emit(Effect::Call(refuse));
             }
         }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -2,7 +2,7 @@
 
 use super::call::{CallClass, ForwardHead, GateLoad};
 use super::chain::Chain;
-use super::decision::{Decision, Step};
+use super::decision::Step;
 use super::gate::{Admission, Ticket};
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
@@ -60,7 +60,7 @@
             waits: !target.has_spare(cx.now),
             version: self.configuration.version(),
         };
-        cx.emit(Effect::Decided(Decision { call: id, step }));
+        cx.decide(id, step);
     }
 
     fn count_attempt(&mut self, id: CallId, target: TargetKey) {
@@ -98,7 +98,7 @@
                     queued: at.gate.as_ref().map_or(0, |gate| gate.load().queued),
                     remaining_ms: deadline.since_ms(cx.now),
                 };
-                cx.emit(Effect::Decided(Decision { call: id, step }));
+                cx.decide(id, step);
                 self.refuse_hopeless(cx, target);
             }
             Admission::Shed => return false,
@@ -237,7 +237,7 @@
                 status,
                 after_ms: cx.now.since_ms(call.arrived_at),
             };
-            cx.emit(Effect::Decided(Decision { call: id, step }));
+            cx.decide(id, step);
         }
         let call = self.call_mut(id);
         call.stage = Stage::Relaying(running);
--- a/crates/core/src/routing/estimate.rs
+++ b/crates/core/src/routing/estimate.rs
@@ -1,9 +1,14 @@
 //! Observed times, smoothed.
 
+use super::call::CallClass;
+use crate::collections::HashMap;
+
 /// Weight of a new observation is one in this many.
 const SMOOTHING: u64 = 8;
 /// Observations after which an estimate may be relied upon.
 const MIN_SAMPLES: u32 = 16;
+/// Most classes that are kept apart at one target.
+const MAX_CLASSES: usize = 64;
 
 /// Smoothed mean and mean deviation of an observed time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,3 +46,26 @@
         (self.samples >= MIN_SAMPLES).then(|| self.mean_us + 4 * self.deviation_us)
     }
 }
+
+/// What is observed of each class of calls at one target, for a bounded number
+/// of classes.
+#[derive(Clone, Debug)]
+pub(super) struct ByClass<T>(HashMap<CallClass, T>);
+
+impl<T> Default for ByClass<T> {
+    fn default() -> Self {
+        Self(HashMap::default())
+    }
+}
+
+impl<T: Default> ByClass<T> {
+    pub fn get(&self, class: CallClass) -> Option<&T> {
+        self.0.get(&class)
+    }
+
+    /// The place of a class. None where there are too many classes.
+    pub fn entry(&mut self, class: CallClass) -> Option<&mut T> {
+        let has_room = self.0.len() < MAX_CLASSES || self.0.contains_key(&class);
+        has_room.then(|| self.0.entry(class).or_default())
+    }
+}
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -3,11 +3,10 @@
 
 use super::Routing;
 use super::call::GateLoad;
-use super::decision::{Decision, Step};
+use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Stage};
 use crate::context::Context;
-use crate::event::Effect;
 use crate::ids::CallId;
 
 impl Routing {
@@ -69,7 +68,7 @@
         let is_retried = self.take_failure(cx, id, refusal);
         let Refusal { code, outcome } = refusal;
         let step = Step::AttemptFailed { attempt, code, outcome, is_retried };
-        cx.emit(Effect::Decided(Decision { call: id, step }));
+        cx.decide(id, step);
         if is_retried {
             self.try_next(cx, id);
         } else {
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
-use super::decision::{Decision, Step};
+use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
 use super::table::RouteRule;
@@ -56,7 +56,7 @@
             after_ms: cx.now.since_ms(call.arrived_at),
             retry_after_ms,
         };
-        cx.emit(Effect::Decided(Decision { call: id, step }));
+        cx.decide(id, step);
         cx.emit(Effect::Call(refuse));
         self.refusals.count(code);
         self.remove(id, Some(outcome), CallResult::Refused);
@@ -107,7 +107,7 @@
         if let Some(call) = self.calls.get(&id) {
             let after_ms = cx.now.since_ms(call.arrived_at);
             let step = Step::CallerGone { attempts: call.attempt, after_ms };
-            cx.emit(Effect::Decided(Decision { call: id, step }));
+            cx.decide(id, step);
             self.drop_attempt(cx, id);
             self.remove(id, None, CallResult::Cancelled);
         }
--- a/crates/core/src/routing/gate.rs
+++ b/crates/core/src/routing/gate.rs
@@ -8,8 +8,7 @@
 //! A call that others push beyond its time is refused as soon as that is known.
 
 use super::call::{CallClass, GateLoad};
-use super::estimate::Estimate;
-use crate::collections::HashMap;
+use super::estimate::{ByClass, Estimate};
 use crate::ids::CallId;
 use crate::time::Instant;
 
@@ -78,12 +77,9 @@
     /// Time for which a call holds a slot, over all classes.
     held: Estimate,
     /// The same by class.
-    held_by_class: HashMap<CallClass, Estimate>,
+    held_by_class: ByClass<Estimate>,
 }
 
-/// Most classes whose time is kept apart.
-const MAX_CLASSES: usize = 64;
-
 impl Gate {
     pub fn set_limit(&mut self, slots: u32, connections: u32, is_link_slow: bool) {
         self.limit = slots.min(connections);
@@ -170,14 +166,20 @@
             .queue
             .iter()
             .filter(|waiting| waiting.ticket.is_bulk && waiting.ticket.call != ticket.call);
-        let held = self.held_by_class.get(&ticket.class).unwrap_or(&self.held);
+        let held = self.held_of(ticket.class);
         (before.count() as u64 + 1) * held.mean_us() / u64::from(limit.max(1))
     }
 
     /// Time for which few calls of a class hold their slot longer.
     fn longest_us(&self, class: CallClass) -> u64 {
-        let of_class = self.held_by_class.get(&class).unwrap_or(&self.held);
-        of_class.mean_us() + of_class.deviation_us()
+        let held = self.held_of(class);
+        held.mean_us() + held.deviation_us()
+    }
+
+    /// Time for which a call of a class holds its slot; that of any call where
+    /// none of the class was observed.
+    fn held_of(&self, class: CallClass) -> &Estimate {
+        self.held_by_class.get(class).unwrap_or(&self.held)
     }
 
     /// Takes out the calls that others have pushed beyond their time. Some of
@@ -227,8 +229,8 @@
         }
         let held_us = now.since_us(admitted_at);
         self.held.observe(held_us);
-        if self.held_by_class.len() < MAX_CLASSES || self.held_by_class.contains_key(&class) {
-            self.held_by_class.entry(class).or_default().observe(held_us);
+        if let Some(held) = self.held_by_class.entry(class) {
+            held.observe(held_us);
         }
     }
 
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -1,10 +1,9 @@
 //! What this proxy knows of one target.
 
 use super::call::{CallClass, GateLoad};
-use super::estimate::Estimate;
+use super::estimate::{ByClass, Estimate};
 use super::gate::Gate;
 use super::health::Health;
-use crate::collections::HashMap;
 use crate::membership::{TargetRecord, TargetState};
 use crate::routing::ServiceKey;
 use crate::time::Instant;
@@ -21,8 +20,6 @@
 /// given no other one where another host may have room, in milliseconds.
 const MIN_LINK_WAIT_MS: u64 = 50;
 const MAX_LINK_WAIT_MS: u64 = 500;
-/// Most classes whose latency is kept apart.
-const MAX_CLASSES: usize = 64;
 /// Latency of a target that has none observed yet, in microseconds.
 pub(super) const UNKNOWN_LATENCY_US: u64 = 1_000;
 /// Time without an answer after which an observed latency counts for half, in microseconds.
@@ -52,7 +49,7 @@
     pub health: Health,
     pub latency: Estimate,
     /// Time to an answer by class, with when the last one came.
-    by_class: HashMap<CallClass, (Estimate, Instant)>,
+    by_class: ByClass<(Estimate, Instant)>,
     last_answer_at: Instant,
     /// Since when calls of this proxy wait for an answer: the last one, or the
     /// first call after a time without any.
@@ -73,7 +70,7 @@
             gate: None,
             health: Health::default(),
             latency: Estimate::default(),
-            by_class: HashMap::default(),
+            by_class: ByClass::default(),
             last_answer_at: now,
             waiting_since: now,
             ready_since: now,
@@ -93,7 +90,7 @@
             self.ready_since = now;
             self.health = Health::default();
             self.latency = Estimate::default();
-            self.by_class.clear();
+            self.by_class = ByClass::default();
         }
         self.hear_report(now);
     }
@@ -130,8 +127,7 @@
         self.latency.observe(us);
         self.last_answer_at = now;
         self.waiting_since = now;
-        if self.by_class.len() < MAX_CLASSES || self.by_class.contains_key(&class) {
-            let (estimate, at) = self.by_class.entry(class).or_default();
+        if let Some((estimate, at)) = self.by_class.entry(class) {
             estimate.observe(us);
             *at = now;
         }
@@ -183,8 +179,7 @@
         if let Some(gate) = &self.gate {
             return gate.load().wait_ms;
         }
-        let hint = self.hint.filter(|hint| now.since_us(hint.heard_at) < hint.life_us);
-        hint.map_or(0, |hint| hint.wait_ms)
+        self.fresh_hint(now).map_or(0, |hint| hint.wait_ms)
     }
 
     /// Age of what others told of the load, in milliseconds. None where nothing
@@ -193,8 +188,12 @@
         if self.gate.is_some() {
             return Some(0);
         }
-        let hint = self.hint.filter(|hint| now.since_us(hint.heard_at) < hint.life_us);
-        hint.map(|hint| now.since_ms(hint.heard_at))
+        self.fresh_hint(now).map(|hint| now.since_ms(hint.heard_at))
+    }
+
+    /// What others told of the load, while it counts.
+    fn fresh_hint(&self, now: Instant) -> Option<LoadHint> {
+        self.hint.filter(|hint| now.since_us(hint.heard_at) < hint.life_us)
     }
 
     pub fn has_spare(&self, now: Instant) -> bool {
@@ -231,14 +230,14 @@
 
     /// Time to an answer as observed here, where one was.
     pub fn observed_us(&self, class: CallClass) -> Option<u64> {
-        let (observed, _) = self.by_class.get(&class)?;
+        let (observed, _) = self.by_class.get(class)?;
         Some(observed.mean_us().max(UNKNOWN_LATENCY_US))
     }
 
     /// Time to an answer as observed here, as far as that is recent; the
     /// reference otherwise, so that a target that was slow once is tried again.
     fn answer_us(&self, now: Instant, pace: Pace) -> u64 {
-        let Some((observed, at)) = self.by_class.get(&pace.class) else {
+        let Some((observed, at)) = self.by_class.get(pace.class) else {
             return pace.reference_us;
         };
         let halvings = (now.since_us(*at) / LATENCY_HALF_LIFE_US).min(32);
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -20,7 +20,7 @@
 use super::handle::Slot;
 use super::headers;
 use super::pool::Connection;
-use super::proxy::{BulkLanes, Proxy, Side};
+use super::proxy::{Proxy, Side};
 
 /// A call that the reducer still knows. Dropped early, it reports that the caller is gone.
 pub(super) struct OpenCall {
@@ -84,7 +84,7 @@
     /// None is needed.
     Free,
     /// Waits for one.
-    Waiting { places: PollSemaphore, bytes: u64 },
+    Waiting { places: PollSemaphore, transfer: Duration },
     /// Held until the link has carried the answer.
     Held { permit: OwnedSemaphorePermit, carried_at: Instant },
 }
@@ -96,16 +96,17 @@
         let bytes = body.size_hint().lower();
         match &proxy.bulk_lanes {
             Some(lanes) if side == Side::Proxies && bytes >= BULK_BYTES => {
-                Self::Waiting { places: PollSemaphore::new(Arc::clone(&lanes.places)), bytes }
+                let places = PollSemaphore::new(Arc::clone(&lanes.places));
+                Self::Waiting { places, transfer: lanes.time_of(bytes) }
             }
             _ => Self::Free,
         }
     }
 
-    fn poll(&mut self, cx: &mut Context<'_>, lanes: Option<&BulkLanes>) -> Poll<()> {
-        let Self::Waiting { places, bytes } = self else { return Poll::Ready(()) };
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Self::Waiting { places, transfer } = self else { return Poll::Ready(()) };
         let permit = std::task::ready!(places.poll_acquire(cx));
-        let carried_at = Instant::now() + lanes.map_or(Duration::ZERO, |l| l.time_of(*bytes));
+        let carried_at = Instant::now() + *transfer;
         // The semaphore is never closed.
         *self = permit.map_or(Self::Free, |permit| Self::Held { permit, carried_at });
         Poll::Ready(())
@@ -151,9 +152,7 @@
             Self::Whole(body) => return Poll::Ready(body.take().map(|b| Ok(Frame::data(b)))),
             Self::Relay(relay) => relay,
         };
-        let lanes = relay.open.as_ref().map(|(open, _)| Arc::clone(&open.proxy));
-        let lanes = lanes.as_ref().and_then(|proxy| proxy.bulk_lanes.as_ref());
-        std::task::ready!(relay.lane.poll(cx, lanes));
+        std::task::ready!(relay.lane.poll(cx));
         let polled = Pin::new(&mut relay.body).poll_frame(cx);
         match &polled {
             Poll::Pending => {}
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::log::DecisionLog;
+use crate::log::{self, DecisionLog};
 
 /// Takes effects on calls without blocking.
 #[derive(Clone, Debug, Default)]
@@ -65,11 +65,14 @@
         Self::default()
     }
 
-    /// Writes what was decided about a call to the log.
+    /// Writes what was decided about a call to the log, unless it is full of such lines.
     pub fn tell(&self, decision: &Decision) {
+        if !self.shared.decisions.takes(&decision.step) {
+            return;
+        }
         let slot = self.slot(decision.call);
         let request_id = slot.as_ref().and_then(|slot| slot.request_id.as_deref());
-        self.shared.decisions.write(request_id.unwrap_or("-"), &decision.step);
+        log::write_step(request_id.unwrap_or("-"), &decision.step);
     }
 
     /// Does something with a call.
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -111,9 +111,9 @@
 }
 
 impl DecisionLog {
-    /// Writes one decision about the call with this id, unless too many were
-    /// written lately. What is left out is counted, and the count is written.
-    pub fn write(&self, request: &str, step: &Step) {
+    /// Whether one more decision is written, or too many were lately. What is
+    /// left out is counted, and the count is written.
+    pub fn takes(&self, step: &Step) -> bool {
         let (may_write, left_out) = {
             let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
             budget.take(step.is_usual())
@@ -121,13 +121,12 @@
         if left_out > 0 {
             spdlog::info!("calls: decisions were left out", kv: { left_out });
         }
-        if may_write {
-            write_step(request, step);
-        }
+        may_write
     }
 }
 
-fn write_step(request: &str, step: &Step) {
+/// Writes one decision about the call with this id.
+pub fn write_step(request: &str, step: &Step) {
     let name: &'static str = step.into();
     match step {
         Step::Chosen { attempt, target, load, load_age_ms, waits, version } => {
--- a/crates/daemon/src/main_loop.rs
+++ b/crates/daemon/src/main_loop.rs
@@ -14,9 +14,9 @@
 use crate::{Daemon, SharedKey, log};
 
 /// Exit status for wrong arguments or settings.
-const EXIT_USAGE: u8 = 2;
+pub const EXIT_USAGE: u8 = 2;
 /// Exit status where the limit of a graceful stop cut off what was in flight.
-const EXIT_CUT_OFF: u8 = 3;
+pub const EXIT_CUT_OFF: u8 = 3;
 
 /// Runs the daemon with the arguments of the program.
 pub fn main() -> ExitCode {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -231,7 +231,7 @@
 
     /// Whether a few large answers at once fill the link of this host.
     pub fn is_link_slow(&self) -> bool {
-        self.link_mbps.is_some_and(|mbps| mbps < SLOW_LINK_MBPS)
+        self.bulk_lanes().is_some()
     }
 
     /// Sets the addresses to join through.
