Routing: calls with large answers follow the room on the link between regions

Cause: where a region has no target of a service of large answers left, all of its downloads cross the link to the other region and fill it. Bytes then wait for hundreds of milliseconds, so small calls across (archive-lookup, 200 ms) fail too, and with them the payments that made them; connections are not made in time.

Change: an owner tells with each answer for how long it held the call. The rest of the time was spent on the way; above the least of the last minute that is the wait for the link. Each ingress keeps a rate of calls with large answers to each other region: low at first, growing while the link has room, cut by how long bytes wait when that is 50 ms or more. A call beyond it is refused at once, as not run, with the time until the next one may go as Retry-After. One log line a cut.

A link with room refuses none.

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -24,7 +24,7 @@
     /// Makes the next attempt of a call at this ingress, or refuses the call.
     pub(super) fn try_next(&mut self, cx: &mut Context<'_>, id: CallId) {
         loop {
-            let Some(target) = self.choose(cx, id) else { return self.give_up(cx, id) };
+            let Some(target) = self.choose(cx, id) else { return self.give_up_choosing(cx, id) };
             self.count_attempt(id, target);
             self.tell_choice(cx, id, target);
             if self.targets[target].gate.is_none() {
@@ -187,7 +187,10 @@
         if let Some(patience_us) = patience_us {
             due = due.min(cx.now.plus_us(patience_us));
         }
-        let is_ingress = call.is_ingress();
+        let (is_ingress, is_bulk) = (call.is_ingress(), call.is_bulk);
+        if is_bulk && let Some(link) = self.link_to(cx, target) {
+            link.begin_bulk(cx.now);
+        }
         let target = &mut self.targets[target];
         target.attempts += 1;
         if is_ingress {
@@ -243,8 +246,7 @@
         call.stage = Stage::Relaying(running);
         call.status = status;
         self.set_due(id, Instant::NEVER);
-        let own_load = self.targets[running.target].gate.as_ref().map(|gate| gate.load());
-        let load = own_load.filter(|_| !is_ingress);
+        let load = self.told_load(cx, id, running.target);
         cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
     }
 
@@ -277,7 +279,7 @@
 
     fn observe_answer(
         &mut self,
-        cx: &Context<'_>,
+        cx: &mut Context<'_>,
         id: CallId,
         attempt: Attempt,
         status: u16,
@@ -285,6 +287,7 @@
     ) {
         let took_us = cx.now.since_us(attempt.began_at);
         let class = self.calls[&id].class;
+        self.observe_way(cx, attempt, load);
         let target = &mut self.targets[attempt.target];
         target.observe(class, took_us, cx.now);
         if let Some(load) = load {
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -8,7 +8,7 @@
 use super::refusal::{Refusal, RefusalCode};
 use crate::ids::{CallId, NodeId, TargetId};
 
-/// Load of one target as its owner's gate knows it.
+/// Load of one target as its owner's gate knows it, as it is told with an answer.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct GateLoad {
     /// Calls at the target, from all callers.
@@ -17,6 +17,9 @@
     pub queued: u32,
     /// Time after which one more call would be given a slot, in milliseconds.
     pub wait_ms: u32,
+    /// Time for which the owner had held the call that was answered, in
+    /// milliseconds: the rest was spent on the way.
+    pub held_ms: u32,
 }
 
 /// What another proxy asks of this one as the owner of a target.
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -52,7 +52,7 @@
                 }
             }
         }
-        best.or_else(|| self.any_ejected(call, service))
+        best.or_else(|| self.any_ejected(cx, call, service))
     }
 
     /// Targets of a tier that may be given the call: all of them, or some at random.
@@ -64,14 +64,16 @@
         tier: usize,
     ) -> Vec<TargetKey> {
         let call = &self.calls[&call];
-        let usable = self.services[service].tiers[tier]
-            .iter()
-            .copied()
-            .filter(|key| !self.targets[*key].health.is_ejected() && !call.was_tried(*key));
-        if self.services[service].tiers[tier].len() <= MAX_COMPARED {
-            return usable.collect();
+        let tier = &self.services[service].tiers[tier];
+        let is_usable = |key: &TargetKey| {
+            let is_ejected = self.targets[*key].health.is_ejected();
+            !is_ejected && !call.was_tried(*key) && self.has_way(cx, call, *key)
+        };
+        let usable: Vec<TargetKey> = tier.iter().copied().filter(is_usable).collect();
+        if tier.len() <= MAX_COMPARED {
+            return usable;
         }
-        usable.choose_multiple(cx.rng, MAX_COMPARED)
+        usable.into_iter().choose_multiple(cx.rng, MAX_COMPARED)
     }
 
     /// What is expected of a target of a tier that was not observed lately: the
@@ -129,9 +131,11 @@
         if !(call.is_repeatable && call.is_replayable) || call.attempt > 0 {
             return None;
         }
-        let may_probe = |target: &&TargetKey| {
-            let target = &self.targets[**target];
-            target.health.may_probe(cx.now) && self.may_take_work(cx, target)
+        let may_probe = |key: &&TargetKey| {
+            let target = &self.targets[**key];
+            target.health.may_probe(cx.now)
+                && self.may_take_work(cx, target)
+                && self.has_way(cx, call, **key)
         };
         let target = *state.ejected.iter().find(may_probe)?;
         self.targets[target].health.begin_probe();
@@ -139,10 +143,16 @@
     }
 
     /// An ejected target, where there is no other.
-    fn any_ejected(&self, call: CallId, service: ServiceKey) -> Option<TargetKey> {
+    fn any_ejected(
+        &self,
+        cx: &Context<'_>,
+        call: CallId,
+        service: ServiceKey,
+    ) -> Option<TargetKey> {
         let call = &self.calls[&call];
         let tiers = &self.services[service].tiers;
-        tiers.iter().flatten().copied().find(|target| !call.was_tried(*target))
+        let mut untried = tiers.iter().flatten().copied().filter(|key| !call.was_tried(*key));
+        untried.find(|key| self.has_way(cx, call, *key))
     }
 
     /// Whether a target may be given new work, its health aside.
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -36,12 +36,13 @@
 
     fn observe_failure(
         &mut self,
-        cx: &Context<'_>,
+        cx: &mut Context<'_>,
         attempt: Attempt,
         refusal: Refusal,
         load: Option<GateLoad>,
         is_bulk: bool,
     ) {
+        self.observe_way(cx, attempt, load);
         if let Some(load) = load {
             let target = &mut self.targets[attempt.target];
             target.hear_gate(load, cx.now);
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -37,15 +37,36 @@
         self.refuse(cx, id, code);
     }
 
+    /// No target can be given the call, or none but over a link that is full.
+    pub(super) fn give_up_choosing(&mut self, cx: &mut Context<'_>, id: CallId) {
+        match self.link_wait_ms(cx, id) {
+            Some(wait_ms) if !self.calls[&id].may_have_run => {
+                self.refuse_with_wait(cx, id, RefusalCode::Overloaded, Some(wait_ms));
+            }
+            _ => self.give_up(cx, id),
+        }
+    }
+
     fn refuse(&mut self, cx: &mut Context<'_>, id: CallId, code: RefusalCode) {
+        self.refuse_with_wait(cx, id, code, None);
+    }
+
+    /// Refuses a call. `wait_ms` is the time after which there may be room,
+    /// where it is not that of the last target.
+    fn refuse_with_wait(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        code: RefusalCode,
+        wait_ms: Option<u32>,
+    ) {
         let call = &self.calls[&id];
         let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
         let refusal = Refusal { code, outcome };
         let tried = usize::from(call.attempt).checked_sub(1).and_then(|i| call.tried.get(i));
         let target = tried.and_then(|key| self.targets.get(*key));
-        let gate = target.and_then(|target| target.gate.as_ref());
-        let load = gate.filter(|_| !call.is_ingress()).map(|gate| gate.load());
-        let wait_ms = target.map(|target| target.wait_ms(cx.now));
+        let load = tried.and_then(|key| self.told_load(cx, id, *key));
+        let wait_ms = wait_ms.or_else(|| target.map(|target| target.wait_ms(cx.now)));
         let retry_after_ms = self.retry_after_ms(cx, refusal, wait_ms);
         let refuse = CallEffect::Refuse { call: id, refusal, load, retry_after_ms };
         let call = &self.calls[&id];
--- a/crates/core/src/routing/gate.rs
+++ b/crates/core/src/routing/gate.rs
@@ -100,7 +100,12 @@
     pub fn load(&self) -> GateLoad {
         let queued = self.queue.len() as u32;
         let wait_us = if self.has_free_slot() { 0 } else { self.wait_us(self.queue.len()) };
-        GateLoad { in_flight: self.in_flight, queued, wait_ms: (wait_us / 1_000) as u32 }
+        GateLoad {
+            in_flight: self.in_flight,
+            queued,
+            wait_ms: (wait_us / 1_000) as u32,
+            held_ms: 0,
+        }
     }
 
     /// Whether the call would be given a slot at once.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -22,11 +22,13 @@
 mod health;
 mod metrics;
 mod refusal;
+mod region_link;
 mod split;
 mod state;
 mod table;
 mod target;
 mod view;
+mod way;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -92,6 +94,8 @@
     targets: SlotMap<TargetKey, target::Target>,
     target_keys: HashMap<TargetId, TargetKey>,
     members: HashMap<NodeId, Member>,
+    /// Links to the other regions, by region.
+    region_links: HashMap<Name, region_link::RegionLink>,
     calls: HashMap<CallId, state::Call>,
     /// When each call must be looked at again.
     deadlines: BTreeSet<(Instant, CallId)>,
@@ -124,6 +128,7 @@
             targets: SlotMap::with_key(),
             target_keys: HashMap::default(),
             members: HashMap::default(),
+            region_links: HashMap::default(),
             calls: HashMap::default(),
             deadlines: BTreeSet::new(),
             busy_services: 0,
--- /dev/null
+++ b/crates/core/src/routing/way.rs
@@ -0,0 +1,87 @@
+//! What the way to targets in other regions allows, and how long it takes.
+
+use super::call::GateLoad;
+use super::region_link::{BoundChange, RegionLink};
+use super::state::{Attempt, Call};
+use super::{Routing, TargetKey};
+use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
+use crate::ids::{CallId, Name};
+
+impl Routing {
+    /// Region of a target's owner, where that is another one than this proxy's.
+    fn other_region(&self, cx: &Context<'_>, target: TargetKey) -> Option<&Name> {
+        let owner = self.members.get(&self.targets[target].record.owner)?;
+        let region = &owner.locality.region;
+        (*region != cx.me.locality.region).then_some(region)
+    }
+
+    /// The link to a target in another region.
+    pub(super) fn link_to(
+        &mut self,
+        cx: &Context<'_>,
+        target: TargetKey,
+    ) -> Option<&mut RegionLink> {
+        let region = self.other_region(cx, target)?.clone();
+        let new = || RegionLink::new(cx.now);
+        Some(self.region_links.entry(region).or_insert_with(new))
+    }
+
+    /// Whether the way to a target has room for the answer of a call.
+    pub(super) fn has_way(&self, cx: &Context<'_>, call: &Call, target: TargetKey) -> bool {
+        !call.is_bulk || self.bulk_wait_ms(cx, target) == 0
+    }
+
+    fn bulk_wait_ms(&self, cx: &Context<'_>, target: TargetKey) -> u32 {
+        let link = self.other_region(cx, target).and_then(|region| self.region_links.get(region));
+        link.map_or(0, |link| link.bulk_wait_ms(cx.now))
+    }
+
+    /// Time after which the way to a target that the call has not tried has
+    /// room, in milliseconds. None where the ways are not what is missing.
+    pub(super) fn link_wait_ms(&self, cx: &Context<'_>, id: CallId) -> Option<u32> {
+        let call = &self.calls[&id];
+        if !call.is_bulk {
+            return None;
+        }
+        let tiers = &self.services[call.service].tiers;
+        let untried = tiers.iter().flatten().filter(|key| !call.was_tried(**key));
+        untried.map(|key| self.bulk_wait_ms(cx, *key)).filter(|wait_ms| *wait_ms > 0).min()
+    }
+
+    /// Takes what an answer says of the way to its target's owner.
+    pub(super) fn observe_way(
+        &mut self,
+        cx: &mut Context<'_>,
+        attempt: Attempt,
+        load: Option<GateLoad>,
+    ) {
+        let Some(load) = load else { return };
+        let took_us = cx.now.since_us(attempt.began_at);
+        let way_us = took_us.saturating_sub(u64::from(load.held_ms) * 1_000);
+        let Some(link) = self.link_to(cx, attempt.target) else { return };
+        let Some(BoundChange { rate, waited_us }) = link.observe(way_us, cx.now) else { return };
+        let text = format!(
+            "The link to another region is full: bytes wait {} ms; at most {}.{:03} calls with \
+             large answers a second go across.",
+            waited_us / 1_000,
+            rate / 1_000,
+            rate % 1_000
+        );
+        cx.log(LogLevel::Info, LogPart::Calls, text);
+    }
+
+    /// What the owner of a target tells the ingress of a call; none where this
+    /// proxy is the ingress.
+    pub(super) fn told_load(
+        &self,
+        cx: &Context<'_>,
+        id: CallId,
+        target: TargetKey,
+    ) -> Option<GateLoad> {
+        let call = self.calls.get(&id).filter(|call| !call.is_ingress())?;
+        let load = self.targets.get(target)?.gate.as_ref()?.load();
+        let held_ms = u32::try_from(cx.now.since_ms(call.arrived_at)).unwrap_or(u32::MAX);
+        Some(GateLoad { held_ms, ..load })
+    }
+}
--- /dev/null
+++ b/crates/core/tests/routing/links.rs
@@ -0,0 +1,237 @@
+//! Load pattern: a region without a target for calls with large answers.
+//!
+//! All of its downloads cross the link to the other region, which carries
+//! fewer than are asked for, and small calls cross it too.
+
+use std::collections::BTreeMap;
+
+use fireflylug_core::Instant;
+use fireflylug_core::ids::CallId;
+use fireflylug_core::membership::MemberStatus;
+use fireflylug_core::resource::{Policy, Resource, Route, Service};
+use fireflylug_core::routing::{CallEffect, CallEvent, GateLoad, Outcome, RefusalCode};
+use rstest::rstest;
+
+use crate::bench::{Bench, locality, name, record};
+
+/// One way between the regions, in microseconds.
+const WAY_US: u64 = 30_000;
+/// Rate of the link, in bytes a second: 35 Mbit/s.
+const LINK_BYTES_PER_S: u64 = 35_000_000 / 8;
+/// Size of a large answer and of a small one.
+const SCAN_BYTES: u64 = 90_000;
+const RECORD_BYTES: u64 = 400;
+/// Time at the target.
+const WORK_MS: u32 = 30;
+/// Time within which a small call has to be answered: the caller waits no longer.
+const RECORD_DEADLINE_MS: u64 = 200;
+/// Proxies of the region.
+const INGRESSES: usize = 7;
+/// Time for which the proxies may learn the rate of the link.
+const LEARNING_MS: u64 = 4_000;
+/// Time for which calls arrive.
+const LENGTH_MS: u64 = 30_000;
+/// Time after the last call in which every answer arrives.
+const REST_MS: u64 = 2_000;
+
+/// A call on the link, from the target to its ingress.
+struct Answer {
+    ingress: usize,
+    call: CallId,
+    attempt: u8,
+    is_scan: bool,
+    is_head: bool,
+    arrived_at: Instant,
+}
+
+/// Proxies of one region, and the link to the region of the only targets.
+struct Region {
+    ingresses: Vec<Bench>,
+    free_at: Instant,
+    answers: BTreeMap<(Instant, u64), Answer>,
+    sent: u64,
+    tally: Tally,
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    records: u64,
+    records_in_time: u64,
+    scans_refused: u64,
+    scan_bytes: u64,
+    unexpected: u64,
+}
+
+fn ingress(index: usize) -> Bench {
+    let scans = Policy { bulk: true, ..Policy::new(name("scans")) }
+        .with_deadline_ms(1_000)
+        .with_target_latency_ms(400);
+    let records = Policy::new(name("records")).with_deadline_ms(RECORD_DEADLINE_MS as u32);
+    let scan = Route::new(name("scan"), "/scan", name("vault")).with_policy(name("scans"));
+    let record_of = Route::new(name("record"), "/record", name("vault"));
+    let mut bench = Bench::new(
+        &format!("host-{index}"),
+        vec![
+            Resource::Policy(scans),
+            Resource::Policy(records),
+            Resource::Service(Service::new(name("vault"))),
+            Resource::Route(scan),
+            Resource::Route(record_of.with_policy(name("records"))),
+        ],
+    );
+    for id in ["one", "two"] {
+        let host = format!("host-{id}");
+        bench.member(&host, locality("z9", "r2"), MemberStatus::Alive);
+        let mut target = record("vault", id, &host);
+        (target.slots, target.connections) = (50, 130);
+        bench.target(target);
+    }
+    bench
+}
+
+impl Region {
+    fn new() -> Self {
+        Self {
+            ingresses: (0..INGRESSES).map(ingress).collect(),
+            free_at: Instant::ZERO,
+            answers: BTreeMap::new(),
+            sent: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.ingresses[0].now
+    }
+
+    fn is_counted(&self, at: Instant) -> bool {
+        at >= Instant::from_ms(1_000 + LEARNING_MS)
+    }
+
+    fn arrive(&mut self, ingress: usize, is_scan: bool) {
+        let arrived_at = self.now();
+        self.ingresses[ingress].arrive(if is_scan { "/scan" } else { "/record" }, true);
+        let is_counted = self.is_counted(arrived_at);
+        self.tally.records += u64::from(is_counted && !is_scan);
+        for effect in self.ingresses[ingress].take() {
+            match effect {
+                CallEffect::Forward { call, attempt, head, .. } => {
+                    assert_eq!(head.bulk, is_scan);
+                    self.send(Answer {
+                        ingress,
+                        call,
+                        attempt,
+                        is_scan,
+                        is_head: true,
+                        arrived_at,
+                    });
+                }
+                CallEffect::Refuse { refusal, retry_after_ms, .. } => {
+                    let is_honest = refusal.code == RefusalCode::Overloaded
+                        && refusal.outcome == Outcome::NotRun
+                        && retry_after_ms.is_some();
+                    assert!(is_scan && is_honest, "{refusal:?} {retry_after_ms:?}");
+                    self.tally.scans_refused += u64::from(is_counted);
+                }
+                _ => self.tally.unexpected += 1,
+            }
+        }
+    }
+
+    /// An answer is written to the link, behind those that wait for it.
+    fn send(&mut self, answer: Answer) {
+        let written_at = self.now().plus_us(WAY_US).plus_ms(u64::from(WORK_MS));
+        let begun_at = self.free_at.max(written_at);
+        let bytes = if answer.is_scan { SCAN_BYTES } else { RECORD_BYTES };
+        self.free_at = begun_at.plus_us(bytes * 1_000_000 / LINK_BYTES_PER_S);
+        let whole = Answer { is_head: false, ..answer };
+        self.insert(begun_at.plus_us(WAY_US), answer);
+        self.insert(self.free_at.plus_us(WAY_US), whole);
+    }
+
+    fn insert(&mut self, at: Instant, answer: Answer) {
+        self.sent += 1;
+        self.answers.insert((at, self.sent), answer);
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now();
+        while let Some(entry) = self.answers.first_entry()
+            && entry.key().0 <= now
+        {
+            let answer = entry.remove();
+            let Answer { ingress, call, attempt, .. } = answer;
+            let bench = &mut self.ingresses[ingress];
+            if answer.is_head {
+                let held_ms = WORK_MS;
+                let load = Some(GateLoad { in_flight: 1, queued: 0, wait_ms: 0, held_ms });
+                bench.step(CallEvent::Answered { call, attempt, status: 200, load });
+            } else {
+                bench.step(CallEvent::Ended { call, attempt, whole: true });
+                self.count(&answer);
+            }
+            self.ingresses[ingress].take();
+        }
+    }
+
+    fn count(&mut self, answer: &Answer) {
+        if !self.is_counted(answer.arrived_at) {
+            return;
+        }
+        if answer.is_scan {
+            self.tally.scan_bytes += SCAN_BYTES;
+        } else {
+            let took_ms = self.now().since_ms(answer.arrived_at);
+            self.tally.records_in_time += u64::from(took_ms <= RECORD_DEADLINE_MS);
+        }
+    }
+
+    /// Calls arrive at intervals, at one proxy after the other.
+    fn run(&mut self, scans_per_s: u64, records_per_s: u64) {
+        let (scan_every_ms, record_every_ms) = (1_000 / scans_per_s, 1_000 / records_per_s);
+        for ms in 0..LENGTH_MS + REST_MS {
+            let is_open = ms < LENGTH_MS;
+            if is_open && ms % scan_every_ms == 0 {
+                self.arrive((ms / scan_every_ms) as usize % INGRESSES, true);
+            }
+            if is_open && ms % record_every_ms == 0 {
+                self.arrive((ms / record_every_ms) as usize % INGRESSES, false);
+            }
+            for bench in &mut self.ingresses {
+                bench.pass_ms(1);
+            }
+            self.deliver();
+        }
+    }
+}
+
+/// Villagers' scans of one region come from the other: what the link does not
+/// carry is refused at once, and the calls that need little are still served.
+#[rstest]
+#[case::a_little_too_much(62)]
+#[case::twice_too_much(100)]
+fn downloads_across_a_full_link_leave_room_for_small_calls(#[case] scans_per_s: u64) {
+    let mut region = Region::new();
+
+    region.run(scans_per_s, 50);
+
+    let Tally { records, records_in_time, scans_refused, scan_bytes, unexpected } = region.tally;
+    let tally = &region.tally;
+    assert_eq!(unexpected, 0, "{tally:?}");
+    assert!(records_in_time * 100 >= records * 95, "{tally:?}");
+    assert!(scans_refused > 0, "{tally:?}");
+    let carried = LINK_BYTES_PER_S * (LENGTH_MS - LEARNING_MS) / 1_000;
+    assert!(scan_bytes * 100 >= carried * 60, "{tally:?} of {carried} bytes");
+}
+
+/// A link with room for all carries all.
+#[test]
+fn downloads_that_the_link_carries_are_not_refused() {
+    let mut region = Region::new();
+
+    region.run(25, 50);
+
+    let tally = &region.tally;
+    assert_eq!((tally.scans_refused, tally.unexpected), (0, 0), "{tally:?}");
+    assert_eq!(tally.records, tally.records_in_time, "{tally:?}");
+}
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -3,4 +3,5 @@
 mod bench;
 mod choice;
 mod limits;
+mod links;
 mod retries;
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -11,7 +11,7 @@
 //! | `fireflylug-not-run` | target to mesh | the target did not run the call |
 //! | `fireflylug-forward` | ingress to owner | what the owner must know |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
-//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms` of the target |
+//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call |
 
 use fireflylug_core::ids::{Name, TargetId};
 use fireflylug_core::routing::{CallClass, Chain, ForwardHead, GateLoad, Outcome, RefusalCode};
@@ -173,8 +173,8 @@
 
 /// Adds the load of a target to an owner's answer.
 pub(super) fn add_load(headers: &mut HeaderMap, load: GateLoad) {
-    let GateLoad { in_flight, queued, wait_ms } = load;
-    headers.insert(LOAD, value(format_args!("{in_flight}.{queued}.{wait_ms}")));
+    let GateLoad { in_flight, queued, wait_ms, held_ms } = load;
+    headers.insert(LOAD, value(format_args!("{in_flight}.{queued}.{wait_ms}.{held_ms}")));
 }
 
 /// The load of a target as its owner told it.
@@ -184,6 +184,7 @@
         in_flight: fields.next()?.parse().ok()?,
         queued: fields.next()?.parse().ok()?,
         wait_ms: fields.next()?.parse().ok()?,
+        held_ms: fields.next()?.parse().ok()?,
     })
 }
 
