Routing: the server error of a last attempt is passed on

Cause: a server error was dropped to try elsewhere although the fourth attempt had been made: attempts that reached no target count there and were not asked for. The caller got 502 of the mesh in place of the target's own answer. Found by reading. Change: the same rule says before and after whether another attempt may be made. Test: fails before (refused target-failed), passes after.

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -264,7 +264,7 @@
             && call.rule.as_ref().is_some_and(|rule| rule.policy.retry_server_errors)
             && call.is_repeatable
             && call.is_replayable
-            && call.reached + 1 < call.rule.as_ref().map_or(1, |rule| rule.policy.max_attempts)
+            && call.may_try_again_after(call.reached + 1)
             && cx.now < call.useful_until
             && self.has_spare_elsewhere(cx, id);
         if !is_wanted || !self.pay_for_retry(id) {
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -103,8 +103,13 @@
     }
 
     pub fn may_try_again(&self) -> bool {
+        self.may_try_again_after(self.reached)
+    }
+
+    /// Whether another attempt may be made once `reached` have reached a target.
+    pub fn may_try_again_after(&self, reached: u8) -> bool {
         let allowed = self.rule.as_ref().map_or(1, |rule| rule.policy.max_attempts);
-        self.reached < allowed && usize::from(self.attempt) < MAX_ATTEMPTS
+        reached < allowed && usize::from(self.attempt) < MAX_ATTEMPTS
     }
 }
 
--- a/crates/core/tests/routing/retries.rs
+++ b/crates/core/tests/routing/retries.rs
@@ -84,6 +84,30 @@
     assert_eq!(bench.take_refusals(), [(call, expected)]);
 }
 
+/// A target's own answer is passed on where no further attempt is left.
+#[test]
+fn a_server_error_of_the_last_attempt_is_passed_on() {
+    let mut bench = ingress();
+    let eager = Policy { retry_server_errors: true, ..Policy::new(name("eager")) };
+    bench.configure(vec![
+        Resource::Policy(eager),
+        Resource::Service(Service::new(name("treasury"))),
+        Resource::Route(Route::new(name("look"), "/", name("treasury")).with_policy(name("eager"))),
+    ]);
+    bench.member("host-five", locality("z1", "r1"), MemberStatus::Alive);
+    bench.target(record("treasury", "five", "host-five"));
+    let call = bench.arrive("/look", true);
+    for attempt in 1..=3 {
+        bench.fail(call, attempt, RefusalCode::TargetGone, Outcome::NotRun);
+    }
+    bench.take();
+
+    bench.answer(call, 4, 500);
+
+    let effects = bench.take();
+    assert!(matches!(effects.as_slice(), [CallEffect::Relay { .. }]), "{effects:?}");
+}
+
 #[rstest]
 #[case(1)]
 #[case(2)]
