--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -55,6 +55,9 @@
     /// first call after a time without any.
     waiting_since: Instant,
     ready_since: Instant,
+    /// Time for which the target said that it is slow after its start, in
+    /// microseconds; absent where it said nothing.
+    cold_us: Option<u64>,
     hint: Option<LoadHint>,
     /// Until when the link of the target's host has no room for large answers.
     link_taken_until: Instant,
@@ -74,9 +77,11 @@
             last_answer_at: now,
             waiting_since: now,
             ready_since: now,
+            cold_us: None,
             hint: None,
             link_taken_until: Instant::ZERO,
         };
+        target.begin_start(now);
         target.hear_report(now);
         target
     }
@@ -87,7 +92,7 @@
         let moved = record.address != self.record.address || record.owner != self.record.owner;
         self.record = record;
         if !was_ready || moved {
-            self.ready_since = now;
+            self.begin_start(now);
             self.health = Health::default();
             self.latency = Estimate::default();
             self.by_class = ByClass::default();
@@ -95,6 +100,12 @@
         self.hear_report(now);
     }
 
+    fn begin_start(&mut self, now: Instant) {
+        self.ready_since = now;
+        let cold_us = u64::from(self.record.cold_ms) * 1_000;
+        self.cold_us = (cold_us > 0).then_some(cold_us);
+    }
+
     fn hear_report(&mut self, now: Instant) {
         let Some(percent) = self.record.load_percent else { return };
         let load = u64::from(self.record.slots) * u64::from(percent) / 100;
@@ -136,6 +147,7 @@
     /// Gives the target few calls at first, after an ejection.
     pub fn warm_up(&mut self, now: Instant) {
         self.ready_since = now;
+        self.cold_us = None;
     }
 
     /// A call of this proxy begins at the target.
@@ -203,7 +215,7 @@
     /// Share of calls that the target is given, in thousandths: it grows while
     /// the target is cold.
     pub fn weight(&self, now: Instant, slow_start_ms: u32) -> u64 {
-        let start_us = u64::from(slow_start_ms) * 1_000;
+        let start_us = self.cold_us.unwrap_or(u64::from(slow_start_ms) * 1_000);
         let warm_us = now.since_us(self.ready_since);
         if warm_us >= start_us {
             return FULL_WEIGHT;
--- a/crates/core/tests/routing/choice.rs
+++ b/crates/core/tests/routing/choice.rs
@@ -215,6 +215,24 @@
     assert!(cold * 3 < warm, "cold {cold}, warm {warm}");
 }
 
+/// A target that tells how long it is slow has its full share after that time.
+#[test]
+fn a_target_that_tells_when_it_is_warm_is_believed() {
+    let mut bench = ingress(&SIX[..3]);
+    bench.pass_ms(10_000);
+    bench.member("host-new", locality("z1", "r1"), MemberStatus::Alive);
+    let mut new = record("seatdesk", "new", "host-new");
+    new.cold_ms = 1_000;
+    bench.target(new);
+
+    let cold = run(&mut bench, 100, |_| true).get("new").copied().unwrap_or(0);
+    bench.pass_ms(1_000);
+    let warm = run(&mut bench, 200, |_| true)["new"];
+
+    assert!(cold * 3 < warm, "cold {cold}, warm {warm}");
+    assert!(warm >= 40, "{warm} of 200 calls, where 50 are an equal share");
+}
+
 #[test]
 fn the_longest_prefix_of_the_named_host_wins() {
     let mut bench = Bench::new(
