--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -288,3 +288,66 @@
     let next: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
     assert_eq!(next, [book]);
 }
+
+/// Callers that were refused come back with what is left of their time: an answer
+/// to them is late already, so new calls that can still be answered in time go first.
+#[test]
+fn callers_that_come_back_too_late_leave_the_slots_to_those_in_time() {
+    let mut bench = owner();
+    let quick = Policy::new(name("quick")).with_deadline_ms(5_000).with_target_latency_ms(800);
+    bench.configure(vec![
+        Resource::Policy(quick),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
+    ]);
+    let arrive = |bench: &mut Bench, ms: u32| {
+        bench.arrive_with("/seats", |head| head.chain.remaining_ms = Some(ms))
+    };
+    let running: Vec<CallId> = (0..4).map(|_| arrive(&mut bench, 5_000)).collect();
+    bench.pass_ms(200);
+    running.iter().for_each(|call| bench.complete(*call, 1));
+    let running: Vec<CallId> = (0..4).map(|_| arrive(&mut bench, 5_000)).collect();
+    bench.take();
+
+    let returned = arrive(&mut bench, 3_171);
+    let soon_late = arrive(&mut bench, 4_750);
+    let new = arrive(&mut bench, 5_000);
+    bench.pass_ms(10);
+    running[..3].iter().for_each(|call| bench.complete(*call, 1));
+
+    let begun: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(begun, [soon_late, new, returned]);
+}
+
+/// Callers with a shorter time of their own are not taken for ones that come back.
+#[test]
+fn a_time_that_many_callers_give_is_their_first() {
+    let mut bench = owner();
+    let quick = Policy::new(name("quick")).with_deadline_ms(5_000).with_target_latency_ms(800);
+    bench.configure(vec![
+        Resource::Policy(quick),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
+    ]);
+    let arrive = |bench: &mut Bench, ms: u32| {
+        bench.arrive_with("/seats", |head| head.chain.remaining_ms = Some(ms))
+    };
+    for _ in 0..4 {
+        for ms in [5_000, 2_000] {
+            let call = arrive(&mut bench, ms);
+            bench.pass_ms(200);
+            bench.complete(call, 1);
+        }
+    }
+    (0..4).for_each(|_| _ = arrive(&mut bench, 5_000));
+    bench.take();
+
+    let short = arrive(&mut bench, 2_000);
+    let long = arrive(&mut bench, 5_000);
+    bench.pass_ms(10);
+    bench.complete(CallId(9), 1);
+    bench.complete(CallId(10), 1);
+
+    let begun: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(begun, [short, long]);
+}
