--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -7,7 +7,6 @@
 use super::decision::Step;
 use super::finish::Finished;
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::returning::GivenTimes;
 use super::state::{Call, MAX_ATTEMPTS, Stage};
 use super::table::RouteRule;
 use super::{CallEffect, Routing, ServiceKey, TargetKey};
@@ -81,11 +80,8 @@
         let name = self.splits.choose(cx.rng, &rule).clone();
         let service = *self.service_keys.get(&name).ok_or(RefusalCode::NoTarget)?;
         self.check_share(service)?;
-        let waited_ms = self.waited_ms(cx, head, &rule);
         let useful_until = match rule.policy.target_latency_ms {
-            Some(useful_ms) => {
-                deadline.min(cx.now.plus_ms(u64::from(useful_ms.saturating_sub(waited_ms))))
-            }
+            Some(useful_ms) => deadline.min(cx.now.plus_ms(u64::from(useful_ms))),
             None => deadline,
         };
         let call = Call {
@@ -143,16 +139,6 @@
         }
     }
 
-    /// Time for which the caller has waited before this call, in milliseconds.
-    fn waited_ms(&mut self, cx: &Context<'_>, head: &CallHead, rule: &RouteRule) -> u32 {
-        let Some(given_ms) = head.chain.remaining_ms else { return 0 };
-        if !self.given_times.contains_key(&rule.route) {
-            self.given_times.insert(rule.route.clone(), GivenTimes::default());
-        }
-        let times = self.given_times.get_mut(&rule.route);
-        times.map_or(0, |times| times.waited_ms(given_ms, cx.now))
-    }
-
     /// The call before this one, where this proxy dispatched it and it is still in flight.
     fn parent(&self, cx: &Context<'_>, chain: &Chain) -> Option<&Call> {
         let (owner, call) = chain.parent?;
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -93,12 +93,10 @@
                 self.call_mut(id).stage = Stage::Queued(target);
                 self.set_due(id, deadline);
                 let at = &self.targets[target];
-                let useful_ms = self.calls[&id].useful_until.since_ms(cx.now);
                 let step = Step::Queued {
                     target: at.record.target.clone(),
                     queued: at.gate.as_ref().map_or(0, |gate| gate.load().queued),
                     remaining_ms: deadline.since_ms(cx.now),
-                    useful_ms,
                 };
                 cx.decide(id, step);
                 self.refuse_hopeless(cx, target);
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -105,12 +105,7 @@
         let is_bulk = call.is_bulk;
         let tier_percent =
             if is_bulk { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
-        let useful_ms = call.rule.as_ref().and_then(|rule| rule.policy.target_latency_ms);
-        let useful_us = useful_ms.map_or_else(
-            || call.deadline.since_us(call.arrived_at),
-            |useful_ms| u64::from(useful_ms) * 1_000,
-        );
-        let tier_us = useful_us * tier_percent / 100;
+        let tier_us = call.useful_until.since_us(call.arrived_at) * tier_percent / 100;
         let noise_percent = cx.rng.random_range(100 - NOISE_PERCENT..=100 + NOISE_PERCENT);
         let answer_us = target.cost_us(cx.now, state.slow_start_ms, pace) * noise_percent / 100;
         // A large answer from another region is worth a wait here.
--- a/crates/core/src/routing/decision.rs
+++ b/crates/core/src/routing/decision.rs
@@ -40,9 +40,6 @@
         queued: u32,
         /// Time left until the deadline, in milliseconds.
         remaining_ms: u64,
-        /// Time for which an answer is of full use, in milliseconds: less where
-        /// the caller has waited before.
-        useful_ms: u64,
     },
     /// An attempt ended without an answer that is passed on.
     AttemptFailed {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -23,7 +23,6 @@
 mod metrics;
 mod refusal;
 mod region_link;
-mod returning;
 mod split;
 mod state;
 mod table;
@@ -104,8 +103,6 @@
     busy_services: u32,
     refusals: metrics::RefusalCounts,
     splits: split::Splits,
-    /// Times that callers give, by route.
-    given_times: HashMap<Name, returning::GivenTimes>,
     /// Calls that ended during this event, for the burn report.
     finished: Vec<finish::Finished>,
     /// Calls whose parent ended during this event.
@@ -137,7 +134,6 @@
             busy_services: 0,
             refusals: metrics::RefusalCounts::default(),
             splits: split::Splits::default(),
-            given_times: HashMap::default(),
             finished: Vec::new(),
             orphans: Vec::new(),
             leave_at: None,
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -25,9 +25,7 @@
             state.slow_start_ms = service.slow_start_ms;
             state.max_connections = service.max_connections;
         }
-        let is_known = |route: &Name| configuration.routes().any(|known| known.name == *route);
-        self.splits.retain(is_known);
-        self.given_times.retain(|route, _| is_known(route));
+        self.splits.retain(|route| configuration.routes().any(|known| known.name == *route));
         self.configuration = configuration;
         self.forget_services();
         let owned: Vec<TargetKey> =
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -137,10 +137,10 @@
                 load_age_ms, waits = *waits, version = version.0
             });
         }
-        Step::Queued { target, queued, remaining_ms, useful_ms } => {
+        Step::Queued { target, queued, remaining_ms } => {
             let target = target.to_string();
             spdlog::info!("calls: {name}", kv: {
-                request, target = target.as_str(), queued = *queued, remaining_ms = *remaining_ms, useful_ms = *useful_ms
+                request, target = target.as_str(), queued = *queued, remaining_ms = *remaining_ms
             });
         }
         Step::AttemptFailed { attempt, code, outcome, is_retried } => {
