--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -5,7 +5,6 @@
 use rand::Rng;
 
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
-use super::call::GateLoad;
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, Stage};
@@ -23,9 +22,6 @@
 /// Least time after which a refused caller may try again, in milliseconds.
 const MIN_RETRY_AFTER_MS: u32 = 100;
 
-/// Chance in the time after which a caller may try again: one part in so many.
-const RETRY_SPREAD: u32 = 4;
-
 /// A call of this ingress that ended, for the burn report.
 pub(super) struct Finished {
     pub service: Name,
@@ -68,14 +64,9 @@
         let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
         let refusal = Refusal { code, outcome };
         let tried = usize::from(call.attempt).checked_sub(1).and_then(|i| call.tried.get(i));
-        let tried = tried.copied().filter(|key| self.targets.contains_key(*key));
-        let asked_back_ms = tried.and_then(|key| self.ask_back(cx, refusal, key));
-        let load = tried.and_then(|key| self.told_load(cx, id, key)).map(|load| {
-            let wait_ms = asked_back_ms.unwrap_or(load.wait_ms);
-            GateLoad { wait_ms, ..load }
-        });
-        let of_target = || tried.map(|key| self.targets[key].wait_ms(cx.now));
-        let wait_ms = wait_ms.or(asked_back_ms).or_else(of_target);
+        let target = tried.and_then(|key| self.targets.get(*key));
+        let load = tried.and_then(|key| self.told_load(cx, id, *key));
+        let wait_ms = wait_ms.or_else(|| target.map(|target| target.wait_ms(cx.now)));
         let retry_after_ms = self.retry_after_ms(cx, refusal, wait_ms);
         let refuse = CallEffect::Refuse { call: id, refusal, load, retry_after_ms };
         let call = &self.calls[&id];
@@ -92,14 +83,6 @@
         self.remove(id, Some(outcome), CallResult::Refused);
     }
 
-    /// Time after which a caller that the gate of this host refused is asked
-    /// back, in milliseconds. None where it was not the gate.
-    fn ask_back(&mut self, cx: &Context<'_>, refusal: Refusal, target: TargetKey) -> Option<u32> {
-        let is_full = refusal.code == RefusalCode::Overloaded;
-        let gate = self.targets[target].gate.as_mut().filter(|_| is_full)?;
-        Some(gate.ask_back(cx.now))
-    }
-
     /// Time after which a refused caller may find room, in milliseconds.
     ///
     /// `wait_ms` is the wait at the target that refused, where it is known. Spread at
@@ -120,7 +103,7 @@
             (RefusalCode::NoConfiguration, _) => START_RETRY_AFTER_MS,
             _ => default_ms.map(|default_ms| default_ms * 2 / 3)?,
         };
-        Some(least_ms + cx.rng.random_range(0..=least_ms / RETRY_SPREAD))
+        Some(least_ms + cx.rng.random_range(0..=least_ms / 2))
     }
 
     /// The answer of a call was passed on, or cut.
--- a/crates/core/src/routing/gate.rs
+++ b/crates/core/src/routing/gate.rs
@@ -6,8 +6,6 @@
 //! time: a call that a running one waits for goes ahead of new work. A few
 //! calls may wait that will be late; they get slots that nobody else wants.
 //! A call that others push beyond its time is refused as soon as that is known.
-//! Callers that are refused are asked back one after the other, at the pace at
-//! which slots come free: the first to be refused is the first to come back.
 
 use super::call::{CallClass, GateLoad};
 use super::estimate::{ByClass, Estimate};
@@ -61,10 +59,6 @@
 /// host is slow: more of them would only wait for each other, and hold slots.
 const SLOW_LINK_BULK_SHARE: u32 = 3;
 
-/// Longest time after which a refused caller is asked back, in microseconds:
-/// many do not come back, and few wait for longer.
-const MAX_RETURN_US: u64 = 2_000_000;
-
 /// One call in so many slots may wait that will be answered late.
 const LATE_SHARE: usize = 4;
 
@@ -80,8 +74,6 @@
     bulk_in_flight: u32,
     /// Calls that wait, the next one first.
     queue: Vec<Waiting>,
-    /// When the caller that was refused last is asked back.
-    last_return_at: Instant,
     /// Time for which a call holds a slot, over all classes.
     held: Estimate,
     /// The same by class.
@@ -116,19 +108,6 @@
         }
     }
 
-    /// Time after which a caller that is refused now is asked back, in milliseconds.
-    pub fn ask_back(&mut self, now: Instant) -> u32 {
-        let room_at = now.plus_us(self.wait_us(self.queue.len()));
-        let turn_at = self.last_return_at.plus_us(self.slot_us());
-        self.last_return_at = room_at.max(turn_at).min(now.plus_us(MAX_RETURN_US));
-        self.last_return_at.since_ms(now) as u32
-    }
-
-    /// Time between two slots that come free.
-    fn slot_us(&self) -> u64 {
-        self.held.mean_us() / u64::from(self.limit.max(1))
-    }
-
     /// Whether the call would be given a slot at once.
     pub fn has_free_slot(&self) -> bool {
         // Those that wait for the link keep nobody else from a slot.
@@ -180,7 +159,7 @@
 
     /// Time until the call at a place of the queue is given a slot.
     fn wait_us(&self, place: usize) -> u64 {
-        (place as u64 + 1) * self.slot_us()
+        (place as u64 + 1) * self.held.mean_us() / u64::from(self.limit.max(1))
     }
 
     /// Time until the link has room for one more large answer.
