Routing: a server error that no later attempt betters is passed on

Cause: where a policy tries server errors elsewhere, the answer of the target was dropped as soon as the next attempt was paid for. Change: the edge keeps the answer, and the core says when it is passed on after all. The decision is logged as the server error that it is. Tests: the decision in tests/routing/retries.rs, and two targets behind real sockets in the daemon's call tests; both fail without the change (the caller got 503).

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -5,7 +5,7 @@
 use super::decision::Step;
 use super::gate::{Admission, Ticket};
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::state::{Attempt, Call, Stage};
+use super::state::{Attempt, Call, EarlierAnswer, Stage};
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
 use crate::event::Effect;
@@ -270,7 +270,10 @@
         if !is_wanted || !self.pay_for_retry(id) {
             return false;
         }
-        self.call_mut(id).is_retry_paid = true;
+        let target = self.targets[running.target].record.target.clone();
+        let call = self.call_mut(id);
+        call.is_retry_paid = true;
+        call.earlier = Some(EarlierAnswer { attempt: call.attempt, target, status });
         self.release(cx, id, running, true);
         let code = RefusalCode::TargetFailed;
         self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::Unknown });
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -178,6 +178,12 @@
         /// Load of the target, for the proxy that forwarded the call.
         load: Option<GateLoad>,
     },
+    /// Pass on the answer of the earlier attempt that was to be bettered: no
+    /// other attempt succeeded. Ends the call.
+    RelayEarlier {
+        /// The call.
+        call: CallId,
+    },
     /// Drop the present attempt and close its connection.
     Cancel {
         /// The call.
@@ -215,6 +221,7 @@
             Self::Forward { call, .. }
             | Self::Dispatch { call, .. }
             | Self::Relay { call, .. }
+            | Self::RelayEarlier { call }
             | Self::Cancel { call }
             | Self::Refuse { call, .. }
             | Self::Abort { call } => Some(*call),
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -7,7 +7,7 @@
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::state::{Attempt, Call, Stage};
+use super::state::{Attempt, Call, EarlierAnswer, Stage};
 use super::table::RouteRule;
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
@@ -60,6 +60,9 @@
         code: RefusalCode,
         wait_ms: Option<u32>,
     ) {
+        if let Some(earlier) = self.call_mut(id).earlier.take() {
+            return self.relay_earlier(cx, id, earlier);
+        }
         let call = &self.calls[&id];
         let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
         let refusal = Refusal { code, outcome };
@@ -83,6 +86,17 @@
         self.remove(id, Some(outcome), CallResult::Refused);
     }
 
+    /// Passes on a server error that no later attempt has bettered.
+    fn relay_earlier(&mut self, cx: &mut Context<'_>, id: CallId, earlier: EarlierAnswer) {
+        let EarlierAnswer { attempt, target, status } = earlier;
+        let arrived_at = self.calls[&id].arrived_at;
+        let after_ms = cx.now.since_ms(arrived_at);
+        cx.decide(id, Step::ServerError { attempt, target, status, after_ms });
+        cx.emit(Effect::Call(CallEffect::RelayEarlier { call: id }));
+        let took_us = cx.now.since_us(arrived_at);
+        self.remove(id, Some(Outcome::Ran), CallResult::Answered { is_good: false, took_us });
+    }
+
     /// Time after which a refused caller may find room, in milliseconds.
     ///
     /// `wait_ms` is the wait at the target that refused, where it is known. Spread at
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -11,7 +11,7 @@
 use super::table::RouteRule;
 use super::{ServiceKey, TargetKey};
 use crate::collections::HashMap;
-use crate::ids::{CallId, Name};
+use crate::ids::{CallId, Name, TargetId};
 use crate::time::Instant;
 
 /// Most attempts of one call, those included that reached no target.
@@ -45,6 +45,15 @@
     pub is_overdue: bool,
 }
 
+/// An answer of a target that waits for a better one.
+#[derive(Clone, Debug)]
+pub(super) struct EarlierAnswer {
+    pub attempt: u8,
+    pub target: TargetId,
+    /// HTTP status.
+    pub status: u16,
+}
+
 /// One call in flight.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -81,6 +90,9 @@
     pub children: Vec<CallId>,
     /// HTTP status of the answer that is being passed on.
     pub status: u16,
+    /// The server error of an earlier attempt, while others are tried: it is
+    /// passed on where none of them succeeds.
+    pub earlier: Option<EarlierAnswer>,
     /// Whether the next attempt is already taken from the retry budget.
     pub is_retry_paid: bool,
 }
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -266,6 +266,9 @@
             CallEffect::Relay { call, .. } => self.relay(call),
             CallEffect::Cancel { call } => self.cancel(call),
             CallEffect::Refuse { call, refusal, .. } => self.refuse(call, refusal),
+            CallEffect::RelayEarlier { .. } => {
+                panic!("no policy here tries server errors elsewhere")
+            }
             CallEffect::Abort { call } => self.refuse(call, LOST),
             CallEffect::CloseKeepAlive | CallEffect::CloseListeners | CallEffect::CloseIdle => {}
         }
--- a/crates/core/tests/routing/retries.rs
+++ b/crates/core/tests/routing/retries.rs
@@ -84,9 +84,8 @@
     assert_eq!(bench.take_refusals(), [(call, expected)]);
 }
 
-/// A target's own answer is passed on where no further attempt is left.
-#[test]
-fn a_server_error_of_the_last_attempt_is_passed_on() {
+/// An ingress that tries server errors elsewhere, with five targets.
+fn eager_ingress() -> Bench {
     let mut bench = ingress();
     let eager = Policy { retry_server_errors: true, ..Policy::new(name("eager")) };
     bench.configure(vec![
@@ -96,6 +95,13 @@
     ]);
     bench.member("host-five", locality("z1", "r1"), MemberStatus::Alive);
     bench.target(record("treasury", "five", "host-five"));
+    bench
+}
+
+/// A target's own answer is passed on where no further attempt is left.
+#[test]
+fn a_server_error_of_the_last_attempt_is_passed_on() {
+    let mut bench = eager_ingress();
     let call = bench.arrive("/look", true);
     for attempt in 1..=3 {
         bench.fail(call, attempt, RefusalCode::TargetGone, Outcome::NotRun);
@@ -108,6 +114,24 @@
     assert!(matches!(effects.as_slice(), [CallEffect::Relay { .. }]), "{effects:?}");
 }
 
+/// Targets are full, and the attempt that was to better a server error is shed.
+#[test]
+fn a_server_error_that_no_later_attempt_betters_is_passed_on() {
+    let mut bench = eager_ingress();
+    let call = bench.arrive("/look", true);
+    bench.take();
+
+    bench.answer(call, 1, 500);
+    assert_eq!(bench.take_attempts().len(), 1);
+    for attempt in 2..=4 {
+        bench.fail(call, attempt, RefusalCode::Overloaded, Outcome::NotRun);
+    }
+
+    let last = bench.take().pop();
+    assert!(matches!(last, Some(CallEffect::RelayEarlier { .. })), "{last:?}");
+    assert!(bench.routing.is_idle());
+}
+
 #[rstest]
 #[case(1)]
 #[case(2)]
--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -170,6 +170,8 @@
     let mut attempt = 0;
     let mut running: Option<Running<'_>> = None;
     let mut answered: Option<Answer> = None;
+    // An answer that the reducer tries to better.
+    let mut earlier: Option<(u8, Answer)> = None;
     loop {
         let effect = tokio::select! {
             biased;
@@ -186,9 +188,8 @@
         match effect {
             CallEffect::Forward { attempt: number, .. }
             | CallEffect::Dispatch { attempt: number, .. } => {
+                earlier = answered.take().map(|answer| (attempt, answer)).or(earlier);
                 attempt = number;
-                // The answer of an attempt that the reducer has given up.
-                answered = None;
                 running = Some(Box::pin(start(&proxy, &outgoing, effect)));
             }
             CallEffect::Relay { load, .. } => {
@@ -196,6 +197,15 @@
                     return answer::relay(open, side, attempt, answer, load);
                 }
             }
+            CallEffect::RelayEarlier { .. } => {
+                open.close();
+                if let Some((attempt, answer)) = earlier.take() {
+                    return answer::relay(open, side, attempt, answer, None);
+                }
+                let code = RefusalCode::TargetFailed;
+                let refusal = Refusal { code, outcome: Outcome::Unknown };
+                return answer::refuse(&proxy, side, refusal, None, None);
+            }
             CallEffect::Cancel { .. } => {
                 running = None;
                 answered = None;
--- a/crates/daemon/tests/calls/answers.rs
+++ b/crates/daemon/tests/calls/answers.rs
@@ -51,6 +51,23 @@
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
+/// The answer that a target gave is better than one of the mesh that nothing came of it.
+#[tokio::test]
+async fn a_server_error_is_passed_on_where_the_other_target_refuses() {
+    let failing = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\ndown";
+    let full = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\
+        fireflylug-not-run: 1\r\n\r\n";
+    let mesh = mesh(&[raw_target(failing).await, raw_target(full).await]).await;
+
+    for _ in 0..8 {
+        let request = "GET /eager HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+        let answer = exchange(mesh.calls(0), request).await;
+
+        assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+        assert!(answer.ends_with("down"), "{answer}");
+    }
+}
+
 #[tokio::test]
 async fn headers_of_the_mesh_are_not_passed_on() {
     let told = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nfireflylug-error: no-route\r\n\
--- a/crates/daemon/tests/calls/fixture.rs
+++ b/crates/daemon/tests/calls/fixture.rs
@@ -9,11 +9,16 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-/// Service `seatdesk` under `/`, and `/pay` whose calls may never be repeated.
+/// Service `seatdesk` under `/`, `/pay` whose calls may never be repeated, and
+/// `/eager` whose server errors are tried elsewhere.
 pub fn resources() -> Vec<Resource> {
     let pay = Policy::new(name("pay")).with_repeatable(Repeatable::Never);
+    let eager = Policy { retry_server_errors: true, ..Policy::new(name("eager")) };
+    let eager_route = Route::new(name("eager"), "/eager", name("seatdesk"));
     vec![
         Resource::Policy(pay),
+        Resource::Policy(eager),
+        Resource::Route(eager_route.with_policy(name("eager"))),
         Resource::Service(Service::new(name("seatdesk"))),
         Resource::Route(Route::new(name("look"), "/", name("seatdesk"))),
         Resource::Route(Route::new(name("pay"), "/pay", name("seatdesk")).with_policy(name("pay"))),
