Routing: the rate of large answers in a module of its own, rare samples cannot underflow

Found when the diff was read: a sample of the time on the way that outlasts what is remembered of the least one was subtracted the wrong way round: a panic in debug builds, a cut of the rate without cause in release builds. Rates and saved calls bear their units; the rate stands in bulk_rate.rs, the observation in region_link.rs. Test: rare_calls_over_a_way_that_grows_longer_are_not_refused.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod arrive;
 mod attempt;
 mod budget;
+mod bulk_rate;
 mod call;
 mod chain;
 mod choose;
--- a/crates/core/src/routing/way.rs
+++ b/crates/core/src/routing/way.rs
@@ -60,13 +60,14 @@
         let took_us = cx.now.since_us(attempt.began_at);
         let way_us = took_us.saturating_sub(u64::from(load.held_ms) * 1_000);
         let Some(link) = self.link_to(cx, attempt.target) else { return };
-        let Some(BoundChange { rate, waited_us }) = link.observe(way_us, cx.now) else { return };
+        let Some(change) = link.observe(way_us, cx.now) else { return };
+        let BoundChange { millicalls_per_s, waited_us } = change;
         let text = format!(
             "The link to another region is full: bytes wait {} ms; at most {}.{:03} calls with \
              large answers a second go across.",
             waited_us / 1_000,
-            rate / 1_000,
-            rate % 1_000
+            millicalls_per_s / 1_000,
+            millicalls_per_s % 1_000
         );
         cx.log(LogLevel::Info, LogPart::Calls, text);
     }
--- a/crates/core/tests/routing/links.rs
+++ b/crates/core/tests/routing/links.rs
@@ -235,3 +235,21 @@
     assert_eq!((tally.scans_refused, tally.unexpected), (0, 0), "{tally:?}");
     assert_eq!(tally.records, tally.records_in_time, "{tally:?}");
 }
+
+/// Calls across are so rare that one sample of the link outlasts what is remembered
+/// of it, and the way grows longer meanwhile.
+#[test]
+fn rare_calls_over_a_way_that_grows_longer_are_not_refused() {
+    let mut bench = ingress(0);
+
+    for round in 0..8 {
+        let call = bench.arrive("/scan", true);
+        assert_eq!(bench.take_attempts().len(), 1, "round {round}");
+        bench.pass_ms(100 + round * 5);
+        let load = Some(GateLoad { in_flight: 1, queued: 0, wait_ms: 0, held_ms: WORK_MS });
+        bench.step(CallEvent::Answered { call, attempt: 1, status: 200, load });
+        bench.step(CallEvent::Ended { call, attempt: 1, whole: true });
+        bench.take();
+        bench.pass_ms(31_000);
+    }
+}
