Routing: a running call is not given up for an attempt that the link has no room for

Change: a target elsewhere counts as one with room only where its way has room too. Test: fails before (the running call is cancelled), passes after.

--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -314,13 +314,15 @@
         target.health.eject(cx.now);
     }
 
-    /// Whether a target that the call has not tried has room, as far as is known.
+    /// Whether a target that the call has not tried has room, as far as is known,
+    /// and the way to it too.
     pub(super) fn has_spare_elsewhere(&self, cx: &Context<'_>, id: CallId) -> bool {
         let call: &Call = &self.calls[&id];
         let tiers = &self.services[call.service].tiers;
         tiers.iter().flatten().any(|key| {
             let target = &self.targets[*key];
-            !call.was_tried(*key) && !target.health.is_ejected() && target.has_spare(cx.now)
+            let has_room = !target.health.is_ejected() && target.has_spare(cx.now);
+            has_room && !call.was_tried(*key) && self.has_way(cx, call, *key)
         })
     }
 }
--- a/crates/core/tests/routing/links.rs
+++ b/crates/core/tests/routing/links.rs
@@ -7,7 +7,7 @@
 
 use fireflylug_core::Instant;
 use fireflylug_core::ids::CallId;
-use fireflylug_core::membership::MemberStatus;
+use fireflylug_core::membership::{MemberStatus, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{CallEffect, CallEvent, GateLoad, Outcome, RefusalCode};
 use rstest::rstest;
@@ -253,3 +253,44 @@
         bench.pass_ms(31_000);
     }
 }
+
+/// A download at a slow near target goes on where the only other targets lie behind
+/// a full link: it must not be given up for an attempt that cannot be made.
+#[test]
+fn a_download_is_not_given_up_for_an_attempt_that_the_link_has_no_room_for() {
+    let mut bench = ingress(0);
+    bench.member("host-near", locality("z1", "r1"), MemberStatus::Alive);
+    for id in ["near", "other"] {
+        let mut target = record("vault", id, "host-near");
+        (target.slots, target.connections) = (100, 100);
+        bench.target(target);
+    }
+    for _ in 0..40 {
+        let call = bench.arrive("/record", true);
+        bench.pass_ms(5);
+        bench.complete(call, 1);
+    }
+    bench.take();
+    let slow = bench.arrive("/scan", true);
+    let at = bench.take_attempts().remove(0).target;
+    let other = if at == "near" { "other" } else { "near" };
+    let mut gone = record("vault", other, "host-near");
+    (gone.sequence, gone.state) = (2, TargetState::Gone);
+    bench.target(gone);
+    // Downloads that nobody answers take what may go across.
+    let mut near = record("vault", &at, "host-near");
+    (near.sequence, near.state) = (2, TargetState::Draining);
+    bench.target(near);
+    (0..3).for_each(|_| _ = bench.arrive("/scan", true));
+    bench.take();
+
+    for _ in 0..20 {
+        let record_of = bench.arrive("/record", true);
+        bench.pass_ms(10);
+        bench.complete(record_of, 1);
+    }
+
+    let of_slow = |effect: &CallEffect| effect.call() == Some(slow);
+    let effects: Vec<CallEffect> = bench.take().into_iter().filter(of_slow).collect();
+    assert!(effects.is_empty(), "{effects:?}");
+}
