Consensus: a voter that is let in again says so only once its vote counts

The test then took another voter away before that one had acknowledged the entry, and the majority of the old set, which must commit it, was gone: no leader, as it must be. Log: Admits at 9.475, the other voter suspect at 9.486. Operators read the same status, so the fault is the status, not the test. Change: the role follows the committed voters, as the list of voters does.

--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -16,7 +16,8 @@
 pub enum ControlRole {
     /// Holds nothing and waits for the first voters, or for a leader.
     Blank,
-    /// Follows, but is not counted: its storage is not that of a voter.
+    /// Follows, but does not count: its storage is not that of a voter, or the
+    /// entry that lets it vote is not known to be committed.
     Learner,
     /// Follows and votes.
     Follower,
@@ -113,7 +114,8 @@
         }
         match &self.role {
             Role::Blank(_) => ControlRole::Blank,
-            Role::Follower if self.is_voter(Voter { node, disk: self.disk }) => {
+            // By the committed set: before, the loss of an old voter may cost the quorum.
+            Role::Follower if self.machine.voters().disk_of(node) == Some(self.disk) => {
                 ControlRole::Follower
             }
             Role::Follower => ControlRole::Learner,
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -424,6 +424,33 @@
     assert!(cluster.configuration(failing).get(&service_key("before")).is_some());
 }
 
+/// An operator may take the next host away once a wiped one says that it votes. Its
+/// vote counts only when the old voters have committed the entry that lets it in.
+#[test]
+fn wiped_voter_says_that_it_votes_only_once_its_vote_counts() {
+    let (mut cluster, leader) = led_cluster(3, 44);
+    let [wiped, other] = [followers(3, leader)[0], followers(3, leader)[1]];
+    propose(&mut cluster, leader, "seatdesk");
+    cluster.crash(wiped);
+    cluster.wipe(wiped);
+    cluster.isolate(other);
+    let votes = |cluster: &Cluster| {
+        cluster.status(wiped).is_some_and(|status| status.role == ControlRole::Follower)
+    };
+
+    cluster.start(wiped);
+    let says_too_early = cluster.run_until(1_000, votes);
+    cluster.heal();
+    let says_at_last = cluster.run_until(5_000, votes);
+    cluster.isolate(other);
+    let next = wait_for_leader(&mut cluster, Some(other));
+    let outcome = propose(&mut cluster, next, "bookbook");
+
+    assert!(!says_too_early);
+    assert!(says_at_last);
+    assert!(is_accepted(&outcome), "{outcome:?}");
+}
+
 #[test]
 fn silent_voter_gives_its_place_to_a_replica_that_has_caught_up() {
     let mut cluster = Cluster::new_keeping(4, 3, 42);
