Calls: the edge keeps one last answer, so that none that is passed on is missing

Found when the diff was read: the edge moved an answer aside only when the next attempt began. Where none could be made (the other target drains by then), the core said to pass the earlier answer on and the edge had it in another variable: the caller got 502. Change: one variable holds the last answer with its attempt, for both ways of passing it on; a cancelled attempt drops only its own. The answer of the mesh in place of a missing one is gone with it. Test: a_server_error_is_passed_on_where_no_other_attempt_can_be_made, real sockets; 502 before, the target's 500 after.

--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -169,9 +169,8 @@
     let slot = Arc::clone(&open.slot);
     let mut attempt = 0;
     let mut running: Option<Running<'_>> = None;
-    let mut answered: Option<Answer> = None;
-    // An answer that the reducer tries to better.
-    let mut earlier: Option<(u8, Answer)> = None;
+    // The last answer, with its attempt. Kept while the reducer tries for a better one.
+    let mut answered: Option<(u8, Answer)> = None;
     loop {
         let effect = tokio::select! {
             biased;
@@ -179,7 +178,10 @@
             result = wait(&mut running) => {
                 running = None;
                 match result {
-                    Ok(answer) => answered = Some(report_answer(&open, attempt, answer)),
+                    Ok(answer) => {
+                        report_answer(&open, attempt, &answer);
+                        answered = Some((attempt, answer));
+                    }
                     Err(failure) => report_failure(&open, &outgoing, attempt, failure).await,
                 }
                 continue;
@@ -188,27 +190,22 @@
         match effect {
             CallEffect::Forward { attempt: number, .. }
             | CallEffect::Dispatch { attempt: number, .. } => {
-                earlier = answered.take().map(|answer| (attempt, answer)).or(earlier);
                 attempt = number;
                 running = Some(Box::pin(start(&proxy, &outgoing, effect)));
             }
             CallEffect::Relay { load, .. } => {
-                if let Some(answer) = answered.take() {
+                if let Some((attempt, answer)) = answered.take() {
                     return answer::relay(open, side, attempt, answer, load);
                 }
             }
             CallEffect::RelayEarlier { .. } => {
                 open.close();
-                if let Some((attempt, answer)) = earlier.take() {
-                    return answer::relay(open, side, attempt, answer, None);
-                }
-                let code = RefusalCode::TargetFailed;
-                let refusal = Refusal { code, outcome: Outcome::Unknown };
-                return answer::refuse(&proxy, side, refusal, None, None);
+                let (attempt, answer) = answered.take().expect("the reducer heard of an answer");
+                return answer::relay(open, side, attempt, answer, None);
             }
             CallEffect::Cancel { .. } => {
                 running = None;
-                answered = None;
+                answered.take_if(|(answered, _)| *answered == attempt);
                 let failure = Failure::new(RefusalCode::DeadlineExceeded, Outcome::Unknown);
                 report_failure(&open, &outgoing, attempt, failure).await;
             }
@@ -231,14 +228,13 @@
     }
 }
 
-fn report_answer(open: &OpenCall, attempt: u8, answer: Answer) -> Answer {
+fn report_answer(open: &OpenCall, attempt: u8, answer: &Answer) {
     open.submit(CallEvent::Answered {
         call: open.call,
         attempt,
         status: answer.response.status().as_u16(),
         load: headers::load(answer.response.headers()),
     });
-    answer
 }
 
 async fn report_failure(open: &OpenCall, outgoing: &Outgoing, attempt: u8, failure: Failure) {
--- a/crates/daemon/tests/calls/answers.rs
+++ b/crates/daemon/tests/calls/answers.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use fireflylug_core::membership::{TargetRecord, TargetState};
 use fireflylug_fault::{HttpClient, ResetStage, TargetOptions};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::fixture::{exchange, mesh, raw_target, target, until};
+use crate::fixture::{HeldTarget, exchange, mesh, raw_target, target, until};
 
 #[rstest]
 #[case::through_the_ingress(0)]
@@ -69,6 +70,33 @@
     }
 }
 
+/// The other target is gone by the time of the answer, so that nobody else is asked.
+#[tokio::test]
+async fn a_server_error_is_passed_on_where_no_other_attempt_can_be_made() {
+    let failing = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\ndown";
+    let targets = [HeldTarget::start(failing).await, HeldTarget::start(failing).await];
+    let mesh = mesh(&[targets[0].address, targets[1].address]).await;
+    let ingress = mesh.calls(0);
+    let request = "GET /eager HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let answer = tokio::spawn(async move { exchange(ingress, request).await });
+    until("a target has the call", || targets.iter().any(HeldTarget::has_call)).await;
+    let asked = usize::from(targets[1].has_call());
+    let other = 1 - asked;
+
+    mesh.announce_again(1 + other, &format!("t{other}"), true);
+    let is_draining = |record: &TargetRecord| record.state == TargetState::Draining;
+    let knows = || {
+        let of_ingress = mesh.daemon(0).runtime();
+        of_ingress.inspect(|state| state.membership().targets().any(is_draining))
+    };
+    until("the ingress knows that the other target drains", knows).await;
+    targets[asked].answer();
+
+    let answer = answer.await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+    assert!(answer.ends_with("down"), "{answer}");
+}
+
 #[tokio::test]
 async fn headers_of_the_mesh_are_not_passed_on() {
     let told = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nfireflylug-error: no-route\r\n\
--- a/crates/daemon/tests/calls/fixture.rs
+++ b/crates/daemon/tests/calls/fixture.rs
@@ -1,6 +1,8 @@
 //! Meshes, targets and raw connections for the tests.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fireflylug_core::resource::{Policy, Repeatable, Resource, Route, Service};
@@ -8,6 +10,7 @@
 use fireflylug_measure::calls::mesh::{Announced, Mesh, name};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// Service `seatdesk` under `/`, `/pay` whose calls may never be repeated, and
 /// `/eager` whose server errors are tried elsewhere.
@@ -63,6 +66,39 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// A target that holds one call until it is told to answer it.
+pub struct HeldTarget {
+    pub address: SocketAddr,
+    has_call: Arc<AtomicBool>,
+    may_answer: Arc<Notify>,
+}
+
+impl HeldTarget {
+    pub async fn start(answer: &'static str) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let held = Self { address, has_call: Arc::default(), may_answer: Arc::default() };
+        let (has_call, may_answer) = (Arc::clone(&held.has_call), Arc::clone(&held.may_answer));
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("the proxy connects");
+            let mut head = [0; 4096];
+            let _ = stream.read(&mut head).await;
+            has_call.store(true, Ordering::SeqCst);
+            may_answer.notified().await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+        });
+        held
+    }
+
+    pub fn has_call(&self) -> bool {
+        self.has_call.load(Ordering::SeqCst)
+    }
+
+    pub fn answer(&self) {
+        self.may_answer.notify_one();
+    }
+}
+
 /// A target that writes `answer` to each request and closes the connection.
 pub async fn raw_target(answer: &'static str) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
