Review: the link observes, the rate decides; one place logs a server error

Behaviour unchanged. bulk_rate.rs and region_link.rs used each other, and the link told the rate when the link had been full: the thresholds and the count of calls now stand with the rate, which follows the wait by itself. The log line of a server error was built in two places.

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -5,7 +5,7 @@
 use super::decision::Step;
 use super::gate::{Admission, Ticket};
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::state::{Attempt, Call, EarlierAnswer, Stage};
+use super::state::{Attempt, Call, ServerError, Stage};
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
 use crate::event::Effect;
@@ -233,14 +233,8 @@
             }
         }
         if status >= FIRST_SERVER_ERROR {
-            let call = &self.calls[&id];
-            let step = Step::ServerError {
-                attempt,
-                target: self.targets[running.target].record.target.clone(),
-                status,
-                after_ms: cx.now.since_ms(call.arrived_at),
-            };
-            cx.decide(id, step);
+            let target = self.targets[running.target].record.target.clone();
+            self.tell_server_error(cx, id, ServerError { attempt, target, status });
         }
         let call = self.call_mut(id);
         call.stage = Stage::Relaying(running);
@@ -250,6 +244,13 @@
         cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
     }
 
+    /// Says that a server error is passed on.
+    pub(super) fn tell_server_error(&self, cx: &mut Context<'_>, id: CallId, error: ServerError) {
+        let ServerError { attempt, target, status } = error;
+        let after_ms = cx.now.since_ms(self.calls[&id].arrived_at);
+        cx.decide(id, Step::ServerError { attempt, target, status, after_ms });
+    }
+
     /// Tries a call elsewhere whose answer is a server error, where its policy
     /// says so. Otherwise the answer is passed on.
     fn retries_answer(
@@ -273,7 +274,7 @@
         let target = self.targets[running.target].record.target.clone();
         let call = self.call_mut(id);
         call.is_retry_paid = true;
-        call.earlier = Some(EarlierAnswer { attempt: call.attempt, target, status });
+        call.earlier = Some(ServerError { attempt: call.attempt, target, status });
         self.release(cx, id, running, true);
         let code = RefusalCode::TargetFailed;
         self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::Unknown });
--- a/crates/core/src/routing/bulk_rate.rs
+++ b/crates/core/src/routing/bulk_rate.rs
@@ -1,12 +1,17 @@
 //! The rate of calls with large answers to another region: what it was lately,
 //! and what it may be.
 //!
-//! The rate that is allowed grows by little as long as calls make use of it, and
-//! is cut by more the longer bytes wait for the link.
+//! The rate that is allowed grows a little while the link has room and calls make
+//! use of it. Where bytes wait, it is cut: the more, the longer they wait.
 
-use super::region_link::FULL_US;
 use crate::time::Instant;
 
+/// Microseconds of a second.
+const US_PER_S: u64 = 1_000_000;
+/// Time for which bytes wait on a full link, in microseconds.
+const FULL_US: u64 = 50_000;
+/// Time for which bytes wait at most on a link with room, in microseconds.
+const ROOM_US: u64 = 20_000;
 /// Time after a cut in which no other one is made, in microseconds: what was
 /// sent before has to leave the link first.
 const SETTLING_US: u64 = 600_000;
@@ -32,12 +37,12 @@
 const MAX_CUT_PERCENT: u64 = 50;
 /// One call, in the unit in which calls are saved up.
 const MICROCALLS_PER_CALL: u64 = 1_000_000;
-/// Time for which calls may be saved up, in thousandths of a second.
+/// Time for which calls may be saved up, in milliseconds.
 const SAVED_MS: u64 = 500;
 
 /// Calls with large answers that were sent across lately.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct BegunRate {
+struct BegunRate {
     present: u64,
     /// Absent where none were sent in the stretch of time before the present one.
     last: Option<u64>,
@@ -45,7 +50,7 @@
 }
 
 impl BegunRate {
-    pub fn count(&mut self, now: Instant) {
+    fn count(&mut self, now: Instant) {
         let passed_us = now.since_us(self.began_at);
         if passed_us >= COUNTING_US {
             self.last = (passed_us < 2 * COUNTING_US).then_some(self.present);
@@ -55,16 +60,17 @@
         self.present += 1;
     }
 
-    pub fn millicalls_per_s(&self, now: Instant) -> u64 {
+    fn millicalls_per_s(&self, now: Instant) -> u64 {
         let last_us = if self.last.is_some() { COUNTING_US } else { 0 };
         let counted_us = (now.since_us(self.began_at) + last_us).max(MIN_COUNTED_US);
-        (self.present + self.last.unwrap_or(0)) * 1_000 * 1_000_000 / counted_us
+        (self.present + self.last.unwrap_or(0)) * 1_000 * US_PER_S / counted_us
     }
 }
 
 /// Rate at which calls with large answers may be sent across.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Bound {
+#[derive(Debug)]
+pub(super) struct BulkRate {
+    sent: BegunRate,
     millicalls_per_s: u64,
     /// Calls that may be sent at once, as of `filled_at`.
     saved_microcalls: u64,
@@ -75,9 +81,10 @@
     has_met_limit: bool,
 }
 
-impl Bound {
+impl BulkRate {
     pub fn new(now: Instant) -> Self {
         Self {
+            sent: BegunRate::default(),
             millicalls_per_s: FIRST_MILLICALLS_PER_S,
             saved_microcalls: MICROCALLS_PER_CALL,
             filled_at: now,
@@ -98,8 +105,26 @@
         self.filled_at = now;
     }
 
-    /// Returns the rate, where it is cut: not sooner than the last cut shows.
-    pub fn cut(&mut self, waited_us: u64, sent: u64, now: Instant) -> Option<u64> {
+    /// Follows the time for which bytes wait for the link. Returns the rate, in
+    /// thousandths of a call a second, where it was cut.
+    pub fn follow(&mut self, waited_us: u64, now: Instant) -> Option<u64> {
+        let sent = self.sent.millicalls_per_s(now);
+        // Where no large answer comes here, others fill the link.
+        if sent == 0 {
+            return None;
+        }
+        if waited_us >= FULL_US {
+            return self.cut(waited_us, sent, now);
+        }
+        if waited_us <= ROOM_US {
+            self.grow(sent, now);
+        }
+        None
+    }
+
+    /// Cuts the rate, but not sooner than the last cut shows.
+    fn cut(&mut self, waited_us: u64, sent: u64, now: Instant) -> Option<u64> {
+        self.has_met_limit = true;
         if now.since_us(self.cut_at) < SETTLING_US {
             return None;
         }
@@ -113,8 +138,8 @@
     }
 
     /// Lets the rate grow where calls make use of it.
-    pub fn grow(&mut self, sent: u64, now: Instant) {
-        let grown_us = now.since_us(self.grown_at).min(1_000_000);
+    fn grow(&mut self, sent: u64, now: Instant) {
+        let grown_us = now.since_us(self.grown_at).min(US_PER_S);
         self.grown_at = now;
         if sent < self.millicalls_per_s * USED_PERCENT / 100 {
             return;
@@ -122,11 +147,12 @@
         self.fill(now);
         let percent = if self.has_met_limit { GROWTH_PERCENT } else { FIRST_GROWTH_PERCENT };
         let a_second = self.millicalls_per_s * percent / 100 + GROWTH_MILLICALLS_PER_S;
-        self.millicalls_per_s += a_second * grown_us / 1_000_000;
+        self.millicalls_per_s += a_second * grown_us / US_PER_S;
     }
 
-    /// Takes one call from those that may be sent.
-    pub fn spend(&mut self, now: Instant) {
+    /// A call with a large answer is sent across.
+    pub fn begin(&mut self, now: Instant) {
+        self.sent.count(now);
         self.fill(now);
         self.saved_microcalls = self.saved_microcalls.saturating_sub(MICROCALLS_PER_CALL);
     }
@@ -136,9 +162,4 @@
         let missing = MICROCALLS_PER_CALL.saturating_sub(self.saved_microcalls(now));
         u32::try_from(missing.div_ceil(self.millicalls_per_s)).unwrap_or(u32::MAX)
     }
-
-    /// Notes that the link was full: the rate grows slowly from now on.
-    pub fn meet_limit(&mut self) {
-        self.has_met_limit = true;
-    }
 }
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -7,7 +7,7 @@
 use super::attempt::{FIRST_SERVER_ERROR, give_up_at};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::state::{Attempt, Call, EarlierAnswer, Stage};
+use super::state::{Attempt, Call, ServerError, Stage};
 use super::table::RouteRule;
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
@@ -87,13 +87,10 @@
     }
 
     /// Passes on a server error that no later attempt has bettered.
-    fn relay_earlier(&mut self, cx: &mut Context<'_>, id: CallId, earlier: EarlierAnswer) {
-        let EarlierAnswer { attempt, target, status } = earlier;
-        let arrived_at = self.calls[&id].arrived_at;
-        let after_ms = cx.now.since_ms(arrived_at);
-        cx.decide(id, Step::ServerError { attempt, target, status, after_ms });
+    fn relay_earlier(&mut self, cx: &mut Context<'_>, id: CallId, earlier: ServerError) {
+        self.tell_server_error(cx, id, earlier);
         cx.emit(Effect::Call(CallEffect::RelayEarlier { call: id }));
-        let took_us = cx.now.since_us(arrived_at);
+        let took_us = cx.now.since_us(self.calls[&id].arrived_at);
         self.remove(id, Some(Outcome::Ran), CallResult::Answered { is_good: false, took_us });
     }
 
--- a/crates/core/src/routing/region_link.rs
+++ b/crates/core/src/routing/region_link.rs
@@ -9,7 +9,7 @@
 //! are refused at once. All proxies of a region observe the same link, so they
 //! slow down together.
 
-use super::bulk_rate::{BegunRate, Bound};
+use super::bulk_rate::BulkRate;
 use crate::time::Instant;
 
 /// Time over which the least time on the way is taken, in microseconds: one
@@ -18,10 +18,6 @@
 /// Fewest calls of which the least time on the way is taken: one alone may have
 /// waited behind one large answer.
 const MIN_SAMPLED: u32 = 3;
-/// Time for which bytes wait on a full link, in microseconds.
-pub(super) const FULL_US: u64 = 50_000;
-/// Time for which bytes wait at most on a link with room, in microseconds.
-const ROOM_US: u64 = 20_000;
 /// Time after which the least time on the way is taken anew, in microseconds.
 const BASE_LIFE_US: u64 = 30_000_000;
 
@@ -30,13 +26,12 @@
 pub(super) struct RegionLink {
     base: Base,
     sample: Option<Sample>,
-    begun: BegunRate,
-    bound: Bound,
+    bulk: BulkRate,
 }
 
 /// Fewer calls with large answers are sent across from now on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct BoundChange {
+pub(super) struct BulkCut {
     /// Calls that may be sent across from now on.
     pub millicalls_per_s: u64,
     /// Time for which bytes wait for the link.
@@ -76,17 +71,12 @@
 impl RegionLink {
     /// A link of which nothing is known.
     pub fn new(now: Instant) -> Self {
-        Self {
-            base: Base::default(),
-            sample: None,
-            begun: BegunRate::default(),
-            bound: Bound::new(now),
-        }
+        Self { base: Base::default(), sample: None, bulk: BulkRate::new(now) }
     }
 
-    /// A call was answered that spent `us` on its way there and back. Returns
-    /// how the bound was changed by it, if that is worth a line of the log.
-    pub fn observe(&mut self, us: u64, now: Instant) -> Option<BoundChange> {
+    /// A call was answered that spent `us` on its way there and back. Says where
+    /// fewer calls are sent across for it.
+    pub fn observe(&mut self, us: u64, now: Instant) -> Option<BulkCut> {
         self.base.observe(us, now);
         let ends_at = now.plus_us(SAMPLING_US);
         let sample = self.sample.get_or_insert(Sample { least_us: us, calls: 0, ends_at });
@@ -98,37 +88,18 @@
         // A sample of rare calls may be older than the least time that is remembered.
         let waited_us = sample.least_us.saturating_sub(self.base.least_us());
         self.sample = None;
-        let millicalls_per_s = self.adapt(waited_us, now)?;
-        Some(BoundChange { millicalls_per_s, waited_us })
-    }
-
-    /// Follows the time for which bytes wait for the link. Returns the rate
-    /// where it was cut.
-    fn adapt(&mut self, waited_us: u64, now: Instant) -> Option<u64> {
-        let sent = self.begun.millicalls_per_s(now);
-        // Where no large answer comes here, others fill the link.
-        if sent == 0 {
-            return None;
-        }
-        if waited_us >= FULL_US {
-            self.bound.meet_limit();
-            return self.bound.cut(waited_us, sent, now);
-        }
-        if waited_us <= ROOM_US {
-            self.bound.grow(sent, now);
-        }
-        None
+        let millicalls_per_s = self.bulk.follow(waited_us, now)?;
+        Some(BulkCut { millicalls_per_s, waited_us })
     }
 
     /// A call with a large answer is sent across.
     pub fn begin_bulk(&mut self, now: Instant) {
-        self.begun.count(now);
-        self.bound.spend(now);
+        self.bulk.begin(now);
     }
 
     /// Time after which the link has room for one more large answer, in
     /// milliseconds; 0 where it has.
     pub fn bulk_wait_ms(&self, now: Instant) -> u32 {
-        self.bound.wait_ms(now)
+        self.bulk.wait_ms(now)
     }
 }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -45,9 +45,9 @@
     pub is_overdue: bool,
 }
 
-/// An answer of a target that waits for a better one.
+/// A server error that a target answered with.
 #[derive(Clone, Debug)]
-pub(super) struct EarlierAnswer {
+pub(super) struct ServerError {
     pub attempt: u8,
     pub target: TargetId,
     /// HTTP status.
@@ -92,7 +92,7 @@
     pub status: u16,
     /// The server error of an earlier attempt, while others are tried: it is
     /// passed on where none of them succeeds.
-    pub earlier: Option<EarlierAnswer>,
+    pub earlier: Option<ServerError>,
     /// Whether the next attempt is already taken from the retry budget.
     pub is_retry_paid: bool,
 }
--- a/crates/core/src/routing/way.rs
+++ b/crates/core/src/routing/way.rs
@@ -1,7 +1,7 @@
 //! What the way to targets in other regions allows, and how long it takes.
 
 use super::call::GateLoad;
-use super::region_link::{BoundChange, RegionLink};
+use super::region_link::{BulkCut, RegionLink};
 use super::state::{Attempt, Call};
 use super::{Routing, TargetKey};
 use crate::context::Context;
@@ -60,8 +60,8 @@
         let took_us = cx.now.since_us(attempt.began_at);
         let way_us = took_us.saturating_sub(u64::from(load.held_ms) * 1_000);
         let Some(link) = self.link_to(cx, attempt.target) else { return };
-        let Some(change) = link.observe(way_us, cx.now) else { return };
-        let BoundChange { millicalls_per_s, waited_us } = change;
+        let Some(cut) = link.observe(way_us, cx.now) else { return };
+        let BulkCut { millicalls_per_s, waited_us } = cut;
         let text = format!(
             "The link to another region is full: bytes wait {} ms; at most {}.{:03} calls with \
              large answers a second go across.",
--- a/crates/measure/src/report.rs
+++ b/crates/measure/src/report.rs
@@ -19,7 +19,7 @@
 /// One figure with its spread, its baseline and its bound.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figure {
-    /// What was measured.
+    /// Name of the quantity.
     pub label: String,
     /// Unit of every number of the figure.
     pub unit: &'static str,
