Distribution: the answer to a restarted process waits for newer word of control

Each level of the tree asked its parent again every 250 ms, so the word of the leader came down in polls. Ruled out: joining (members known 0.1 s after the start), the 200 ms in which others hear of a process (over by then). Change: a parent keeps the question of a child that waits until it has word newer than the question (400 ms at most), asks its own parent at once, and says for how long it kept it, so that the child can still date the word safely. The first such question is asked when its answer can vouch.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -26,6 +26,10 @@
 /// Time after which a transfer that was not acknowledged counts as lost, in milliseconds.
 const TRANSFER_TIMEOUT_MS: u64 = 2_000;
 
+/// Longest time for which the answer to a child waits for newer word of a control
+/// replica, in milliseconds. A parent that does not answer for longer is replaced.
+const MAX_HELD_MS: u64 = 400;
+
 /// Bounds of the wait that a process is told which cannot be served, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<u32> = 50..250;
 
@@ -46,12 +50,20 @@
 pub(super) struct Children {
     children: BTreeMap<NodeId, Child>,
     transfers: BTreeMap<NodeId, Instant>,
+    /// Children whose question waits for newer word of a control replica, with
+    /// when it arrived.
+    questions: BTreeMap<NodeId, Instant>,
     pub serve_at: Instant,
 }
 
 impl Children {
     pub fn new() -> Self {
-        Self { children: BTreeMap::new(), transfers: BTreeMap::new(), serve_at: Instant::NEVER }
+        Self {
+            children: BTreeMap::new(),
+            transfers: BTreeMap::new(),
+            questions: BTreeMap::new(),
+            serve_at: Instant::NEVER,
+        }
     }
 
     pub fn len(&self) -> usize {
@@ -69,9 +81,37 @@
         self.children.values().all(|child| child.is_relay || child.reported >= version)
     }
 
+    /// Whether a child waits for newer word of a control replica.
+    pub fn has_questions(&self) -> bool {
+        !self.questions.is_empty()
+    }
+
+    /// When the first question must be answered with what is known by then, or
+    /// now where the word that it waits for has come.
+    pub fn answer_at(&self, control_heard_at: Option<Instant>) -> Instant {
+        let due = |asked_at: &Instant| match control_heard_at {
+            Some(heard_at) if heard_at >= *asked_at => heard_at,
+            _ => asked_at.plus_ms(MAX_HELD_MS),
+        };
+        self.questions.values().map(due).min().unwrap_or(Instant::NEVER)
+    }
+
+    /// Takes the questions that are due to be answered, with when each arrived.
+    fn take_due(&mut self, now: Instant, heard_at: Option<Instant>) -> Vec<(NodeId, Instant)> {
+        let is_due = |asked_at: Instant| {
+            heard_at.is_some_and(|heard_at| heard_at >= asked_at)
+                || now >= asked_at.plus_ms(MAX_HELD_MS)
+        };
+        let due = self.questions.iter().filter(|(_, asked_at)| is_due(**asked_at));
+        let due: Vec<_> = due.map(|(id, asked_at)| (*id, *asked_at)).collect();
+        self.questions.retain(|_, asked_at| !is_due(*asked_at));
+        due
+    }
+
     /// Removes a child. Returns whether there was one.
     pub fn remove(&mut self, id: NodeId) -> bool {
         self.transfers.remove(&id);
+        self.questions.remove(&id);
         self.children.remove(&id).is_some()
     }
 
@@ -132,23 +172,32 @@
         };
         self.children.children.insert(from, child);
         self.children.holds(cx.now, from, report.version);
-        if report.asks {
-            self.send_status(cx, from);
-        }
-        if report.waits {
-            // It needs word that is newer than its start; this process may hold older.
-            self.upstream.ask_again_soon(cx.now);
+        if report.asks && report.waits {
+            self.children.questions.insert(from, cx.now);
+            self.seek_word(cx, membership);
+        } else if report.asks {
+            self.children.questions.remove(&from);
+            self.send_status(cx, from, cx.now);
         }
         self.note_newer(cx, membership, from, report.version);
         self.serve(cx);
         self.holders_changed(cx, membership);
     }
 
-    fn send_status(&self, cx: &mut Context<'_>, to: NodeId) {
+    /// Answers the children that waited for newer word of a control replica.
+    pub(super) fn answer_children(&mut self, cx: &mut Context<'_>) {
+        for (child, asked_at) in self.children.take_due(cx.now, self.control_heard_at) {
+            self.send_status(cx, child, asked_at);
+        }
+    }
+
+    fn send_status(&self, cx: &mut Context<'_>, to: NodeId, asked_at: Instant) {
         let version = self.current.version();
         let newest = self.newest.max(version);
         let control_age_ms = self.control_age_ms(cx);
-        cx.send(to, DistributionMessage::Status(Status { version, newest, control_age_ms }));
+        let held_ms = cx.now.since_ms(asked_at);
+        let status = Status { version, newest, control_age_ms, held_ms };
+        cx.send(to, DistributionMessage::Status(status));
     }
 
     /// Sends the present version to every child that lacks it.
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -44,6 +44,10 @@
     Zones(Vec<ZoneReport>),
 }
 
+fn is_zero(ms: &u64) -> bool {
+    *ms == 0
+}
+
 /// What a process holds.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Holds {
@@ -73,7 +77,8 @@
     /// Whether the child wants a [`Status`].
     #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
     pub asks: bool,
-    /// Whether the child was started and waits for word of a control replica.
+    /// Whether the child, or one below it, was started and waits for word of a
+    /// control replica that is newer than this question: the answer may wait for it.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
     pub waits: bool,
     /// Processes that hold the child's version or a later one.
@@ -113,6 +118,9 @@
     /// milliseconds; none where it never was.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub control_age_ms: Option<u64>,
+    /// Time for which the question waited for this answer, in milliseconds.
+    #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
+    pub held_ms: u64,
 }
 
 /// A newer version: a delta against an older one, or a whole snapshot.
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -164,6 +164,7 @@
         self.upstream
             .next_deadline()
             .min(self.children.serve_at)
+            .min(self.children.answer_at(self.control_heard_at))
             .min(self.fetcher.ask_at)
             .min(self.reporter.next_deadline())
             .min(self.readiness.next_deadline())
@@ -179,6 +180,7 @@
         if cx.now >= self.children.serve_at {
             self.serve(cx);
         }
+        self.answer_children(cx);
         self.tick_fetcher(cx, membership);
         self.tick_reporter(cx, membership);
         self.update_readiness(cx, membership);
@@ -300,17 +302,20 @@
         self.newest = self.newest.max(status.newest);
         let is_parent = self.upstream.parent == Some(from);
         let asked_at = if is_parent { self.upstream.answered() } else { None };
-        // The answer was made after the question, so control was heard no
-        // earlier than this, however long the answer took to arrive. Word from
-        // before the start is dropped: passed on from here it would look newer.
-        let heard_ms = asked_at.zip(status.control_age_ms);
-        if let Some(heard_ms) = heard_ms.and_then(|(at, age_ms)| at.as_ms().checked_sub(age_ms)) {
+        // The answer was made after the question and the time for which that
+        // waited, so control was heard no earlier than this, however long the
+        // answer took to arrive. Word from before the start is dropped: passed on
+        // from here it would look newer.
+        let heard_ms = asked_at.zip(status.control_age_ms).and_then(|(asked_at, age_ms)| {
+            asked_at.plus_ms(status.held_ms).as_ms().checked_sub(age_ms)
+        });
+        if let Some(heard_ms) = heard_ms {
             let heard_at = Instant::from_ms(heard_ms);
             self.control_heard_at = self.control_heard_at.max(Some(heard_at));
             self.readiness.vouch_at(heard_at);
         }
-        if !self.readiness.is_vouched() {
-            self.upstream.ask_again_soon(cx.now);
+        if is_parent && (!self.readiness.is_vouched() || self.children.has_questions()) {
+            self.upstream.ask_again_soon(cx.now, status.held_ms > 0);
         }
     }
 
--- a/crates/core/src/distribution/ready.rs
+++ b/crates/core/src/distribution/ready.rs
@@ -17,7 +17,7 @@
 /// version, in milliseconds. Its word is dated by when a majority was last
 /// known to follow the leader; the answers of that majority may have been under
 /// way for a one-way delay.
-const VOUCH_AFTER_START_MS: u64 = 350;
+pub(super) const VOUCH_AFTER_START_MS: u64 = 350;
 
 /// Time after the start for which word of a control replica is waited for, in
 /// milliseconds, before that of a neighbour that serves suffices: a zone that
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::message::{DistributionMessage, Holders, Report};
+use super::ready::VOUCH_AFTER_START_MS;
 use super::{Distribution, MAX_FAN_OUT};
 use crate::context::Context;
 use crate::ids::{NodeId, Version};
@@ -22,9 +23,9 @@
 /// its parent was cut off silently.
 const RELAY_REFRESH_EVERY_MS: u64 = 1_500;
 
-/// The same while a process that was started waits for word of a control
-/// replica, in milliseconds.
-const ASK_AGAIN_AFTER_MS: u64 = 250;
+/// The same where the answer was not the word of a control replica that a process
+/// waits for which was started, in milliseconds.
+const ASK_AGAIN_AFTER_MS: u64 = 100;
 
 /// Time after which a parent that did not answer is replaced, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
@@ -82,10 +83,16 @@
         self.asked_at.take()
     }
 
-    /// Asks sooner than usual: this process waits for word of a control replica.
-    pub fn ask_again_soon(&mut self, now: Instant) {
+    /// Asks sooner than usual: word of a control replica is waited for. An answer
+    /// to a question of the first moments after the start vouches for nothing.
+    ///
+    /// `was_held` says that the last question waited for its answer.
+    pub fn ask_again_soon(&mut self, now: Instant, was_held: bool) {
         if self.parent.is_some() {
-            self.next_ask_at = self.next_ask_at.min(now.plus_ms(ASK_AGAIN_AFTER_MS));
+            let first_useful_at = Instant::from_ms(VOUCH_AFTER_START_MS);
+            let wait_ms = if was_held { 0 } else { ASK_AGAIN_AFTER_MS };
+            let ask_at = now.plus_ms(wait_ms).max(first_useful_at);
+            self.next_ask_at = self.next_ask_at.min(ask_at);
         }
     }
 }
@@ -140,6 +147,13 @@
         self.send_report(cx, membership, parent, true);
     }
 
+    /// Asks the parent for newer word of a control replica, unless it was asked.
+    pub(super) fn seek_word(&mut self, cx: &mut Context<'_>, membership: &Membership) {
+        if self.upstream.asked_at.is_none() {
+            self.ask(cx, membership);
+        }
+    }
+
     /// Reports to the parent where there is something new to say.
     pub(super) fn report_to_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         let Some(parent) = self.upstream.parent else { return };
@@ -160,7 +174,8 @@
         let version = self.current.version();
         self.upstream.reported = Some((version, holders));
         let is_relay = self.upstream.is_relay;
-        let waits = !self.readiness.is_vouched();
+        let is_started = cx.now >= Instant::from_ms(VOUCH_AFTER_START_MS);
+        let waits = (is_started && !self.readiness.is_vouched()) || self.children.has_questions();
         let report = Report { version, is_relay, asks, waits, holders };
         cx.send(parent, DistributionMessage::Report(report));
     }
--- a/crates/core/tests/distribution.rs
+++ b/crates/core/tests/distribution.rs
@@ -364,6 +364,29 @@
     println!("{} hosts ready after {took_ms} ms", restarted.len());
 }
 
+/// Every process was killed, and the control replicas need some time to elect a
+/// leader. Its word must come down the tree at once: not when each level asks again.
+#[rstest]
+#[case::users_size(two_regions(4), 4)]
+#[case::deep_tree(two_regions(30), 5)]
+fn mesh_restarted_as_a_whole_serves_as_soon_as_there_is_a_leader(
+    #[case] zones: Vec<mesh::Zone>,
+    #[case] seed: u64,
+) {
+    let (mut mesh, versions) = mesh_with_first(&zones, seed);
+    let all: Vec<usize> = (0..mesh.len()).collect();
+    all.iter().for_each(|host| mesh.crash(*host));
+    mesh.set_led(false);
+    all.iter().for_each(|host| mesh.start(*host));
+    mesh.run_ms(1_000);
+
+    mesh.publish(&versions[0]);
+    mesh.set_led(true);
+    let took_ms = mesh.run_until("all are ready", 5, all_ready);
+
+    assert!(took_ms < 100, "{took_ms} ms");
+}
+
 /// A configuration whose snapshot counts as a large transfer.
 fn large_configuration() -> Arc<Configuration> {
     let names = (0..6_000u64).map(|index| (format!("s{:x}", index * 7_919_993 % 1_000_003), 1));
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -58,6 +58,8 @@
     pub progress: Option<Progress>,
     rng: SmallRng,
     started_us: u64,
+    /// Whether control replicas hear of a leader.
+    is_led: bool,
 }
 
 /// A host: its process, if it runs, and what outlives it.
@@ -110,6 +112,7 @@
     pub now_us: u64,
     pub faults: Faults,
     pub traffic: Traffic,
+    is_led: bool,
     hosts: Vec<Host>,
     by_id: BTreeMap<NodeId, usize>,
     connected: BTreeSet<(usize, usize)>,
@@ -169,6 +172,7 @@
             now_us: 0,
             faults: Faults::default(),
             traffic: Traffic::default(),
+            is_led: true,
             armed_us: vec![u64::MAX; hosts.len()],
             hosts,
             by_id,
@@ -255,6 +259,7 @@
             progress: None,
             rng: SmallRng::seed_from_u64(seed),
             started_us: now_us,
+            is_led: self.is_led,
             me: slot.me.clone(),
         });
         self.arm(host);
@@ -297,6 +302,16 @@
         (0..self.len()).filter(|host| !zone.contains(host)).collect()
     }
 
+    /// Says whether control replicas hear of a leader.
+    pub fn set_led(&mut self, is_led: bool) {
+        self.is_led = is_led;
+        for host in self.controls() {
+            if self.hosts[host].process.is_some() {
+                self.at(host, |process, _| process.is_led = is_led);
+            }
+        }
+    }
+
     /// Does something at a host's process.
     pub fn at<T>(
         &mut self,
@@ -592,7 +607,7 @@
                 };
             }
             process.distribution.take_applied();
-            if process.me.control {
+            if process.me.control && process.is_led {
                 process.distribution.control_was_current(cx.now);
             }
             if let Some(progress) = process.distribution.take_progress() {
