Elections: replicas that were restarted together ask for votes in turn

Cause: the first campaign after a start came at random within 150 ms. Change: one after the other by the order of the voters, 20 ms apart.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -14,9 +14,9 @@
 use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
 
-/// Time within which a replica that was started asks for votes where it hears of
-/// no leader, in milliseconds.
-const FIRST_CAMPAIGN_WITHIN_MS: u64 = 150;
+/// Time between the first campaigns of replicas that were started together, in
+/// milliseconds: long enough for a vote to reach another availability zone.
+const FIRST_CAMPAIGN_STEP_MS: u64 = 20;
 
 impl ControlReplica {
     /// No leader was heard from in time.
@@ -41,10 +41,14 @@
 
     /// After a start, a majority answered and no leader was heard: there may be
     /// none to wait for, as where all replicas were restarted at once. Asking
-    /// for votes disturbs no leader that is there.
+    /// for votes disturbs no leader that is there. Those that were restarted
+    /// together ask one after the other.
     pub(super) fn campaign_soon(&mut self, cx: &mut Context<'_>) {
         if self.leader.is_none() && matches!(self.role, Role::Follower) {
-            let wait_ms = cx.rng.random_range(0..=FIRST_CAMPAIGN_WITHIN_MS);
+            let voters = self.newest_voters();
+            let before = voters.voters().iter().filter(|voter| voter.node < cx.me.id).count();
+            let wait_ms = before as u64 * FIRST_CAMPAIGN_STEP_MS
+                + cx.rng.random_range(0..FIRST_CAMPAIGN_STEP_MS / 2);
             self.role_deadline = self.role_deadline.min(cx.now.plus_ms(wait_ms));
         }
     }
