Configuration: the hash of a version is computed when it is asked for

Cause: a restarted control replica goes through its log again, and hashed each version: 0.30 ms for a change of 350 resources, 2.9 ms of 2,800, on a whole core; the control hosts have 0.15 of one. Ruled out: the disk (0.5 ms a sync), the copy of the resources (0.01 ms). Change: hash on demand; the check for two routes with the same match looks only for those that the change puts. 0.03 ms and 0.22 ms. No test of its own: nothing but time differs.

--- a/crates/core/src/config/configuration.rs
+++ b/crates/core/src/config/configuration.rs
@@ -1,7 +1,7 @@
 //! One immutable version of the whole configuration.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use serde::{Deserialize, Serialize};
 
@@ -20,13 +20,23 @@
 }
 
 /// One version of the whole configuration, with the hash of its content.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Configuration {
     version: Version,
-    hash: ContentHash,
+    /// Computed when it is first asked for: a replica that reads its log again goes
+    /// through many versions that nobody asks about.
+    hash: OnceLock<ContentHash>,
     resources: BTreeMap<ResourceKey, StoredResource>,
 }
 
+impl Eq for Configuration {}
+
+impl PartialEq for Configuration {
+    fn eq(&self, other: &Self) -> bool {
+        self.version == other.version && self.resources == other.resources
+    }
+}
+
 impl Default for Configuration {
     fn default() -> Self {
         Self::new(Version(0), BTreeMap::new())
@@ -34,10 +44,9 @@
 }
 
 impl Configuration {
-    /// Makes a version of these resources and computes its hash.
+    /// Makes a version of these resources.
     pub fn new(version: Version, resources: BTreeMap<ResourceKey, StoredResource>) -> Self {
-        let hash = content_hash(version, &resources);
-        Self { version, hash, resources }
+        Self { version, hash: OnceLock::new(), resources }
     }
 
     /// The version.
@@ -45,9 +54,9 @@
         self.version
     }
 
-    /// Hash over the version and every resource.
+    /// Hash over the version and every resource. Takes time in proportion to them at first.
     pub fn hash(&self) -> ContentHash {
-        self.hash
+        *self.hash.get_or_init(|| content_hash(self.version, &self.resources))
     }
 
     /// Every resource, by kind and name.
--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -117,16 +117,20 @@
 
 /// Checks that no two routes match the same host and path prefix.
 pub(super) fn check_routes(changes: &ChangeSet, next: &Resources, findings: &mut Vec<Finding>) {
-    let puts_route = |operation: &&Operation| {
-        matches!(operation, Operation::Put { resource: Resource::Route(_), .. })
-    };
-    if !changes.operations.iter().any(|operation| puts_route(&operation)) {
+    let put_routes = changes.operations.iter().filter_map(|operation| match operation {
+        Operation::Put { resource: Resource::Route(route), .. } => Some(matched(route)),
+        _ => None,
+    });
+    let mut matches: BTreeMap<(Option<&str>, &str), Vec<&Name>> =
+        put_routes.map(|matched| (matched, Vec::new())).collect();
+    if matches.is_empty() {
         return;
     }
-    let mut matches: BTreeMap<(Option<&str>, &str), Vec<&Name>> = BTreeMap::new();
     for stored in next.values() {
-        if let Resource::Route(route) = &*stored.resource {
-            matches.entry(matched(route)).or_default().push(&route.name);
+        if let Resource::Route(route) = &*stored.resource
+            && let Some(names) = matches.get_mut(&matched(route))
+        {
+            names.push(&route.name);
         }
     }
     for (at, operation) in changes.operations.iter().enumerate() {
