Routing: a process that was just started asks callers back when it will serve

Cause: it told them 400 to 600 ms whatever its age, now longer than it needs. Change: what is left of 500 ms since the start, 100 ms at least, spread as before.

--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -16,8 +16,9 @@
 use crate::slo::{CallResult, Slo};
 use crate::time::Instant;
 
-/// Time after which a proxy that was just started may serve, in milliseconds.
-const START_RETRY_AFTER_MS: u32 = 400;
+/// Age at which a process that was started together with all others may serve, in
+/// milliseconds.
+const SERVES_AFTER_START_MS: u64 = 500;
 
 /// Least time after which a refused caller may try again, in milliseconds.
 const MIN_RETRY_AFTER_MS: u32 = 100;
@@ -111,7 +112,10 @@
         let least_ms = match (refusal.code, wait_ms) {
             (RefusalCode::Overloaded, Some(wait_ms)) => wait_ms.max(MIN_RETRY_AFTER_MS),
             (RefusalCode::Stopping | RefusalCode::TargetGone, _) => MIN_RETRY_AFTER_MS,
-            (RefusalCode::NoConfiguration, _) => START_RETRY_AFTER_MS,
+            (RefusalCode::NoConfiguration, _) => {
+                let left_ms = SERVES_AFTER_START_MS.saturating_sub(cx.now.as_ms()) as u32;
+                left_ms.max(MIN_RETRY_AFTER_MS)
+            }
             _ => default_ms.map(|default_ms| default_ms * 2 / 3)?,
         };
         Some(least_ms + cx.rng.random_range(0..=least_ms / 2))
