Routing: a wait at a near target is weighed against a way to another region

Cause: a target that seemed to have a free slot was preferred to every one that had none, also across regions. What an ingress knows of free slots is up to a second old, and fades: far targets seemed free, so both regions sent calls to each other.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -29,8 +29,10 @@
 /// Chance in the comparison, in percent either way.
 const NOISE_PERCENT: u64 = 10;
 
-/// More than any time to an answer, in microseconds.
-const WAITING_COST_US: u64 = 1 << 40;
+/// What it costs to be given a target without a free slot, beside the expected time,
+/// in percent of the time within which an answer is of full use. What is known of
+/// free slots is old, so a target far away is not preferred for it alone.
+const WAITING_COST_PERCENT: u64 = 20;
 
 impl Routing {
     /// The target for the next attempt of a call, or none where no target of
@@ -89,8 +91,7 @@
         Pace { class, reference_us: best_us.unwrap_or_else(elsewhere_us) }
     }
 
-    /// What a call at a target is expected to cost, in microseconds. One that
-    /// would wait costs more than every one that would not.
+    /// What a call at a target is expected to cost, in microseconds.
     fn cost(
         &self,
         cx: &mut Context<'_>,
@@ -105,14 +106,15 @@
         let is_bulk = call.is_bulk;
         let tier_percent =
             if is_bulk { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
-        let tier_us = call.useful_until.since_us(call.arrived_at) * tier_percent / 100;
+        let useful_us = call.useful_until.since_us(call.arrived_at);
         let noise_percent = cx.rng.random_range(100 - NOISE_PERCENT..=100 + NOISE_PERCENT);
         let answer_us = target.cost_us(cx.now, state.slow_start_ms, pace) * noise_percent / 100;
         // A large answer from another region is worth a wait here.
         let is_far = tier == TIERS - 1;
         let waits =
             !target.has_spare(cx.now) || (is_bulk && (is_far || target.is_link_taken(cx.now)));
-        answer_us + tier_us + if waits { WAITING_COST_US } else { 0 }
+        let waiting_percent = if waits { WAITING_COST_PERCENT } else { 0 };
+        answer_us + useful_us * (tier_percent + waiting_percent) / 100
     }
 
     /// An ejected target that is due to be tried with one call. A call that
