Routing: what an owner told of its load counts for 3 s; the way back counts

What far targets told faded within a second, and they are asked seldom. The owner in the other region also took the whole target latency for its own, though the answer needs 30 ms back. Ruled out: bytes of configuration (a hundredth of those between regions). Change: a hint fades over 3 s; the time within which an answer is of use is told less the way there and back, as the link to that region was observed. Test of the gate's short calls: short_calls_among_long_ones_wait_until_their_deadline.

--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -155,7 +155,9 @@
         let Some(owner) = self.members.get(&record.owner) else { return self.give_up(cx, id) };
         let (owner, address, target) = (owner.id, owner.addresses.forward, record.target.clone());
         self.begin_running(cx, id, key, false);
+        let way_us = self.way_us(cx, key);
         let call = &self.calls[&id];
+        let useful_us = call.useful_until.since_us(cx.now).saturating_sub(way_us);
         let chain = outgoing_chain(call, cx.now);
         let head = ForwardHead {
             target,
@@ -163,7 +165,7 @@
             max_queued: call.max_queued,
             repeatable: call.is_repeatable,
             priority: call.priority,
-            useful_ms: u32::try_from(call.useful_until.since_ms(cx.now)).unwrap_or(u32::MAX),
+            useful_ms: u32::try_from(useful_us / 1_000).unwrap_or(u32::MAX),
             class: call.class,
             bulk: call.is_bulk,
         };
--- a/crates/core/src/routing/region_link.rs
+++ b/crates/core/src/routing/region_link.rs
@@ -92,6 +92,11 @@
         Some(BulkCut { millicalls_per_s, waited_us })
     }
 
+    /// Least time on the way there and back that was observed lately, in microseconds.
+    pub fn least_way_us(&self) -> u64 {
+        self.base.least_us()
+    }
+
     /// A call with a large answer is sent across.
     pub fn begin_bulk(&mut self, now: Instant) {
         self.bulk.begin(now);
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -9,7 +9,7 @@
 use crate::time::Instant;
 
 /// Age at which what an owner told of its gate counts for nothing, in microseconds.
-const GATE_HINT_LIFE_US: u64 = 1_000_000;
+const GATE_HINT_LIFE_US: u64 = 3_000_000;
 /// Age at which what a target reported of itself counts for nothing, in microseconds.
 const REPORT_LIFE_US: u64 = 2_000_000;
 /// Share of calls of a target that just became ready, in thousandths.
--- a/crates/core/src/routing/way.rs
+++ b/crates/core/src/routing/way.rs
@@ -27,6 +27,13 @@
         Some(self.region_links.entry(region).or_insert_with(new))
     }
 
+    /// Time on the way to a target in another region and back, as far as it is known,
+    /// in microseconds.
+    pub(super) fn way_us(&self, cx: &Context<'_>, target: TargetKey) -> u64 {
+        let link = self.other_region(cx, target).and_then(|region| self.region_links.get(region));
+        link.map_or(0, RegionLink::least_way_us)
+    }
+
     /// Whether the way to a target has room for the answer of a call.
     pub(super) fn has_way(&self, cx: &Context<'_>, call: &Call, target: TargetKey) -> bool {
         !call.is_bulk || self.bulk_wait_ms(cx, target) == 0
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -288,3 +288,36 @@
     let next: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
     assert_eq!(next, [book]);
 }
+
+/// Load pattern: long calls fill a target, and short ones are made for work that goes
+/// on elsewhere. A short one that comes late is still of more use than its refusal.
+#[test]
+fn short_calls_among_long_ones_wait_until_their_deadline() {
+    let mut bench = owner();
+    let fares = Policy::new(name("fares")).with_deadline_ms(600).with_target_latency_ms(200);
+    let seats = Policy::new(name("quick")).with_deadline_ms(6_000).with_target_latency_ms(1_000);
+    bench.configure(vec![
+        Resource::Policy(fares),
+        Resource::Policy(seats),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
+        Resource::Route(
+            Route::new(name("fares"), "/fares", name("seatdesk")).with_policy(name("fares")),
+        ),
+    ]);
+    for (path, took_ms) in [("/fares", 55), ("/seats", 350), ("/seats", 350)] {
+        let calls: Vec<CallId> = (0..4).map(|_| bench.arrive(path, true)).collect();
+        bench.pass_ms(took_ms);
+        calls.iter().for_each(|call| bench.complete(*call, 1));
+    }
+    let seats: Vec<CallId> = (0..5).map(|_| bench.arrive("/seats", true)).collect();
+    bench.take();
+
+    let fares: Vec<CallId> = (0..4).map(|_| bench.arrive("/fares", true)).collect();
+    let refused = bench.take_refusals();
+    seats[..4].iter().for_each(|call| bench.complete(*call, 1));
+
+    let begun: Vec<CallId> = bench.take_attempts().iter().map(|begun| begun.call).collect();
+    assert_eq!(begun, fares);
+    assert!(refused.iter().all(|(call, _)| *call == seats[4]), "{refused:?}");
+}
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -4,4 +4,5 @@
 mod choice;
 mod limits;
 mod links;
+mod regions;
 mod retries;
