Retries: what is saved up for them is shared by all processes; 8% of first attempts

Ruled out: retries beyond the budget of one ingress (a_call_made_for_a_retry, storm test). Change: all processes together save 50 for a service, each between 1 and 10; the default share is 8%, which leaves room for two services of a chain within 20%. Test: processes_share_what_is_saved_up_for_retries; at 18 and 95 processes 10 retries each before, 2 and 1 after.

--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -112,7 +112,7 @@
 }
 
 const fn default_retry_budget_percent() -> u8 {
-    10
+    8
 }
 
 const fn default_max_ejected_percent() -> u8 {
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -166,11 +166,12 @@
         {
             parent.children.push(id);
         }
+        let processes = self.members.len();
         let service = &mut self.services[call.service];
         service.counts.in_flight += 1;
         self.busy_services += u32::from(service.counts.in_flight == 1);
         if call.is_ingress() {
-            service.budget.earn(service.retry_budget_percent);
+            service.budget.earn(service.retry_budget_percent, processes);
         }
         self.deadlines.insert((call.due, id));
         self.calls.insert(id, call);
--- a/crates/core/tests/routing/retries.rs
+++ b/crates/core/tests/routing/retries.rs
@@ -181,6 +181,33 @@
     assert!(attempts > calls && attempts <= calls * 11 / 10 + 5, "{attempts} attempts");
 }
 
+/// Load pattern: the targets of a service fail everywhere at once after a quiet time.
+/// What each of many processes has saved must not add up to a storm.
+#[rstest]
+#[case::few(4, 10)]
+#[case::users_size(18, 3)]
+#[case::grown(95, 1)]
+fn processes_share_what_is_saved_up_for_retries(#[case] processes: usize, #[case] saved: usize) {
+    let mut bench = ingress();
+    for other in 1..processes {
+        bench.member(&format!("other-{other}"), locality("z2", "r1"), MemberStatus::Alive);
+    }
+    for _ in 0..500 {
+        let call = bench.arrive("/look", true);
+        bench.complete(call, 1);
+    }
+    bench.take();
+
+    let calls: Vec<CallId> = (0..20).map(|_| bench.arrive("/look", true)).collect();
+    bench.take();
+    for call in calls {
+        bench.fail(call, 1, RefusalCode::ConnectionLost, Outcome::Unknown);
+    }
+
+    let retries = bench.take_attempts().len();
+    assert!(retries <= saved, "{retries} retries");
+}
+
 #[test]
 fn a_call_made_for_a_retry_is_not_retried() {
     let mut bench = ingress();
