Large answers take 60% of a slow link; no paid retry where nobody is known to have room

Packets waited so long that other proxies could not connect within 400 ms (490 refusals 'unreachable' in 9 s), the calls of running bookings failed (500 for a third of them), and manifests reached their ingress 0.77 s after their owner had them. Ruled out: the slots of sheetyard (4 of 12 are for manifests; route-ref had room). Change: large answers to other hosts get 60% of a slow link in place of 85%. An ingress that knows that the links of the other hosts are taken refuses a download at once; a refusal for want of room is not tried again out of the retry budget, which is for failures. Tests: large_answers_leave_two_fifths_of_a_slow_link_to_others, a_download_is_refused_at_once_where_the_other_links_are_known_to_be_taken; both fail first.

--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -9,6 +9,13 @@
 use crate::context::Context;
 use crate::ids::CallId;
 
+/// Whether the refusal says that there was no room, and nothing of a failure. Where no
+/// other target is known to have room, a retry would only ask another queue.
+fn is_full(refusal: Refusal) -> bool {
+    refusal.outcome == Outcome::NotRun
+        && matches!(refusal.code, RefusalCode::Overloaded | RefusalCode::ProxyBusy)
+}
+
 impl Routing {
     /// An attempt ended without an answer of a target.
     pub(super) fn failed(
@@ -101,7 +108,7 @@
         if !is_possible {
             return false;
         }
-        is_paid || self.is_free(cx, id, refusal) || self.pay_for_retry(id)
+        is_paid || self.is_free(cx, id, refusal) || (!is_full(refusal) && self.pay_for_retry(id))
     }
 
     /// Whether another attempt adds no load to the targets: nothing was asked
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -322,7 +322,9 @@
         let tiers = &self.services[call.service].tiers;
         tiers.iter().flatten().any(|key| {
             let target = &self.targets[*key];
-            let has_room = !target.health.is_ejected() && target.has_spare(cx.now);
+            let is_link_taken = call.is_bulk && target.is_link_taken(cx.now);
+            let has_room =
+                !target.health.is_ejected() && target.has_spare(cx.now) && !is_link_taken;
             has_room && !call.was_tried(*key) && self.has_way(cx, call, *key)
         })
     }
--- a/crates/core/tests/routing/links.rs
+++ b/crates/core/tests/routing/links.rs
@@ -12,7 +12,7 @@
 use fireflylug_core::routing::{CallEffect, CallEvent, GateLoad, Outcome, RefusalCode};
 use rstest::rstest;
 
-use crate::bench::{Bench, locality, name, record};
+use crate::bench::{Bench, locality, name, record, refusal};
 
 /// One way between the regions, in microseconds.
 const WAY_US: u64 = 30_000;
@@ -294,3 +294,31 @@
     let effects: Vec<CallEffect> = bench.take().into_iter().filter(of_slow).collect();
     assert!(effects.is_empty(), "{effects:?}");
 }
+
+/// The links of all hosts of a service are taken by large answers. An ingress that has
+/// heard so of a host does not ask it again for the next download.
+#[test]
+fn a_download_is_refused_at_once_where_the_other_links_are_known_to_be_taken() {
+    let mut bench = ingress(0);
+    for id in ["one", "two"] {
+        bench.member(&format!("host-{id}"), locality("z1", "r1"), MemberStatus::Alive);
+    }
+    let taken = |bench: &mut Bench, call: CallId, attempt: u8| {
+        bench.step(CallEvent::Failed {
+            call,
+            attempt,
+            refusal: refusal(RefusalCode::Overloaded, Outcome::NotRun),
+            replayable: true,
+            load: Some(GateLoad { in_flight: 4, queued: 2, wait_ms: 300, held_ms: 0 }),
+        });
+    };
+    let first = bench.arrive("/scan", true);
+    (1..=2).for_each(|attempt| taken(&mut bench, first, attempt));
+    bench.take();
+
+    let second = bench.arrive("/scan", true);
+    taken(&mut bench, second, 1);
+
+    let expected = refusal(RefusalCode::Overloaded, Outcome::NotRun);
+    assert_eq!(bench.take_refusals(), [(second, expected)]);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -38,8 +38,9 @@
 const SLOW_LINK_MBPS: f64 = 100.0;
 /// Time that a small answer may wait for large ones on the link, in seconds.
 const MAX_LINK_WAIT_S: f64 = 0.1;
-/// Share of the link that large answers may take.
-const BULK_LINK_SHARE: f64 = 0.85;
+/// Share of the link that large answers to other hosts may take. The rest carries small
+/// answers, those to the callers of this host, and the overhead of all of them.
+const BULK_LINK_SHARE: f64 = 0.6;
 /// Bytes of one connection that may be under way at once.
 const WINDOW_BYTES: f64 = 65_536.0;
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -133,3 +133,18 @@
 
     assert!(error.to_string().contains("/nonexistent/fireflylug.ini"), "{error}");
 }
+
+/// Targets' answers to the callers of their own host, small answers and overhead take the
+/// link too: with more for large answers to other hosts, packets waited half a second.
+#[rstest]
+#[case::users_size(8.4)]
+#[case::faster(50.0)]
+fn large_answers_leave_two_fifths_of_a_slow_link_to_others(#[case] link_mbps: f64) {
+    let mut settings = full();
+    settings.link_mbps = Some(link_mbps);
+
+    let lanes = settings.bulk_lanes().expect("the link is slow");
+
+    let bytes_a_second = lanes.bytes_a_second * lanes.lanes as f64;
+    assert!(bytes_a_second <= link_mbps * 125_000.0 * 0.6, "{lanes:?}");
+}
