--- /dev/null
+++ b/crates/core/tests/distribution/restarts.rs
@@ -0,0 +1,194 @@
+//! Processes that were restarted: when they serve again, and by which version.
+
+use std::sync::Arc;
+
+use fireflylug_core::config::Configuration;
+use rstest::rstest;
+
+use crate::mesh::{self, Mesh, configuration, two_regions, zone};
+use crate::{all_hold, all_ready, all_say_in_force, mesh_with_first, ready_version, version_of};
+
+#[rstest]
+fn half_of_the_hosts_restarted_at_once_are_current_and_never_serve_less() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(12), 9);
+    mesh.publish(&versions[1]);
+    mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 2));
+    let half: Vec<usize> =
+        (0..mesh.len()).filter(|host| host % 2 == 1 && !mesh.identity(*host).control).collect();
+
+    half.iter().for_each(|host| mesh.crash(*host));
+    mesh.run_ms(100);
+    half.iter().for_each(|host| mesh.start(*host));
+
+    let mut served = Vec::new();
+    let took_ms = mesh.run_until("all are current and ready", 5, |mesh| {
+        served.extend(mesh.running().map(|(_, process)| ready_version(process)));
+        all_hold(mesh, 2) && all_ready(mesh)
+    });
+    assert!(served.into_iter().all(|version| version >= 2));
+    println!("{} of {} hosts back after {took_ms} ms", half.len(), mesh.len());
+    mesh.run_until("said", 20, |mesh| all_say_in_force(mesh, 2));
+}
+
+/// Only the root of a zone's tree keeps running. Word of a control replica
+/// comes down from it with its refresh, each 5 s; processes that serve again
+/// must vouch for those below them and beside them before that.
+#[rstest]
+#[case::seed_1(1)]
+#[case::seed_2(2)]
+#[case::seed_3(3)]
+fn zone_restarted_but_for_its_relay_serves_soon(#[case] seed: u64) {
+    let zones = [zone("kochi", "kochi-aluva", 60, 0), zone("kochi", "kochi-ernakulam", 3, 3)];
+    let (mut mesh, _) = mesh_with_first(&zones, seed);
+    let has_parent_here = |host: &usize| {
+        let parent = mesh.process(*host).distribution.parent().map(|id| mesh.host_of(id));
+        parent.is_some_and(|parent| mesh.zone_hosts("kochi-aluva").contains(&parent))
+    };
+    let restarted: Vec<usize> =
+        mesh.zone_hosts("kochi-aluva").into_iter().filter(has_parent_here).collect();
+
+    restarted.iter().for_each(|host| mesh.crash(*host));
+    mesh.run_ms(100);
+    restarted.iter().for_each(|host| mesh.start(*host));
+
+    let took_ms = mesh.run_until("all are ready", 5, all_ready);
+    println!("{} hosts ready after {took_ms} ms", restarted.len());
+}
+
+/// Every process was killed, and the control replicas need some time to elect a
+/// leader. Its word must come down the tree at once: not when each level asks again.
+#[rstest]
+#[case::users_size(two_regions(4), 4)]
+#[case::deep_tree(two_regions(30), 5)]
+fn mesh_restarted_as_a_whole_serves_as_soon_as_there_is_a_leader(
+    #[case] zones: Vec<mesh::Zone>,
+    #[case] seed: u64,
+) {
+    let (mut mesh, versions) = mesh_with_first(&zones, seed);
+    let all: Vec<usize> = (0..mesh.len()).collect();
+    all.iter().for_each(|host| mesh.crash(*host));
+    mesh.set_led(false);
+    all.iter().for_each(|host| mesh.start(*host));
+    mesh.run_ms(1_000);
+
+    mesh.publish(&versions[0]);
+    mesh.set_led(true);
+    let took_ms = mesh.run_until("all are ready", 5, all_ready);
+
+    assert!(took_ms < 100, "{took_ms} ms");
+}
+
+/// A configuration whose snapshot counts as a large transfer.
+fn large_configuration() -> Arc<Configuration> {
+    let names = (0..6_000u64).map(|index| (format!("s{:x}", index * 7_919_993 % 1_000_003), 1));
+    configuration(1, &names.collect::<Vec<_>>())
+}
+
+#[rstest]
+fn herd_of_restarts_takes_large_snapshots_from_peers() {
+    let zones = two_regions(20);
+    let mut mesh = Mesh::started(&zones, 15);
+    mesh.publish(&large_configuration());
+    mesh.run_until("all hold it", 20, |mesh| all_hold(mesh, 1) && all_ready(mesh));
+    let herd: Vec<usize> =
+        (0..mesh.len()).filter(|host| host % 2 == 1 && !mesh.identity(*host).control).collect();
+    herd.iter().for_each(|host| mesh.crash(*host));
+    mesh.run_ms(100);
+    mesh.traffic.reset();
+
+    herd.iter().for_each(|host| mesh.start(*host));
+    let took_ms = mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 1) && all_ready(mesh));
+
+    let from_source: u64 = mesh
+        .controls()
+        .into_iter()
+        .map(|host| mesh.traffic.large_sent_by(mesh.identity(host).id))
+        .sum();
+    println!(
+        "{} of {} back after {took_ms} ms, {from_source} from the source",
+        herd.len(),
+        mesh.len()
+    );
+    assert!(from_source <= 3 * zones.len() as u64, "{from_source} snapshots from the source");
+}
+
+#[rstest]
+fn zone_that_restarted_beside_one_that_was_cut_off_waits_for_control() {
+    let zones = [
+        zone("kochi", "kochi-aluva", 3, 1),
+        zone("kozhikode", "kzd-feroke", 4, 0),
+        zone("kozhikode", "kzd-mavoor", 4, 0),
+    ];
+    let (mut mesh, versions) = mesh_with_first(&zones, 20);
+    let old = mesh.zone_hosts("kzd-feroke");
+    let others = mesh.others(&old);
+    mesh.set_cut(&old, &others, true);
+    mesh.publish(&versions[1]);
+    let restarted = mesh.zone_hosts("kzd-mavoor");
+    mesh.run_until("held", 5, |mesh| restarted.iter().all(|host| version_of(mesh, *host) == 2));
+    (0..3).chain(restarted.iter().copied()).for_each(|host| mesh.crash(host));
+    mesh.set_cut(&old, &others, false);
+    let seeds = vec![mesh.identity(old[0]).addresses.peers];
+
+    for host in &restarted {
+        mesh.set_seeds(*host, seeds.clone());
+        mesh.start(*host);
+    }
+    mesh.run_ms(20_000);
+    let served: Vec<u64> =
+        restarted.iter().map(|host| ready_version(mesh.process(*host))).collect();
+    mesh.start(0);
+    mesh.publish_at(0, &versions[1]);
+
+    assert_eq!(served, vec![u64::MAX; 4], "one serves below version 2");
+    mesh.run_until("ready at 2", 15, |mesh| {
+        restarted.iter().all(|host| ready_version(mesh.process(*host)) == 2)
+    });
+}
+
+#[rstest]
+fn restarted_host_is_not_ready_below_what_its_neighbours_remember() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(6), 10);
+    let zone = mesh.zone_hosts("kzd-mavoor");
+    let others = mesh.others(&zone);
+    mesh.publish(&versions[1]);
+    mesh.run_until("all hold it", 5, |mesh| all_hold(mesh, 2));
+    mesh.set_cut(&zone, &others, true);
+    let seeds = vec![mesh.identity(zone[0]).addresses.peers];
+    let restarted = *zone.last().unwrap();
+    mesh.crash(restarted);
+    mesh.set_seeds(restarted, seeds);
+
+    mesh.start(restarted);
+    let mut served = Vec::new();
+    mesh.run_until("ready", 10, |mesh| {
+        served.push(ready_version(mesh.process(restarted)));
+        mesh.process(restarted).distribution.is_ready()
+    });
+
+    assert!(served.into_iter().all(|version| version >= 2));
+}
+
+#[rstest]
+fn five_hundred_missed_changes_are_caught_up_by_one_update() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(5), 11);
+    let missing = *mesh.zone_hosts("kzd-feroke").last().unwrap();
+    let others = mesh.others(&[missing]);
+    mesh.set_cut(&[missing], &others, true);
+    for version in &versions[1..501] {
+        mesh.publish(version);
+        mesh.run_ms(40);
+    }
+    mesh.run_until("the others hold it", 5, |mesh| {
+        others.iter().all(|host| version_of(mesh, *host) == 501)
+    });
+    assert_eq!(version_of(&mesh, missing), 1);
+
+    mesh.set_cut(&[missing], &others, false);
+
+    mesh.run_until("reconnected", 15, |mesh| {
+        mesh.member_at(0, missing).unwrap().status.is_reachable()
+    });
+    let took_ms = mesh.run_until("current", 3, |mesh| all_hold(mesh, 501));
+    println!("500 changes caught up {took_ms} ms after the reconnect");
+}
