--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -9,7 +9,7 @@
 
 use crate::cluster::{Cluster, put_service, put_service_at, service_key};
 
-fn led_cluster(count: usize, seed: u64) -> (Cluster, usize) {
+pub fn led_cluster(count: usize, seed: u64) -> (Cluster, usize) {
     let mut cluster = Cluster::new(count, count, seed);
     cluster.run_for(1_500);
     let leader = wait_for_leader(&mut cluster, None);
@@ -486,25 +486,3 @@
     let voters = cluster.status(leader).expect("it runs").voters;
     assert_eq!(voters.voters().len(), 5, "{voters:?}");
 }
-
-/// Time between the first campaigns of two replicas, in milliseconds.
-const STEP_MS: u64 = 20;
-/// Time for greetings, votes and their syncs, in milliseconds.
-const ROUND_MS: u64 = 30;
-
-/// Every replica was killed. They ask for votes one after the other, so that their
-/// votes are not split and nobody waits for long.
-#[rstest]
-#[case::three(3)]
-#[case::five(5)]
-fn replicas_restarted_together_elect_in_turn(#[case] count: usize) {
-    let limit_ms = count as u64 * STEP_MS + ROUND_MS;
-    for seed in 0..30 {
-        let (mut cluster, _) = led_cluster(count, seed);
-
-        cluster.restart_all();
-        let is_led = cluster.run_until(limit_ms, |cluster| cluster.leader().is_some());
-
-        assert!(is_led, "seed {seed}: no leader within {limit_ms} ms");
-    }
-}
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -4,3 +4,4 @@
 mod cluster;
 mod disk;
 mod random;
+mod starts;
