Review: one rule for when a child's question is answered; one is_zero

When a question is due stood in answer_at and in take_due, each in its own words; due_at says it for both.

--- a/crates/core/src/consensus/message.rs
+++ b/crates/core/src/consensus/message.rs
@@ -128,7 +128,7 @@
     #[serde(rename = "r")]
     pub round: u64,
     /// Time since a majority was last known to follow the leader, in milliseconds.
-    #[serde(rename = "a", default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "a", default, skip_serializing_if = "crate::message::is_zero")]
     pub quorum_age_ms: u32,
     /// The entries.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
@@ -138,10 +138,6 @@
     pub acknowledged: Vec<(DiskId, u64)>,
 }
 
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
 /// Answers an append or a snapshot.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct AppendResponse {
--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -89,19 +89,13 @@
     /// When the first question must be answered with what is known by then, or
     /// now where the word that it waits for has come.
     pub fn answer_at(&self, control_heard_at: Option<Instant>) -> Instant {
-        let due = |asked_at: &Instant| match control_heard_at {
-            Some(heard_at) if heard_at >= *asked_at => heard_at,
-            _ => asked_at.plus_ms(MAX_HELD_MS),
-        };
-        self.questions.values().map(due).min().unwrap_or(Instant::NEVER)
+        let due = self.questions.values().map(|asked_at| due_at(*asked_at, control_heard_at));
+        due.min().unwrap_or(Instant::NEVER)
     }
 
     /// Takes the questions that are due to be answered, with when each arrived.
     fn take_due(&mut self, now: Instant, heard_at: Option<Instant>) -> Vec<(NodeId, Instant)> {
-        let is_due = |asked_at: Instant| {
-            heard_at.is_some_and(|heard_at| heard_at >= asked_at)
-                || now >= asked_at.plus_ms(MAX_HELD_MS)
-        };
+        let is_due = |asked_at: Instant| now >= due_at(asked_at, heard_at);
         let due = self.questions.iter().filter(|(_, asked_at)| is_due(**asked_at));
         let due: Vec<_> = due.map(|(id, asked_at)| (*id, *asked_at)).collect();
         self.questions.retain(|_, asked_at| !is_due(*asked_at));
@@ -146,6 +140,14 @@
     }
 }
 
+/// When a question is answered: at once where newer word of a control replica is known.
+fn due_at(asked_at: Instant, control_heard_at: Option<Instant>) -> Instant {
+    match control_heard_at {
+        Some(heard_at) if heard_at >= asked_at => asked_at,
+        _ => asked_at.plus_ms(MAX_HELD_MS),
+    }
+}
+
 impl Distribution {
     /// A child reported.
     pub(super) fn take_report(
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -44,10 +44,6 @@
     Zones(Vec<ZoneReport>),
 }
 
-fn is_zero(ms: &u64) -> bool {
-    *ms == 0
-}
-
 /// What a process holds.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Holds {
@@ -119,7 +115,7 @@
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
     pub control_age_ms: Option<u64>,
     /// Time for which the question waited for this answer, in milliseconds.
-    #[serde(rename = "d", default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "d", default, skip_serializing_if = "crate::message::is_zero")]
     pub held_ms: u64,
 }
 
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -143,14 +143,10 @@
     /// Load that it last reported, in percent of its slots.
     pub load_percent: Option<u8>,
     /// Time for which it is still slow from the writing of the record on, in milliseconds.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, skip_serializing_if = "crate::message::is_zero")]
     pub cold_ms: u32,
 }
 
-fn is_zero(value: &u32) -> bool {
-    *value == 0
-}
-
 impl TargetRecord {
     /// Whether this record replaces `other`, which is of the same target.
     pub fn supersedes(&self, other: &Self) -> bool {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -41,3 +41,8 @@
     Api(ApiMessage),
     Slo(SloMessage),
 }
+
+/// Whether a number is left out of a message.
+pub(crate) fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
