Uploads: calls that run once at most and whose requests are large

Ruled out: reading the kind as an ordinary 'unsafe' one. It would cross the link between regions as freely as a small call.

Change: policies gain 'bulk_requests'.

--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -251,6 +251,9 @@
     /// Whether answers are large, so that a near target is worth a wait.
     #[serde(default)]
     pub bulk: bool,
+    /// Whether requests are large, so that a near target is worth a wait.
+    #[serde(default)]
+    pub bulk_requests: bool,
     /// Whether a call that may run more than once is tried elsewhere where a
     /// target answers it with a server error.
     #[serde(default)]
@@ -287,6 +290,7 @@
             target_latency_ms: None,
             priority: 0,
             bulk: false,
+            bulk_requests: false,
             retry_server_errors: false,
         }
     }
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -91,6 +91,7 @@
             useful_until,
             class: rule.class,
             is_bulk: rule.policy.bulk,
+            is_upload: rule.policy.bulk_requests,
             chain: Chain { hops: head.chain.hops + 1, ..head.chain },
             rule: Some(rule),
             ..new_call(cx.now, head, service, deadline)
@@ -196,6 +197,7 @@
         useful_until: deadline,
         class: CallClass::default(),
         is_bulk: false,
+        is_upload: false,
         chain: head.chain,
         attempt: 0,
         reached: 0,
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -189,8 +189,8 @@
         if let Some(patience_us) = patience_us {
             due = due.min(cx.now.plus_us(patience_us));
         }
-        let (is_ingress, is_bulk) = (call.is_ingress(), call.is_bulk);
-        if is_bulk && let Some(link) = self.link_to(cx, target) {
+        let (is_ingress, is_large) = (call.is_ingress(), call.is_large());
+        if is_large && let Some(link) = self.link_to(cx, target) {
             link.begin_bulk(cx.now);
         }
         let target = &mut self.targets[target];
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -22,7 +22,7 @@
 /// which an answer is of full use: while a near target is fast enough, the
 /// links between zones and regions are left to others.
 const TIER_COST_PERCENT: [u64; TIERS] = [0, 5, 35];
-/// The same for calls with large answers.
+/// The same for calls with large requests or answers.
 const BULK_TIER_COST_PERCENT: [u64; TIERS] = [0, 30, 200];
 /// Most targets of a tier that are compared for one call.
 const MAX_COMPARED: usize = 12;
@@ -103,16 +103,17 @@
         let call = &self.calls[&call];
         let state = &self.services[call.service];
         let target = &self.targets[target];
-        let is_bulk = call.is_bulk;
+        let is_large = call.is_large();
         let tier_percent =
-            if is_bulk { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
+            if is_large { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
         let useful_us = call.useful_until.since_us(call.arrived_at);
         let noise_percent = cx.rng.random_range(100 - NOISE_PERCENT..=100 + NOISE_PERCENT);
         let answer_us = target.cost_us(cx.now, state.slow_start_ms, pace) * noise_percent / 100;
-        // A large answer from another region is worth a wait here.
+        // What is large had better wait here than go to another region.
         let is_far = tier == TIERS - 1;
-        let waits =
-            !target.has_spare(cx.now) || (is_bulk && (is_far || target.is_link_taken(cx.now)));
+        let waits = !target.has_spare(cx.now)
+            || (is_large && is_far)
+            || (call.is_bulk && target.is_link_taken(cx.now));
         let waiting_percent = if waits { WAITING_COST_PERCENT } else { 0 };
         answer_us + useful_us * (tier_percent + waiting_percent) / 100
     }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -75,6 +75,8 @@
     pub class: CallClass,
     /// Whether the answer is large.
     pub is_bulk: bool,
+    /// Whether the request is large. Known to the ingress alone.
+    pub is_upload: bool,
     pub chain: Chain,
     /// Number of the present attempt.
     pub attempt: u8,
@@ -102,6 +104,11 @@
         self.rule.is_some()
     }
 
+    /// Whether the request or the answer takes long on a link that others share.
+    pub fn is_large(&self) -> bool {
+        self.is_bulk || self.is_upload
+    }
+
     pub fn was_tried(&self, target: TargetKey) -> bool {
         self.tried[..usize::from(self.attempt).min(MAX_ATTEMPTS)].contains(&target)
     }
--- a/crates/core/src/routing/way.rs
+++ b/crates/core/src/routing/way.rs
@@ -34,9 +34,9 @@
         link.map_or(0, RegionLink::least_way_us)
     }
 
-    /// Whether the way to a target has room for the answer of a call.
+    /// Whether the way to a target has room for the request and the answer of a call.
     pub(super) fn has_way(&self, cx: &Context<'_>, call: &Call, target: TargetKey) -> bool {
-        !call.is_bulk || self.bulk_wait_ms(cx, target) == 0
+        !call.is_large() || self.bulk_wait_ms(cx, target) == 0
     }
 
     fn bulk_wait_ms(&self, cx: &Context<'_>, target: TargetKey) -> u32 {
@@ -48,7 +48,7 @@
     /// room, in milliseconds. None where the ways are not what is missing.
     pub(super) fn link_wait_ms(&self, cx: &Context<'_>, id: CallId) -> Option<u32> {
         let call = &self.calls[&id];
-        if !call.is_bulk {
+        if !call.is_large() {
             return None;
         }
         let tiers = &self.services[call.service].tiers;
@@ -70,8 +70,8 @@
         let Some(cut) = link.observe(way_us, cx.now) else { return };
         let BulkCut { millicalls_per_s, waited_us } = cut;
         let text = format!(
-            "The link to another region is full: bytes wait {} ms; at most {}.{:03} calls with \
-             large answers a second go across.",
+            "The link to another region is full: bytes wait {} ms; at most {}.{:03} large calls a \
+             second go across.",
             waited_us / 1_000,
             millicalls_per_s / 1_000,
             millicalls_per_s % 1_000
--- a/crates/core/tests/routing/regions.rs
+++ b/crates/core/tests/routing/regions.rs
@@ -5,7 +5,7 @@
 
 use fireflylug_core::ids::CallId;
 use fireflylug_core::membership::MemberStatus;
-use fireflylug_core::resource::{Policy, Resource, Route, Service};
+use fireflylug_core::resource::{Policy, Repeatable, Resource, Route, Service};
 use fireflylug_core::routing::{CallEffect, CallEvent, GateLoad};
 
 use crate::bench::{Bench, locality, name, record};
@@ -26,6 +26,13 @@
     Resource::Policy(policy.with_target_latency_ms(useful_ms))
 }
 
+/// Large requests, which take as long as a lookup at their target.
+fn uploads() -> Resource {
+    let uploads = Policy { bulk_requests: true, ..Policy::new(name("upload")) };
+    let uploads = uploads.with_deadline_ms(2_500).with_repeatable(Repeatable::Never);
+    Resource::Policy(uploads.with_target_latency_ms(LOOKUP_USEFUL_MS))
+}
+
 fn route(path: &str, policy: &str) -> Resource {
     let route = Route::new(name(policy), path, name("seatdesk"));
     Resource::Route(route.with_policy(name(policy)))
@@ -38,9 +45,11 @@
         vec![
             policy("lookup", 2_500, LOOKUP_USEFUL_MS),
             policy("fare", 600, FARE_USEFUL_MS),
+            uploads(),
             Resource::Service(Service { slow_start_ms: 0, ..Service::new(name("seatdesk")) }),
             route("/lookup", "lookup"),
             route("/fare", "fare"),
+            route("/upload", "upload"),
         ],
     );
     for (id, zone, region) in [("near", "z2", "r1"), ("far", "z3", "r2")] {
@@ -113,6 +122,17 @@
     assert_eq!(target, "near");
 }
 
+#[test]
+fn a_full_region_keeps_large_requests_off_the_link_to_another_one() {
+    let mut bench = ingress();
+    learn(&mut bench, "/upload", LOOKUP_MS);
+    fill_near(&mut bench, "/upload");
+
+    let (_, target, _) = send(&mut bench, "/upload");
+
+    assert_eq!(target, "near");
+}
+
 /// Both regions are full. What the other one said of that is 1.2 s old.
 #[test]
 fn a_full_region_spills_nothing_to_one_that_was_full_lately() {
