Forwarded calls: what the way takes is no longer left; abandoned calls are reset

Cause: an owner reckoned the time left from the arrival of a call. And a caller's leaving, told by an orderly close, waits behind the same bytes.

Ruled out: wall clocks (they jump), the steady clock (it stops while a process is suspended, so a woken ingress would seem seconds late to every owner).

Change: the ingress stamps a forwarded call by its boot-time clock; the owner takes the excess of the difference over the least one of the last minute off the call's time, and refuses as not run what has none left. A clock that is not known yet takes nothing off. A connection whose call is abandoned is reset in place of an orderly close, so that what has not left the host is discarded.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -105,6 +105,8 @@
         head: &CallHead,
         forward: &ForwardHead,
     ) -> Result<(Call, Option<TargetKey>), RefusalCode> {
+        let transit = head.transit;
+        let delay_us = transit.map_or(0, |transit| self.transits.delay_us(transit, cx.now));
         if self.is_refusing {
             return Err(RefusalCode::Stopping);
         }
@@ -115,12 +117,17 @@
             return Err(RefusalCode::TargetGone);
         }
         self.check_share(target.service)?;
-        let deadline = cx.now.plus_ms(u64::from(forward.remaining_ms));
+        let left_us = (u64::from(forward.remaining_ms) * 1_000).saturating_sub(delay_us);
+        if left_us == 0 {
+            return Err(RefusalCode::DeadlineExceeded);
+        }
+        let useful_us = (u64::from(forward.useful_ms) * 1_000).saturating_sub(delay_us);
+        let deadline = cx.now.plus_us(left_us);
         let call = Call {
             is_repeatable: forward.repeatable,
             max_queued: forward.max_queued,
             priority: forward.priority,
-            useful_until: deadline.min(cx.now.plus_ms(u64::from(forward.useful_ms))),
+            useful_until: deadline.min(cx.now.plus_us(useful_us)),
             class: forward.class,
             is_bulk: forward.bulk,
             ..new_call(cx.now, head, target.service, deadline)
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -6,6 +6,7 @@
 
 use super::chain::Chain;
 use super::refusal::{Refusal, RefusalCode};
+use super::transit::Transit;
 use crate::ids::{CallId, NodeId, TargetId};
 
 /// Load of one target as its owner's gate knows it, as it is told with an answer.
@@ -73,6 +74,8 @@
     pub is_replayable: bool,
     /// Calls that led to this one.
     pub chain: Chain,
+    /// The way from the ingress, where another proxy forwarded the call and tells it.
+    pub transit: Option<Transit>,
 }
 
 /// Something that happened to a call.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -22,12 +22,14 @@
 mod gate;
 mod health;
 mod metrics;
+mod recent_least;
 mod refusal;
 mod region_link;
 mod split;
 mod state;
 mod table;
 mod target;
+mod transit;
 mod view;
 mod way;
 
@@ -41,6 +43,7 @@
 pub use decision::{Decision, Step};
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
 pub use refusal::{Outcome, Refusal, RefusalCode};
+pub use transit::{ClockId, Transit};
 
 use crate::collections::HashMap;
 use crate::config::Configuration;
@@ -97,6 +100,8 @@
     members: HashMap<NodeId, Member>,
     /// Links to the other regions, by region.
     region_links: HashMap<Name, region_link::RegionLink>,
+    /// Time that calls of other ingresses spend on their way here.
+    transits: transit::Transits,
     calls: HashMap<CallId, state::Call>,
     /// When each call must be looked at again.
     deadlines: BTreeSet<(Instant, CallId)>,
@@ -130,6 +135,7 @@
             target_keys: HashMap::default(),
             members: HashMap::default(),
             region_links: HashMap::default(),
+            transits: transit::Transits::default(),
             calls: HashMap::default(),
             deadlines: BTreeSet::new(),
             busy_services: 0,
--- a/crates/core/src/routing/region_link.rs
+++ b/crates/core/src/routing/region_link.rs
@@ -10,6 +10,7 @@
 //! slow down together.
 
 use super::bulk_rate::BulkRate;
+use super::recent_least::RecentLeast;
 use crate::time::Instant;
 
 /// Time over which the least time on the way is taken, in microseconds: one
@@ -18,13 +19,10 @@
 /// Fewest calls of which the least time on the way is taken: one alone may have
 /// waited behind one large answer.
 const MIN_SAMPLED: u32 = 3;
-/// Time after which the least time on the way is taken anew, in microseconds.
-const BASE_LIFE_US: u64 = 30_000_000;
-
 /// The link to one other region.
 #[derive(Debug)]
 pub(super) struct RegionLink {
-    base: Base,
+    base: RecentLeast,
     sample: Option<Sample>,
     bulk: BulkRate,
 }
@@ -46,38 +44,16 @@
     ends_at: Instant,
 }
 
-/// Least time on the way, over the present and the last life of it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Base {
-    present_us: Option<u64>,
-    last_us: Option<u64>,
-    renewed_at: Instant,
-}
-
-impl Base {
-    fn observe(&mut self, us: u64, now: Instant) {
-        if now.since_us(self.renewed_at) >= BASE_LIFE_US {
-            self.last_us = self.present_us.take();
-            self.renewed_at = now;
-        }
-        self.present_us = Some(self.present_us.map_or(us, |least| least.min(us)));
-    }
-
-    fn least_us(&self) -> u64 {
-        self.present_us.into_iter().chain(self.last_us).min().unwrap_or(0)
-    }
-}
-
 impl RegionLink {
     /// A link of which nothing is known.
     pub fn new(now: Instant) -> Self {
-        Self { base: Base::default(), sample: None, bulk: BulkRate::new(now) }
+        Self { base: RecentLeast::default(), sample: None, bulk: BulkRate::new(now) }
     }
 
     /// A call was answered that spent `us` on its way there and back. Says where
     /// fewer calls are sent across for it.
     pub fn observe(&mut self, us: u64, now: Instant) -> Option<BulkCut> {
-        self.base.observe(us, now);
+        self.base.observe(i64::try_from(us).unwrap_or(i64::MAX), now);
         let ends_at = now.plus_us(SAMPLING_US);
         let sample = self.sample.get_or_insert(Sample { least_us: us, calls: 0, ends_at });
         sample.least_us = sample.least_us.min(us);
@@ -86,7 +62,7 @@
             return None;
         }
         // A sample of rare calls may be older than the least time that is remembered.
-        let waited_us = sample.least_us.saturating_sub(self.base.least_us());
+        let waited_us = sample.least_us.saturating_sub(self.least_way_us());
         self.sample = None;
         let millicalls_per_s = self.bulk.follow(waited_us, now)?;
         Some(BulkCut { millicalls_per_s, waited_us })
@@ -94,7 +70,7 @@
 
     /// Least time on the way there and back that was observed lately, in microseconds.
     pub fn least_way_us(&self) -> u64 {
-        self.base.least_us()
+        self.base.get().and_then(|us| u64::try_from(us).ok()).unwrap_or(0)
     }
 
     /// A call with a large answer is sent across.
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -391,6 +391,7 @@
         body_bytes: Some(0),
         is_replayable: true,
         chain,
+        transit: None,
     }
 }
 
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -101,6 +101,7 @@
         body_bytes: Some(0),
         is_replayable: true,
         chain: Chain::default(),
+        transit: None,
     };
     let event = Event::Call(CallEvent::Arrived { call: CallId(call), head });
     let effects = reduce(state, event, Instant::from_ms(now_ms));
--- a/crates/core/tests/routing/bench.rs
+++ b/crates/core/tests/routing/bench.rs
@@ -13,7 +13,7 @@
 use fireflylug_core::resource::Resource;
 use fireflylug_core::routing::{
     CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
-    RefusalCode, Routing, RoutingSettings,
+    RefusalCode, Routing, RoutingSettings, Transit,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -153,6 +153,7 @@
             body_bytes: Some(0),
             is_replayable: true,
             chain: Chain::default(),
+            transit: None,
         };
         change(&mut head);
         let call = CallId(self.next_call);
@@ -163,6 +164,17 @@
 
     /// A call that another proxy forwards arrives.
     pub fn arrive_forwarded(&mut self, service: &str, id: &str, remaining_ms: u32) -> CallId {
+        self.arrive_after(service, id, remaining_ms, None)
+    }
+
+    /// The same, with what the ingress tells of the way.
+    pub fn arrive_after(
+        &mut self,
+        service: &str,
+        id: &str,
+        remaining_ms: u32,
+        transit: Option<Transit>,
+    ) -> CallId {
         let target = TargetId { service: name(service), id: name(id) };
         let head = ForwardHead {
             target,
@@ -174,7 +186,10 @@
             class: CallClass::default(),
             bulk: false,
         };
-        self.arrive_with("/", |call| call.origin = CallOrigin::Proxy(head))
+        self.arrive_with("/", |call| {
+            call.origin = CallOrigin::Proxy(head);
+            call.transit = transit;
+        })
     }
 
     pub fn answer(&mut self, call: CallId, attempt: u8, status: u16) {
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -6,3 +6,4 @@
 mod links;
 mod regions;
 mod retries;
+mod transit;
--- a/crates/daemon/src/calls/drive.rs
+++ b/crates/daemon/src/calls/drive.rs
@@ -18,6 +18,7 @@
 use super::CallDialect;
 use super::answer::{self, Answer, AnswerBody, OpenCall};
 use super::body::BodySource;
+use super::boot_clock::SentStamp;
 use super::headers;
 use super::pool::{Pool, Wanted};
 use super::proxy::{Proxy, Side};
@@ -43,6 +44,8 @@
         Ok(origin) => origin,
         Err(code) => return not_run(&proxy, side, code),
     };
+    let stamp = (side == Side::Proxies).then(|| headers::sent_stamp(&parts.headers)).flatten();
+    let transit = stamp.map(SentStamp::received_now);
     let Some(mut chain) = headers::chain(&parts.headers) else {
         return not_run(&proxy, side, RefusalCode::BadRequest);
     };
@@ -62,6 +65,7 @@
         body_bytes: body.length(),
         is_replayable: body.is_replayable(),
         chain,
+        transit,
     };
     let mut parts = outgoing(parts);
     if side == Side::Callers {
@@ -274,7 +278,8 @@
         }
         CallEffect::Forward { address, head: forward, chain, max_body_bytes, .. } => {
             let key = proxy.key_value.as_ref();
-            headers::add_for_owner(&mut head.headers, &chain, &forward, key);
+            let sent = proxy.clock.stamp();
+            headers::add_for_owner(&mut head.headers, &chain, &forward, sent, key);
             let address = proxy.settings.translation.apply(address);
             let wanted = wanted(address, usize::MAX, forward.repeatable);
             let sent = send(&proxy.owners, wanted, head, &outgoing.body, max_body_bytes).await;
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -10,14 +10,18 @@
 //! | `fireflylug-target` | mesh to target | id of the target that the call is for |
 //! | `fireflylug-not-run` | target to mesh | the target did not run the call |
 //! | `fireflylug-forward` | ingress to owner | what the owner must know |
+//! | `fireflylug-sent` | ingress to owner | `clock.time`: the ingress's clock and its time, in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
 //! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call |
 
 use fireflylug_core::ids::{Name, TargetId};
-use fireflylug_core::routing::{CallClass, Chain, ForwardHead, GateLoad, Outcome, RefusalCode};
+use fireflylug_core::routing::{
+    CallClass, Chain, ClockId, ForwardHead, GateLoad, Outcome, RefusalCode,
+};
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use super::CallDialect;
+use super::boot_clock::SentStamp;
 use crate::SharedKey;
 
 /// What became of a call.
@@ -27,6 +31,7 @@
 /// Calls that led to this one.
 pub(super) const CHAIN: HeaderName = HeaderName::from_static("fireflylug-chain");
 const FORWARD: HeaderName = HeaderName::from_static("fireflylug-forward");
+const SENT: HeaderName = HeaderName::from_static("fireflylug-sent");
 const KEY: HeaderName = HeaderName::from_static("fireflylug-key");
 const LOAD: HeaderName = HeaderName::from_static("fireflylug-load");
 const PREFIX: &str = "fireflylug-";
@@ -100,6 +105,7 @@
     headers: &mut HeaderMap,
     chain: &Chain,
     head: &ForwardHead,
+    sent: SentStamp,
     key: Option<&HeaderValue>,
 ) {
     headers.insert(CHAIN, value(chain));
@@ -119,6 +125,7 @@
         class.0
     );
     headers.insert(FORWARD, value(text));
+    headers.insert(SENT, value(format_args!("{:x}.{}", sent.clock.0, sent.sent_us)));
     if let Some(key) = key {
         headers.insert(KEY, key.clone());
     }
@@ -163,6 +170,13 @@
     })
 }
 
+/// When the ingress sent a forwarded call, where it says so.
+pub(super) fn sent_stamp(headers: &HeaderMap) -> Option<SentStamp> {
+    let (clock, sent_us) = headers.get(SENT)?.to_str().ok()?.split_once('.')?;
+    let clock = ClockId(u64::from_str_radix(clock, 16).ok()?);
+    Some(SentStamp { clock, sent_us: sent_us.parse().ok()? })
+}
+
 /// The calls that led to this one; none where the header is absent or not ours.
 pub(super) fn chain(headers: &HeaderMap) -> Option<Chain> {
     match headers.get(CHAIN) {
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -7,12 +7,14 @@
 
 mod answer;
 mod body;
+mod boot_clock;
 mod dialect;
 mod drive;
 mod handle;
 mod headers;
 mod pool;
 mod proxy;
+mod socket;
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -9,12 +9,12 @@
 
 use fireflylug_core::collections::HashMap;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use super::body::CallBody;
+use super::socket::{ResetFlag, ResetGuard, Socket};
 
 /// Time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -46,6 +46,7 @@
 
 struct Idle {
     sender: SendRequest<CallBody>,
+    reset: ResetFlag,
     since: Instant,
 }
 
@@ -61,9 +62,11 @@
     pub max_idle: Duration,
 }
 
-/// A connection in use by one call. Closed when dropped.
+/// A connection in use by one call. Reset when dropped: what was written of an
+/// abandoned call and has not left the host yet is not sent.
 pub(super) struct Connection {
     pub sender: SendRequest<CallBody>,
+    reset: ResetGuard,
     host: Arc<Host>,
 }
 
@@ -71,8 +74,9 @@
     /// Gives the connection back for other calls. Only where the whole answer
     /// was read and the whole request written.
     pub fn give_back(self) {
-        let idle = Idle { sender: self.sender, since: Instant::now() };
-        lock(&self.host.state).idle.push(idle);
+        let Self { sender, reset, host } = self;
+        let idle = Idle { sender, reset: reset.disarm(), since: Instant::now() };
+        lock(&host.state).idle.push(idle);
     }
 }
 
@@ -81,15 +85,16 @@
     pub async fn take(&self, wanted: Wanted) -> std::io::Result<Connection> {
         let host = self.host(wanted.address);
         loop {
-            while let Some(mut sender) = host.pop_idle(wanted.max_idle) {
-                if matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(()))) {
-                    return Ok(Connection { sender, host });
+            while let Some(mut idle) = host.pop_idle(wanted.max_idle) {
+                if matches!(timeout(READY_TIMEOUT, idle.sender.ready()).await, Ok(Ok(()))) {
+                    let Idle { sender, reset, .. } = idle;
+                    return Ok(Connection { sender, reset: reset.arm(), host });
                 }
             }
             if let Some(place) = Place::take(&host, wanted.max_open) {
                 let connecting = timeout(CONNECT_TIMEOUT, connect(wanted.address, place));
-                let sender = connecting.await??;
-                return Ok(Connection { sender, host: Arc::clone(&host) });
+                let (sender, reset) = connecting.await??;
+                return Ok(Connection { sender, reset: reset.arm(), host: Arc::clone(&host) });
             }
             timeout(CONNECT_TIMEOUT, host.closed.notified()).await?;
         }
@@ -112,11 +117,11 @@
 
 impl Host {
     /// The connection that was used last. Older ones than `max_idle` are closed.
-    fn pop_idle(&self, max_idle: Duration) -> Option<SendRequest<CallBody>> {
+    fn pop_idle(&self, max_idle: Duration) -> Option<Idle> {
         let mut state = lock(&self.state);
         while let Some(idle) = state.idle.pop() {
             if !idle.sender.is_closed() && idle.since.elapsed() <= max_idle {
-                return Some(idle.sender);
+                return Some(idle);
             }
         }
         None
@@ -143,18 +148,22 @@
     }
 }
 
-async fn connect(address: SocketAddr, place: Place) -> std::io::Result<SendRequest<CallBody>> {
+async fn connect(
+    address: SocketAddr,
+    place: Place,
+) -> std::io::Result<(SendRequest<CallBody>, ResetFlag)> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let handshake =
-        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+    let reset = ResetFlag::default();
+    let socket = Socket::new(stream, reset.clone());
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(socket);
     let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
     tokio::spawn(async move {
         // The call that uses the connection reports its error.
         let _ = connection.await;
         drop(place);
     });
-    Ok(sender)
+    Ok((sender, reset))
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
 
+use super::boot_clock::BootClock;
 use super::handle::{CallHandle, Phase};
 use super::pool::Pool;
 use super::{CallSettings, drive, headers};
@@ -49,6 +50,8 @@
     pub settings: CallSettings,
     pub key: Option<SharedKey>,
     pub key_value: Option<HeaderValue>,
+    /// Tells owners when a call was sent.
+    pub clock: BootClock,
     pub targets: Pool,
     pub owners: Pool,
     /// Places for large answers on the link of this host.
@@ -79,7 +82,18 @@
             places: Arc::new(Semaphore::new(link.lanes)),
             bytes_a_second: link.bytes_a_second,
         });
-        Arc::new(Self { runtime, handle, settings, key, key_value, targets, owners, bulk_lanes })
+        let clock = BootClock::new();
+        Arc::new(Self {
+            clock,
+            runtime,
+            handle,
+            settings,
+            key,
+            key_value,
+            targets,
+            owners,
+            bulk_lanes,
+        })
     }
 
     /// Accepts connections until the process accepts no more.
--- /dev/null
+++ b/crates/daemon/src/calls/socket.rs
@@ -0,0 +1,113 @@
+//! A socket that can be reset: what was written and has not left the host is discarded.
+//!
+//! On a full link the bytes of a call may wait at the sender for longer than its caller
+//! does. An orderly close would wait behind them, and the call would still arrive.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Whether a socket is reset when it is closed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ResetFlag(Arc<AtomicBool>);
+
+impl ResetFlag {
+    /// Has the socket reset unless the guard is disarmed.
+    pub fn arm(self) -> ResetGuard {
+        ResetGuard(Some(self))
+    }
+
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Has a socket reset when it is dropped.
+#[derive(Debug)]
+pub(super) struct ResetGuard(Option<ResetFlag>);
+
+impl ResetGuard {
+    /// Leaves the socket open.
+    pub fn disarm(mut self) -> ResetFlag {
+        self.0.take().unwrap_or_default()
+    }
+}
+
+impl Drop for ResetGuard {
+    fn drop(&mut self) {
+        if let Some(flag) = &self.0 {
+            flag.0.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A connected socket.
+#[derive(Debug)]
+pub(super) struct Socket {
+    io: TokioIo<TcpStream>,
+    reset: ResetFlag,
+}
+
+impl Socket {
+    /// Makes a socket that is reset when it is closed while `reset` is set.
+    pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
+        Self { io: TokioIo::new(stream), reset }
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.reset.is_set() {
+            // Where it fails, the socket is closed in order, as any other.
+            let _ = self.io.inner().set_zero_linger();
+        }
+    }
+}
+
+impl Read for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buffer)
+    }
+}
+
+impl Write for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if self.reset.is_set() {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.io).poll_write_vectored(cx, slices)
+    }
+}
--- a/crates/daemon/tests/calls/resets.rs
+++ b/crates/daemon/tests/calls/resets.rs
@@ -2,6 +2,8 @@
 
 use fireflylug_fault::{HttpClient, ResetStage, TargetOptions};
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::fixture::{closed_port, exchange, mesh, target};
 
@@ -94,3 +96,21 @@
     assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
     assert!(answer.contains("fireflylug-outcome: not-run"), "{answer}");
 }
+
+/// What the target has not been sent yet does not follow an abandoned call.
+#[tokio::test]
+async fn an_abandoned_call_resets_its_connection_to_the_target() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+    let mesh = mesh(&[listener.local_addr().expect("it has an address")]).await;
+    let mut caller = TcpStream::connect(mesh.calls(1)).await.expect("the proxy accepts");
+    let request = "GET /seats HTTP/1.1\r\nhost: x\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.expect("the proxy reads");
+    let (mut stream, _) = listener.accept().await.expect("the proxy connects");
+    let mut bytes = [0; 4_096];
+    assert!(stream.read(&mut bytes).await.expect("the head arrives") > 0);
+
+    drop(caller);
+
+    let end = stream.read(&mut bytes).await;
+    assert_eq!(end.expect_err("no orderly end").kind(), std::io::ErrorKind::ConnectionReset);
+}
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -69,6 +69,7 @@
         body_bytes: Some(0),
         is_replayable: true,
         chain: Chain::default(),
+        transit: None,
     }
 }
 
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -293,6 +293,7 @@
                 body_bytes: Some(0),
                 is_replayable: true,
                 chain: Chain::default(),
+                transit: None,
             };
             self.step(CallEvent::Arrived { call: CallId(call), head });
         }
