Distribution: the tree of a zone follows the links of its hosts

Cause: after a loss of power everywhere a version goes down each zone by a relay that is any host but a control host, to eight children at once. On links of 6.58 to 8.8 Mbit/s eight copies of a version of 100 KB take a second; the link of a control host is 20 times as fast and stood idle.

Ruled out: a smaller fan-out alone. With 3 it is 3 copies a level on four levels.

Change: a process announces whether its link is slow (its settings say so). Members with a good link stand first in the order of the zone and have up to 32 children, those with a slow one 3.

Test: a_large_version_reaches_a_restarted_mesh_over_slow_links, fails before.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -40,6 +40,8 @@
     pub addresses: Addresses,
     /// Whether the process is a control replica.
     pub control: bool,
+    /// Whether a few large messages fill the link of the host.
+    pub is_link_slow: bool,
 }
 
 impl Identity {
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -38,9 +38,6 @@
 use reports::Reporter;
 use upstream::Upstream;
 
-/// Most children of a process in the tree of its availability zone.
-pub const MAX_FAN_OUT: usize = 8;
-
 /// Time without word from a control replica after which a proxy counts as cut
 /// off from control, in milliseconds. Word travels down the tree in steps of
 /// up to [`REFRESH_EVERY_MS`].
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -1,15 +1,15 @@
 //! From whom this process takes its updates, and to whom it reports.
 //!
-//! Members of an availability zone form a tree by rank, whose root is the
-//! relay. The relay itself takes updates from a control replica as near as
+//! Members of an availability zone form a tree, whose root is the relay: those whose
+//! link is not slow stand near the root, and pass versions on to more of the others. The relay itself takes updates from a control replica as near as
 //! possible, or from the hub of its region, so that one copy of a version
 //! crosses to a region without a control replica.
 
 use rand::Rng;
 
+use super::Distribution;
 use super::message::{DistributionMessage, Holders, Report};
 use super::ready::VOUCH_AFTER_START_MS;
-use super::{Distribution, MAX_FAN_OUT};
 use crate::context::Context;
 use crate::ids::{NodeId, Version};
 use crate::membership::Membership;
@@ -230,11 +230,12 @@
 /// Whom this process can take updates from, the right one first.
 fn candidates(cx: &Context<'_>, membership: &Membership) -> Vec<NodeId> {
     let own = &cx.me.locality.availability_zone;
-    let order = membership.topology().order(own);
+    let Some(zone) = membership.topology().zone(own) else { return Vec::new() };
+    let order = &zone.order;
     match order.iter().position(|id| *id == cx.me.id) {
         Some(0) => sources(cx, membership),
         place => {
-            let parent = place.map(|place| order[(place - 1) / MAX_FAN_OUT]);
+            let parent = place.and_then(|place| zone.parent_place(place)).map(|at| order[at]);
             // Only those before this process: two must not be each other's parents.
             let before = &order[..place.unwrap_or(order.len())];
             let others = before.iter().copied().filter(|id| Some(*id) != parent);
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -53,6 +53,9 @@
     pub addresses: Addresses,
     /// Whether it is a control replica.
     pub control: bool,
+    /// Whether a few large messages fill the link of its host.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_link_slow: bool,
     /// Status, as the holder of the record sees it.
     pub status: MemberStatus,
 }
@@ -67,6 +70,7 @@
             incarnation: me.incarnation,
             addresses: me.addresses,
             control: me.control,
+            is_link_slow: me.is_link_slow,
             status: MemberStatus::Alive,
         }
     }
--- a/crates/core/src/membership/topology.rs
+++ b/crates/core/src/membership/topology.rs
@@ -18,8 +18,29 @@
 pub(crate) struct ZoneOrder {
     /// Region.
     pub region: Option<Name>,
-    /// Live members by rank, control replicas last; the first is the relay.
+    /// Live members, those with a slow link last, and control replicas last among
+    /// the others; by rank otherwise. The first is the relay.
     pub order: Vec<NodeId>,
+    /// Members whose link is not slow; they come first.
+    fast: usize,
+}
+
+/// Most members that one whose link is not slow passes versions on to.
+pub(crate) const FAST_FAN_OUT: usize = 32;
+
+/// The same for one whose link is slow: it carries one copy after the other.
+pub(crate) const SLOW_FAN_OUT: usize = 3;
+
+impl ZoneOrder {
+    /// Place of the parent of the member at a place, in the tree of the zone. None
+    /// for the relay.
+    pub fn parent_place(&self, place: usize) -> Option<usize> {
+        let below = place.checked_sub(1)?;
+        match below.checked_sub(self.fast * FAST_FAN_OUT) {
+            None => Some(below / FAST_FAN_OUT),
+            Some(below) => Some(self.fast + below / SLOW_FAN_OUT),
+        }
+    }
 }
 
 /// Relays and neighbours that follow from one generation of the view.
@@ -44,7 +65,12 @@
         self.zones.iter()
     }
 
-    /// Live members of an availability zone by rank; the first is its relay.
+    /// The order of an availability zone that has a member.
+    pub fn zone(&self, availability_zone: &Name) -> Option<&ZoneOrder> {
+        self.zones.get(availability_zone)
+    }
+
+    /// Live members of an availability zone; the first is its relay.
     pub fn order(&self, availability_zone: &Name) -> &[NodeId] {
         self.zones.get(availability_zone).map_or(&[], |zone| &zone.order)
     }
@@ -98,10 +124,12 @@
             zone.order.push(member.id);
         }
     }
-    // Control replicas come last: they have other work than to relay.
+    let is_slow = |id: NodeId| view.member(id).is_some_and(|member| member.is_link_slow);
+    // Control replicas have other work than to relay.
     let is_control = |id: NodeId| view.member(id).is_some_and(|member| member.control);
     for zone in zones.values_mut() {
-        zone.order.sort_by_cached_key(|id| (is_control(*id), rank(*id)));
+        zone.order.sort_by_cached_key(|id| (is_slow(*id), is_control(*id), rank(*id)));
+        zone.fast = zone.order.iter().take_while(|id| !is_slow(**id)).count();
     }
     zones
 }
--- a/crates/core/tests/api.rs
+++ b/crates/core/tests/api.rs
@@ -40,6 +40,7 @@
         started_unix_ms: 0,
         addresses: Addresses { peers: address, forward: address, api: address, calls: address },
         control,
+        is_link_slow: false,
     }
 }
 
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -432,6 +432,7 @@
         started_unix_ms: 1_000_000,
         addresses: Addresses { peers: any, forward: any, api: any, calls: any },
         control: true,
+        is_link_slow: false,
     }
 }
 
--- a/crates/core/tests/distribution/restarts.rs
+++ b/crates/core/tests/distribution/restarts.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use fireflylug_core::config::Configuration;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 use crate::mesh::{self, Mesh, configuration, two_regions, zone};
@@ -192,3 +194,54 @@
     let took_ms = mesh.run_until("current", 3, |mesh| all_hold(mesh, 501));
     println!("500 changes caught up {took_ms} ms after the reconnect");
 }
+
+/// Services of the large version, and the least of its deflated bytes.
+const LARGE_VERSION_SERVICES: u64 = 5_000;
+const LARGE_VERSION_BYTES: u64 = 100_000;
+/// Rate of a slow link: 6.58 Mbit/s.
+const SLOW_LINK_BYTES_PER_S: u64 = 6_580_000 / 8;
+/// Rate of the link of a control host: 170 Mbit/s.
+const CONTROL_LINK_BYTES_PER_S: u64 = 170_000_000 / 8;
+/// Time within which a mesh that lost power serves again, from the leader's word on.
+const SERVED_AGAIN_MS: u64 = 700;
+
+/// A version of many resources with names that deflate badly.
+fn large_version() -> Arc<Configuration> {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut service = || (format!("s-{:016x}{:016x}", rng.random::<u64>(), rng.random::<u64>()), 1);
+    configuration(1, &(0..LARGE_VERSION_SERVICES).map(|_| service()).collect::<Vec<_>>())
+}
+
+/// Every process lost power. The version has to cross links that carry eight copies of
+/// it a second; only the hosts of the control replicas have better ones.
+#[rstest]
+#[case::ninety_five_hosts(&[26, 26, 26, 26], 1)]
+#[case::three_hundred_hosts(&[37, 37, 37, 37, 37, 37, 37, 37], 3)]
+fn a_large_version_reaches_a_restarted_mesh_over_slow_links(
+    #[case] hosts: &[usize],
+    #[case] control: usize,
+) {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let region = |index: usize| if index * 2 < hosts.len() { "kochi" } else { "kozhikode" };
+    let shape = hosts.iter().enumerate();
+    let zones: Vec<_> = shape.map(|(i, n)| zone(region(i), names[i], *n, control)).collect();
+    let mut mesh = Mesh::new(&zones, 3);
+    for host in 0..mesh.len() {
+        match mesh.identity(host).control {
+            true => mesh.set_link(host, CONTROL_LINK_BYTES_PER_S, false),
+            false => mesh.set_link(host, SLOW_LINK_BYTES_PER_S, true),
+        }
+        mesh.start(host);
+    }
+    mesh.set_led(false);
+    mesh.run_ms(1_000);
+
+    mesh.publish(&large_version());
+    mesh.set_led(true);
+    let took_ms = mesh.run_until("all are ready", 10, all_ready);
+
+    let bytes = mesh.traffic.total("distribution").bytes / mesh.len() as u64;
+    println!("{} hosts, {bytes} bytes each, ready after {took_ms} ms", mesh.len());
+    assert!(bytes > LARGE_VERSION_BYTES);
+    assert!(took_ms < SERVED_AGAIN_MS, "{took_ms} ms");
+}
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -170,6 +170,7 @@
             started_unix_ms,
             addresses: addresses(index),
             control: host.disk.is_some(),
+            is_link_slow: false,
         }
     }
 
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -107,6 +107,13 @@
     }
 }
 
+/// The link of a host, towards the network.
+#[derive(Clone, Copy, Debug)]
+struct Link {
+    bytes_per_s: u64,
+    free_at_us: u64,
+}
+
 /// All hosts and what is on its way between them.
 pub struct Mesh {
     pub now_us: u64,
@@ -120,6 +127,8 @@
     dialing: BTreeSet<(usize, usize)>,
     cuts: BTreeSet<(usize, usize)>,
     last_delivery_us: BTreeMap<(usize, usize), u64>,
+    /// Links of hosts that have a rate.
+    links: BTreeMap<usize, Link>,
     queue: BinaryHeap<Reverse<Scheduled>>,
     armed_us: Vec<u64>,
     order: u64,
@@ -180,6 +189,7 @@
             dialing: BTreeSet::new(),
             cuts: BTreeSet::new(),
             last_delivery_us: BTreeMap::new(),
+            links: BTreeMap::new(),
             queue: BinaryHeap::new(),
             order: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -509,7 +519,7 @@
     }
 
     fn deliver(&mut self, from: usize, to: usize, message: PeerMessage) {
-        let mut at_us = self.now_us + self.latency_us(from, to);
+        let mut at_us = self.sent_at_us(from, &message) + self.latency_us(from, to);
         if self.faults.delay_us > 0 {
             at_us += self.rng.random_range(0..=self.faults.delay_us);
         } else {
@@ -520,6 +530,20 @@
         self.schedule(at_us, to, Happening::Message { from, message });
     }
 
+    /// When the link of the sender has carried a message.
+    fn sent_at_us(&mut self, from: usize, message: &PeerMessage) -> u64 {
+        let Some(link) = self.links.get_mut(&from) else { return self.now_us };
+        let took_us = traffic::encoded_bytes(message) * 1_000_000 / link.bytes_per_s;
+        link.free_at_us = link.free_at_us.max(self.now_us) + took_us;
+        link.free_at_us
+    }
+
+    /// Gives the link of a host that does not run a rate.
+    pub fn set_link(&mut self, host: usize, bytes_per_s: u64, is_slow: bool) {
+        self.links.insert(host, Link { bytes_per_s, free_at_us: 0 });
+        self.hosts[host].me.is_link_slow = is_slow;
+    }
+
     fn chance(&mut self, percent: u32) -> bool {
         percent > 0 && self.rng.random_range(0..100) < percent
     }
@@ -548,6 +572,7 @@
             started_unix_ms: 0,
             addresses: Addresses { peers: address, forward: address, api: address, calls: address },
             control: index < zone.control,
+            is_link_slow: false,
         };
         Self { me, seeds: Vec::new(), process: None, starts: 0 }
     }
--- a/crates/core/tests/mesh/traffic.rs
+++ b/crates/core/tests/mesh/traffic.rs
@@ -41,7 +41,7 @@
 
     pub fn count(&mut self, from: &Identity, to: &Identity, message: &PeerMessage) {
         let kind: &'static str = message.into();
-        let bytes = fireflylug_wire::encode(message).len() as u64 + HEADER_BYTES;
+        let bytes = encoded_bytes(message);
         if bytes > 16 * 1024 && kind == "distribution" {
             *self.large.entry(from.id).or_default() += 1;
         }
@@ -72,3 +72,8 @@
         })
     }
 }
+
+/// Length of a message with the header of its frame.
+pub fn encoded_bytes(message: &PeerMessage) -> u64 {
+    fireflylug_wire::encode(message).len() as u64 + HEADER_BYTES
+}
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -36,6 +36,7 @@
         started_unix_ms: 1,
         addresses: Addresses { peers: address, forward: address, api: address, calls: address },
         control: false,
+        is_link_slow: false,
     }
 }
 
--- a/crates/core/tests/routing/bench.rs
+++ b/crates/core/tests/routing/bench.rs
@@ -38,6 +38,7 @@
         started_unix_ms: 0,
         addresses: Addresses { peers: any, forward: any, api: any, calls: any },
         control: false,
+        is_link_slow: false,
     }
 }
 
--- a/crates/core/tests/slo.rs
+++ b/crates/core/tests/slo.rs
@@ -55,6 +55,7 @@
             started_unix_ms: 0,
             addresses: Addresses { peers: any, forward: any, api: any, calls: any },
             control: true,
+            is_link_slow: false,
         };
         let membership = Membership::new(MembershipSettings::default(), &me);
         let rng = SmallRng::seed_from_u64(3);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -270,6 +270,7 @@
         started_unix_ms,
         addresses: settings.advertised(listening),
         control: settings.control.is_some(),
+        is_link_slow: settings.is_link_slow(),
     })
 }
 
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -83,6 +83,7 @@
         started_unix_ms: 0,
         addresses: Addresses { peers: any, forward: any, api: any, calls: any },
         control: false,
+        is_link_slow: false,
     }
 }
 
--- a/crates/store/examples/accepts.rs
+++ b/crates/store/examples/accepts.rs
@@ -162,6 +162,7 @@
         started_unix_ms: 0,
         addresses: Addresses { peers: any, forward: any, api: any, calls: any },
         control: true,
+        is_link_slow: false,
     }
 }
 
