Control: what the disk holds as committed is passed on before there is a leader

Cause: after a restart of everything, replicas publish only once a leader has confirmed what is committed, and only then does the version begin its way to the proxies, over links and through processors of a tenth of a core.

Ruled out: serving by it. Whether a newer version was in force is not known, so a proxy still serves only after word of a control replica from after its start (readiness).

Change: a replica writes what it knows as committed with each version (one more write in the batch of a change, nobody waits for it), and passes the recovered version on at its start. It reaches the proxies while the leader is elected.

--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -166,6 +166,7 @@
 
     /// Applies what is committed and not applied.
     pub(super) fn apply_committed(&mut self, cx: &mut Context<'_>) {
+        let version_before = self.machine.configuration().version();
         while self.machine.index() < self.commit {
             let Some(entry) = self.log.get(self.machine.index() + 1).cloned() else { break };
             let was_version = self.machine.configuration().version();
@@ -177,14 +178,17 @@
                 self.set_hard_state(cx, self.hard_state.term, self.hard_state.vote);
             }
         }
+        if self.machine.configuration().version() != version_before {
+            // The disk need not hold it, but a restart is quicker where it does.
+            self.set_hard_state(cx, self.hard_state.term, self.hard_state.vote);
+        }
         self.begin_publishing();
         self.answer_remote_reads();
         self.compact(cx);
     }
 
-    /// Publishes what was recovered once the log has come up to what a leader knows as
-    /// committed. Published earlier, it could move the proxies that take their versions
-    /// from here, themselves restarted, back to an older version.
+    /// Publishes what is committed once the log has come up to what a leader knows as
+    /// committed. Before, nobody may take what is held here for the newest version.
     fn begin_publishing(&mut self) {
         if self.is_confirmed && !self.is_publishing {
             self.is_publishing = true;
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -111,6 +111,9 @@
     /// A version is committed here. Versions come in order, each once; those
     /// that a snapshot covers are left out.
     Committed(Arc<Configuration>),
+    /// What the disk held as committed at the start. Newer versions may be in force,
+    /// so that nobody may serve by it before a leader was heard; it can be passed on.
+    Recovered(Arc<Configuration>),
     /// A change that was proposed at this replica has its outcome.
     Outcome(Origin, ChangeOutcome),
     /// A read that was asked for at this replica may be answered from the
--- a/crates/core/src/consensus/start.rs
+++ b/crates/core/src/consensus/start.rs
@@ -1,7 +1,10 @@
 //! The first event after a start: what the disk said, and whose it is.
 
+use std::sync::Arc;
+
 use rand::Rng;
 
+use super::ControlOutput;
 use super::disk::DiskWrite;
 use super::entry::{DiskId, HardState, VoterSet};
 use super::floors::Floors;
@@ -11,7 +14,7 @@
 use super::role::{Formation, Role};
 use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
-use crate::ids::NodeId;
+use crate::ids::{NodeId, Version};
 
 /// What is dealt with at the first event.
 #[derive(Debug)]
@@ -38,11 +41,20 @@
                 }
                 Some(_) => {}
             }
+            self.announce_recovered();
             self.begin_role(cx);
         }
         !self.storage.has_failed()
     }
 
+    fn announce_recovered(&mut self) {
+        let configuration = self.machine.configuration();
+        if configuration.version() > Version(0) {
+            let configuration = Arc::clone(configuration);
+            self.output(ControlOutput::Recovered(configuration));
+        }
+    }
+
     fn begin_role(&mut self, cx: &mut Context<'_>) {
         if matches!(self.role, Role::Blank(_)) {
             self.begin_formation(cx);
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -119,7 +119,9 @@
         self.children.len()
     }
 
-    /// A control replica learned that a version is committed.
+    /// A control replica learned that a version is committed, or found on its disk
+    /// that it was. It is passed on at once; who holds it serves by it only once
+    /// [`Distribution::is_ready`] says so.
     pub fn publish(&mut self, cx: &mut Context<'_>, committed: Arc<Configuration>) {
         if committed.version() <= self.current.version() {
             return;
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -163,6 +163,9 @@
                 state.api.committed(&mut cx, &configuration);
                 state.distribution.publish(&mut cx, configuration);
             }
+            ControlOutput::Recovered(configuration) => {
+                state.distribution.publish(&mut cx, configuration);
+            }
             ControlOutput::Outcome(origin, outcome) => {
                 state.api.outcome(&mut cx, origin, outcome);
             }
