Logs: a start's spans, from the disk to the first call

One line each where a replica finds a version on its disk, a proxy holds its first version and a proxy begins to serve, so that the time after a restart of everything can be taken apart. Nothing else changes.

--- a/crates/core/src/consensus/start.rs
+++ b/crates/core/src/consensus/start.rs
@@ -41,15 +41,18 @@
                 }
                 Some(_) => {}
             }
-            self.announce_recovered();
+            self.announce_recovered(cx);
             self.begin_role(cx);
         }
         !self.storage.has_failed()
     }
 
-    fn announce_recovered(&mut self) {
+    fn announce_recovered(&mut self, cx: &mut Context<'_>) {
         let configuration = self.machine.configuration();
         if configuration.version() > Version(0) {
+            let version = configuration.version();
+            let text = format!("The disk held version {version} as committed.");
+            cx.log(LogLevel::Info, LogPart::Consensus, text);
             let configuration = Arc::clone(configuration);
             self.output(ControlOutput::Recovered(configuration));
         }
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -332,6 +332,12 @@
         }
         match codec::apply(&self.current, update) {
             Ok(applied) => {
+                if self.current.version() == Version(0) {
+                    let (version, bytes) = (update.version, update.body.len());
+                    let text =
+                        format!("Holds its first version, {version}: {bytes} bytes of {from}.");
+                    cx.log(LogLevel::Info, LogPart::Distribution, text);
+                }
                 self.history.moved(&self.current, &applied.next, applied.deletes);
                 self.current = Arc::new(applied.next);
                 self.applied = true;
@@ -398,6 +404,8 @@
         let was_ready = self.is_ready();
         self.readiness.update(cx.now, self.current.version(), membership);
         if self.is_ready() && !was_ready {
+            let text = format!("Serves by version {}.", self.current.version());
+            cx.log(LogLevel::Info, LogPart::Distribution, text);
             for neighbour in membership.neighbours() {
                 self.send_holds(cx, *neighbour);
             }
