Memory: a connection without a call holds no room for one; owners' connections kept by what they cost

Cause: 1,000 unused connections of callers took 23.2 MB of a daemon (RSS 9.3 -> 32.4 MB): read and write buffers of the HTTP library (8 KB each), and the state of a whole call (2.7 KB), kept for each connection whether it carries one or not. And every proxy kept every connection to another proxy for 8 s, though with hundreds of owners few are used twice in that time.

Change: the call's state is boxed while there is a call. An unused connection to another proxy is kept for 150 times the time that it took to open, between 1 and 8 s: one within the zone is soon made again, one to another region is not.

--- a/crates/daemon/src/calls/pool.rs
+++ b/crates/daemon/src/calls/pool.rs
@@ -20,15 +20,20 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for a connection whose answer has just ended to be ready again.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
-/// Time after which an unused connection is closed.
-const MAX_IDLE: Duration = Duration::from_secs(8);
+/// Longest time for which an unused connection is kept.
+pub(super) const MAX_IDLE: Duration = Duration::from_secs(8);
+/// An unused connection is kept for so many times the time that it took to open: one
+/// within an availability zone is soon made again, one to another region is not.
+const IDLE_PER_OPENING: u32 = 150;
 /// Largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Connections by address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(super) struct Pool {
     hosts: Arc<Mutex<HashMap<SocketAddr, Arc<Host>>>>,
+    /// Shortest time for which an unused connection is kept.
+    min_idle: Duration,
 }
 
 /// Connections to one address.
@@ -45,9 +50,16 @@
 }
 
 struct Idle {
+    opened: Opened,
+    since: Instant,
+    close_at: Instant,
+}
+
+/// A connection that no call uses.
+struct Opened {
     sender: SendRequest<CallBody>,
     reset: ResetFlag,
-    since: Instant,
+    max_idle: Duration,
 }
 
 /// What a call asks of its connection.
@@ -67,34 +79,46 @@
 pub(super) struct Connection {
     pub sender: SendRequest<CallBody>,
     reset: ResetGuard,
+    max_idle: Duration,
     host: Arc<Host>,
 }
 
 impl Connection {
+    fn new(opened: Opened, host: Arc<Host>) -> Self {
+        let Opened { sender, reset, max_idle } = opened;
+        Self { sender, reset: reset.arm(), max_idle, host }
+    }
+
     /// Gives the connection back for other calls. Only where the whole answer
     /// was read and the whole request written.
     pub fn give_back(self) {
-        let Self { sender, reset, host } = self;
-        let idle = Idle { sender, reset: reset.disarm(), since: Instant::now() };
-        lock(&host.state).idle.push(idle);
+        let Self { sender, reset, max_idle, host } = self;
+        let opened = Opened { sender, reset: reset.disarm(), max_idle };
+        let since = Instant::now();
+        lock(&host.state).idle.push(Idle { opened, since, close_at: since + max_idle });
     }
 }
 
 impl Pool {
+    /// Makes a pool that keeps each unused connection for at least `min_idle`.
+    pub fn new(min_idle: Duration) -> Self {
+        Self { hosts: Arc::default(), min_idle }
+    }
+
     /// A connection that is ready to send, or an error with nothing sent.
     pub async fn take(&self, wanted: Wanted) -> std::io::Result<Connection> {
         let host = self.host(wanted.address);
         loop {
-            while let Some(mut idle) = host.pop_idle(wanted.max_idle) {
-                if matches!(timeout(READY_TIMEOUT, idle.sender.ready()).await, Ok(Ok(()))) {
-                    let Idle { sender, reset, .. } = idle;
-                    return Ok(Connection { sender, reset: reset.arm(), host });
+            while let Some(mut opened) = host.pop_idle(wanted.max_idle) {
+                if matches!(timeout(READY_TIMEOUT, opened.sender.ready()).await, Ok(Ok(()))) {
+                    return Ok(Connection::new(opened, host));
                 }
             }
             if let Some(place) = Place::take(&host, wanted.max_open) {
                 let connecting = timeout(CONNECT_TIMEOUT, connect(wanted.address, place));
-                let (sender, reset) = connecting.await??;
-                return Ok(Connection { sender, reset: reset.arm(), host: Arc::clone(&host) });
+                let mut opened = connecting.await??;
+                opened.max_idle = opened.max_idle.clamp(self.min_idle, MAX_IDLE);
+                return Ok(Connection::new(opened, host));
             }
             timeout(CONNECT_TIMEOUT, host.closed.notified()).await?;
         }
@@ -102,10 +126,11 @@
 
     /// Closes connections that were unused for long.
     pub fn sweep(&self) {
+        let now = Instant::now();
         let mut hosts = lock(&self.hosts);
         hosts.retain(|_, host| {
             let mut state = lock(&host.state);
-            state.idle.retain(|idle| idle.since.elapsed() < MAX_IDLE && !idle.sender.is_closed());
+            state.idle.retain(|idle| now < idle.close_at && !idle.opened.sender.is_closed());
             state.open > 0 || Arc::strong_count(host) > 1
         });
     }
@@ -117,11 +142,11 @@
 
 impl Host {
     /// The connection that was used last. Older ones than `max_idle` are closed.
-    fn pop_idle(&self, max_idle: Duration) -> Option<Idle> {
+    fn pop_idle(&self, max_idle: Duration) -> Option<Opened> {
         let mut state = lock(&self.state);
         while let Some(idle) = state.idle.pop() {
-            if !idle.sender.is_closed() && idle.since.elapsed() <= max_idle {
-                return Some(idle);
+            if !idle.opened.sender.is_closed() && idle.since.elapsed() <= max_idle {
+                return Some(idle.opened);
             }
         }
         None
@@ -148,11 +173,10 @@
     }
 }
 
-async fn connect(
-    address: SocketAddr,
-    place: Place,
-) -> std::io::Result<(SendRequest<CallBody>, ResetFlag)> {
+async fn connect(address: SocketAddr, place: Place) -> std::io::Result<Opened> {
+    let began_at = Instant::now();
     let stream = TcpStream::connect(address).await?;
+    let max_idle = began_at.elapsed() * IDLE_PER_OPENING;
     stream.set_nodelay(true)?;
     let reset = ResetFlag::default();
     let socket = Socket::new(stream, reset.clone());
@@ -163,7 +187,7 @@
         let _ = connection.await;
         drop(place);
     });
-    Ok((sender, reset))
+    Ok(Opened { sender, reset, max_idle })
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -15,7 +15,7 @@
 
 use super::boot_clock::BootClock;
 use super::handle::{CallHandle, Phase};
-use super::pool::Pool;
+use super::pool::{MAX_IDLE, Pool};
 use super::{CallSettings, drive, headers};
 use crate::{Runtime, SharedKey};
 
@@ -27,6 +27,9 @@
 const MAX_HEADERS: usize = 128;
 /// Time for which an answer may make no progress, in milliseconds.
 const MAX_STALL_MS: u64 = 30_000;
+/// Shortest time for which an unused connection to another proxy is kept. With hundreds
+/// of owners few are used twice within seconds, and each takes memory at both ends.
+const MIN_IDLE_TO_OWNER: Duration = Duration::from_secs(1);
 /// Time between looks at stalled answers and unused connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for the first call of a new connection to arrive at a stopping proxy.
@@ -77,7 +80,8 @@
     pub fn new(runtime: Arc<Runtime>, handle: CallHandle, settings: CallSettings) -> Arc<Self> {
         let key = settings.key.clone();
         let key_value = key.as_ref().map(headers::key_value);
-        let (targets, owners) = Default::default();
+        let targets = Pool::new(MAX_IDLE);
+        let owners = Pool::new(MIN_IDLE_TO_OWNER);
         let bulk_lanes = settings.bulk_lanes.map(|link| BulkLanes {
             places: Arc::new(Semaphore::new(link.lanes)),
             bytes_a_second: link.bytes_a_second,
@@ -133,7 +137,10 @@
             service_fn(move |request| {
                 is_used.store(true, Ordering::Relaxed);
                 let (proxy, broken) = (Arc::clone(&proxy), Arc::clone(&broken));
-                async move { Ok::<_, Infallible>(drive::call(proxy, broken, side, request).await) }
+                // Boxed, so that a connection without a call holds no room for one.
+                Box::pin(async move {
+                    Ok::<_, Infallible>(drive::call(proxy, broken, side, request).await)
+                })
             })
         };
         let connection = http1::Builder::new()
