Logs: a late answer says where its time went

One line at ingress and owner for an answer that was passed on whole but after its target latency: time until the attempt began, until the head of the answer, until its end.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -214,6 +214,7 @@
         last_failure: None,
         children: Vec::new(),
         status: 0,
+        answered_at: Instant::ZERO,
         earlier: None,
         is_retry_paid: false,
     }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -241,6 +241,7 @@
         let call = self.call_mut(id);
         call.stage = Stage::Relaying(running);
         call.status = status;
+        call.answered_at = cx.now;
         self.set_due(id, Instant::NEVER);
         let load = self.told_load(cx, id, running.target);
         cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
--- a/crates/core/src/routing/decision.rs
+++ b/crates/core/src/routing/decision.rs
@@ -76,6 +76,17 @@
         /// Time since the call arrived, in milliseconds.
         after_ms: u64,
     },
+    /// An answer was passed on whole, but too late to be of full use.
+    Late {
+        /// Number of the attempt that was answered.
+        attempt: u8,
+        /// Time from the call's arrival until the attempt began, in milliseconds.
+        began_ms: u64,
+        /// Time from the arrival to the head of the answer, in milliseconds.
+        head_ms: u64,
+        /// Time from the arrival to the end of the answer, in milliseconds.
+        after_ms: u64,
+    },
     /// The caller hung up.
     CallerGone {
         /// Attempts that were made.
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -131,6 +131,16 @@
         let is_good = whole && call.status < FIRST_SERVER_ERROR;
         let took_us = cx.now.since_us(call.arrived_at);
         let is_ingress = call.is_ingress();
+        if whole && cx.now > call.useful_until {
+            let since_arrival_ms = |at: Instant| at.since_ms(call.arrived_at);
+            let step = Step::Late {
+                attempt,
+                began_ms: since_arrival_ms(relaying.began_at),
+                head_ms: since_arrival_ms(call.answered_at),
+                after_ms: since_arrival_ms(cx.now),
+            };
+            cx.decide(id, step);
+        }
         self.release(cx, id, relaying, whole);
         if is_ingress && !whole && self.targets.contains_key(relaying.target) {
             self.note_failure(cx, relaying.target);
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -92,6 +92,8 @@
     pub children: Vec<CallId>,
     /// HTTP status of the answer that is being passed on.
     pub status: u16,
+    /// When the head of that answer arrived.
+    pub answered_at: Instant,
     /// The server error of an earlier attempt, while others are tried: it is
     /// passed on where none of them succeeds.
     pub earlier: Option<ServerError>,
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -163,6 +163,12 @@
                 after_ms = *after_ms
             });
         }
+        Step::Late { attempt, began_ms, head_ms, after_ms } => {
+            spdlog::info!("calls: {name}", kv: {
+                request, attempt = *attempt, began_ms = *began_ms, head_ms = *head_ms,
+                after_ms = *after_ms
+            });
+        }
         Step::CallerGone { attempts, after_ms } => {
             spdlog::info!("calls: {name}", kv: {
                 request, attempts = *attempts, after_ms = *after_ms
