--- /dev/null
+++ b/crates/daemon/tests/calls/endless.rs
@@ -0,0 +1,98 @@
+//! Targets that send bytes without end, in a head or a body, until the caller closes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::fixture::{exchange, mesh, until};
+
+/// Most bytes of a target that nobody reads which may be under way: buffers of both
+/// sockets and of the HTTP library.
+const MAX_UNDER_WAY_BYTES: usize = 32 * 1024 * 1024;
+
+/// A target that answers with `begin` and then with `piece` for ever.
+struct EndlessTarget {
+    address: SocketAddr,
+    written_bytes: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+}
+
+impl EndlessTarget {
+    async fn start(begin: &'static str, piece: &'static str) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        let target = Self { address, written_bytes: Arc::default(), closed: Arc::default() };
+        let (written, closed) = (Arc::clone(&target.written_bytes), Arc::clone(&target.closed));
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (written, closed) = (Arc::clone(&written), Arc::clone(&closed));
+                tokio::spawn(async move {
+                    write_for_ever(stream, begin, piece, &written).await;
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        target
+    }
+
+    fn closed(&self) -> usize {
+        self.closed.load(Ordering::SeqCst)
+    }
+}
+
+async fn write_for_ever(mut stream: TcpStream, begin: &str, piece: &str, written: &AtomicUsize) {
+    let mut head = [0; 4_096];
+    if stream.read(&mut head).await.is_err() || stream.write_all(begin.as_bytes()).await.is_err() {
+        return;
+    }
+    let pieces = piece.repeat(1_024);
+    while stream.write_all(pieces.as_bytes()).await.is_ok() {
+        written.fetch_add(pieces.len(), Ordering::SeqCst);
+    }
+}
+
+#[rstest]
+#[case::no_answer_at_all("", "zzzzzzzzzzzzzzzz")]
+#[case::headers("HTTP/1.1 200 OK\r\n", "x-more: zzzzzzzz\r\n")]
+#[case::one_header("HTTP/1.1 200 OK\r\nx-more: ", "zzzzzzzzzzzzzzzz")]
+#[tokio::test]
+async fn a_head_without_end_is_given_up_and_its_connection_closed(
+    #[case] begin: &'static str,
+    #[case] piece: &'static str,
+) {
+    let target = EndlessTarget::start(begin, piece).await;
+    let mesh = mesh(&[target.address]).await;
+
+    let request = "POST /pay HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    let answer = exchange(mesh.calls(0), request).await;
+
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert!(answer.contains("fireflylug-outcome: unknown"), "{answer}");
+    until("the target's connection is closed", || target.closed() == 1).await;
+}
+
+/// The caller reads nothing more and waits, then hangs up.
+#[tokio::test]
+async fn a_body_without_end_is_held_back_and_closed_when_the_caller_leaves() {
+    let target = EndlessTarget::start("HTTP/1.1 200 OK\r\n\r\n", "zzzzzzzzzzzzzzzz").await;
+    let mesh = mesh(&[target.address]).await;
+    let mut caller = TcpStream::connect(mesh.calls(0)).await.expect("the proxy accepts");
+    caller.write_all(b"GET /sheets HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("the proxy reads");
+    let mut begin = [0; 1_024];
+    assert!(caller.read(&mut begin).await.expect("the answer begins") > 0);
+
+    let mut written_before = usize::MAX;
+    while written_before != target.written_bytes.load(Ordering::SeqCst) {
+        written_before = target.written_bytes.load(Ordering::SeqCst);
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+    assert!(written_before <= MAX_UNDER_WAY_BYTES, "{written_before} bytes are under way");
+    assert_eq!(target.closed(), 0);
+
+    drop(caller);
+    until("the target's connection is closed", || target.closed() == 1).await;
+}
