--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -1,9 +1,10 @@
 //! From whom this process takes its updates, and to whom it reports.
 //!
 //! Members of an availability zone form a tree, whose root is the relay: those whose
-//! link is not slow stand near the root, and pass versions on to more of the others. The relay itself takes updates from a control replica as near as
-//! possible, or from the hub of its region, so that one copy of a version
-//! crosses to a region without a control replica.
+//! link is not slow stand near the root, and pass versions on to more of the others.
+//! The relay itself takes updates from a control replica as near as possible, or from
+//! the hub of its region, so that one copy of a version crosses to a region without a
+//! control replica.
 
 use rand::Rng;
 
