--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -38,9 +38,6 @@
 use reports::Reporter;
 use upstream::Upstream;
 
-/// Most children of a process in the tree of its availability zone.
-pub const MAX_FAN_OUT: usize = 8;
-
 /// Time without word from a control replica after which a proxy counts as cut
 /// off from control, in milliseconds. Word travels down the tree in steps of
 /// up to [`REFRESH_EVERY_MS`].
@@ -122,7 +119,9 @@
         self.children.len()
     }
 
-    /// A control replica learned that a version is committed.
+    /// A control replica learned that a version is committed, or found on its disk
+    /// that it was. It is passed on at once; who holds it serves by it only once
+    /// [`Distribution::is_ready`] says so.
     pub fn publish(&mut self, cx: &mut Context<'_>, committed: Arc<Configuration>) {
         if committed.version() <= self.current.version() {
             return;
@@ -333,6 +332,12 @@
         }
         match codec::apply(&self.current, update) {
             Ok(applied) => {
+                if self.current.version() == Version(0) {
+                    let (version, bytes) = (update.version, update.body.len());
+                    let text =
+                        format!("Holds its first version, {version}: {bytes} bytes of {from}.");
+                    cx.log(LogLevel::Info, LogPart::Distribution, text);
+                }
                 self.history.moved(&self.current, &applied.next, applied.deletes);
                 self.current = Arc::new(applied.next);
                 self.applied = true;
@@ -399,6 +404,8 @@
         let was_ready = self.is_ready();
         self.readiness.update(cx.now, self.current.version(), membership);
         if self.is_ready() && !was_ready {
+            let text = format!("Serves by version {}.", self.current.version());
+            cx.log(LogLevel::Info, LogPart::Distribution, text);
             for neighbour in membership.neighbours() {
                 self.send_holds(cx, *neighbour);
             }
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -91,6 +91,7 @@
             useful_until,
             class: rule.class,
             is_bulk: rule.policy.bulk,
+            is_upload: rule.policy.bulk_requests,
             chain: Chain { hops: head.chain.hops + 1, ..head.chain },
             rule: Some(rule),
             ..new_call(cx.now, head, service, deadline)
@@ -104,6 +105,8 @@
         head: &CallHead,
         forward: &ForwardHead,
     ) -> Result<(Call, Option<TargetKey>), RefusalCode> {
+        let transit = head.transit;
+        let delay_us = transit.map_or(0, |transit| self.transits.delay_us(transit, cx.now));
         if self.is_refusing {
             return Err(RefusalCode::Stopping);
         }
@@ -114,12 +117,17 @@
             return Err(RefusalCode::TargetGone);
         }
         self.check_share(target.service)?;
-        let deadline = cx.now.plus_ms(u64::from(forward.remaining_ms));
+        let left_us = (u64::from(forward.remaining_ms) * 1_000).saturating_sub(delay_us);
+        if left_us == 0 {
+            return Err(RefusalCode::DeadlineExceeded);
+        }
+        let useful_us = (u64::from(forward.useful_ms) * 1_000).saturating_sub(delay_us);
+        let deadline = cx.now.plus_us(left_us);
         let call = Call {
             is_repeatable: forward.repeatable,
             max_queued: forward.max_queued,
             priority: forward.priority,
-            useful_until: deadline.min(cx.now.plus_ms(u64::from(forward.useful_ms))),
+            useful_until: deadline.min(cx.now.plus_us(useful_us)),
             class: forward.class,
             is_bulk: forward.bulk,
             ..new_call(cx.now, head, target.service, deadline)
@@ -196,6 +204,7 @@
         useful_until: deadline,
         class: CallClass::default(),
         is_bulk: false,
+        is_upload: false,
         chain: head.chain,
         attempt: 0,
         reached: 0,
@@ -205,6 +214,7 @@
         last_failure: None,
         children: Vec::new(),
         status: 0,
+        answered_at: Instant::ZERO,
         earlier: None,
         is_retry_paid: false,
     }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -75,6 +75,8 @@
     pub class: CallClass,
     /// Whether the answer is large.
     pub is_bulk: bool,
+    /// Whether the request is large. Known to the ingress alone.
+    pub is_upload: bool,
     pub chain: Chain,
     /// Number of the present attempt.
     pub attempt: u8,
@@ -90,6 +92,8 @@
     pub children: Vec<CallId>,
     /// HTTP status of the answer that is being passed on.
     pub status: u16,
+    /// When the head of that answer arrived.
+    pub answered_at: Instant,
     /// The server error of an earlier attempt, while others are tried: it is
     /// passed on where none of them succeeds.
     pub earlier: Option<ServerError>,
@@ -102,6 +106,11 @@
         self.rule.is_some()
     }
 
+    /// Whether the request or the answer takes long on a link that others share.
+    pub fn is_large(&self) -> bool {
+        self.is_bulk || self.is_upload
+    }
+
     pub fn was_tried(&self, target: TargetKey) -> bool {
         self.tried[..usize::from(self.attempt).min(MAX_ATTEMPTS)].contains(&target)
     }
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -7,12 +7,15 @@
 
 mod answer;
 mod body;
+mod boot_clock;
+mod bulk_lanes;
 mod dialect;
 mod drive;
 mod handle;
 mod headers;
 mod pool;
 mod proxy;
+mod socket;
 
 use std::sync::Arc;
 
