Review: one clock for the places of large answers, one write of what is committed, one predicate of a joined mesh

Read through the whole change; behaviour as before. - BulkLanes kept a clock of its own beside the runtime's: it takes that one. - A batch of entries with a voter set and a version wrote the same hard state twice; now once, after the batch.

--- a/crates/core/src/consensus/entry.rs
+++ b/crates/core/src/consensus/entry.rs
@@ -116,5 +116,7 @@
     ///
     /// Written when a voter set is committed: after a restart, a replica must
     /// know that the set before it counts no more, as its voters may be gone.
+    /// Written with each version too, so that a replica which was restarted can pass
+    /// the newest one on at once.
     pub commit: u64,
 }
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -166,7 +166,7 @@
 
     /// Applies what is committed and not applied.
     pub(super) fn apply_committed(&mut self, cx: &mut Context<'_>) {
-        let version_before = self.machine.configuration().version();
+        let mut is_to_note = false;
         while self.machine.index() < self.commit {
             let Some(entry) = self.log.get(self.machine.index() + 1).cloned() else { break };
             let was_version = self.machine.configuration().version();
@@ -175,11 +175,11 @@
             self.answer_proposals(&entry, outcome);
             if let Payload::Voters(_) = entry.payload {
                 self.pending_voters.retain(|(index, _)| *index > entry.index);
-                self.set_hard_state(cx, self.hard_state.term, self.hard_state.vote);
+                is_to_note = true;
             }
+            is_to_note |= self.machine.configuration().version() != was_version;
         }
-        if self.machine.configuration().version() != version_before {
-            // The disk need not hold it, but a restart is quicker where it does.
+        if is_to_note {
             self.set_hard_state(cx, self.hard_state.term, self.hard_state.vote);
         }
         self.begin_publishing();
--- a/crates/core/src/membership/topology.rs
+++ b/crates/core/src/membership/topology.rs
@@ -13,6 +13,12 @@
 /// 256 in a few steps while each member keeps at most eight neighbours.
 const RING_DISTANCES: [usize; 4] = [1, 4, 16, 64];
 
+/// Most members that one whose link is not slow passes versions on to.
+const FAST_FAN_OUT: usize = 32;
+
+/// The same for one whose link is slow: it carries one copy after the other.
+const SLOW_FAN_OUT: usize = 3;
+
 /// The members of one availability zone that can relay.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ZoneOrder {
@@ -25,12 +31,6 @@
     fast: usize,
 }
 
-/// Most members that one whose link is not slow passes versions on to.
-pub(crate) const FAST_FAN_OUT: usize = 32;
-
-/// The same for one whose link is slow: it carries one copy after the other.
-pub(crate) const SLOW_FAN_OUT: usize = 3;
-
 impl ZoneOrder {
     /// Place of the parent of the member at a place, in the tree of the zone. None
     /// for the relay.
@@ -70,14 +70,9 @@
         self.zones.get(availability_zone)
     }
 
-    /// Live members of an availability zone; the first is its relay.
-    pub fn order(&self, availability_zone: &Name) -> &[NodeId] {
-        self.zones.get(availability_zone).map_or(&[], |zone| &zone.order)
-    }
-
     /// The relay of an availability zone.
     pub fn relay(&self, availability_zone: &Name) -> Option<NodeId> {
-        self.order(availability_zone).first().copied()
+        self.zone(availability_zone)?.order.first().copied()
     }
 
     /// The relay that speaks for a region with the other regions.
--- a/crates/core/src/routing/link_share.rs
+++ b/crates/core/src/routing/link_share.rs
@@ -1,8 +1,8 @@
 //! What a slow link has left for large answers.
 //!
-//! Small answers, those to the callers of this host, forwarded calls and the overhead of
-//! all of them take what they need. Large answers to other hosts are given the rest,
-//! one after the other, so that packets of the others do not wait behind them.
+//! Small answers and all those to the callers of this host take what they need. Large
+//! answers to other hosts are given the rest, one after the other, so that packets of the
+//! others do not wait behind them. Requests that this host forwards are not counted.
 
 use crate::time::Instant;
 
--- a/crates/core/src/routing/recent_least.rs
+++ b/crates/core/src/routing/recent_least.rs
@@ -27,7 +27,8 @@
         self.present.into_iter().chain(self.last).min()
     }
 
-    /// Whether a value was observed in the present life or the one before.
+    /// Whether the present life began no longer ago than two lives. Where it did not, no
+    /// value was observed for at least one.
     pub fn is_recent(&self, now: Instant) -> bool {
         now.since_us(self.renewed_at) < 2 * LIFE_US
     }
--- a/crates/core/src/routing/region_link.rs
+++ b/crates/core/src/routing/region_link.rs
@@ -19,6 +19,7 @@
 /// Fewest calls of which the least time on the way is taken: one alone may have
 /// waited behind one large answer.
 const MIN_SAMPLED: u32 = 3;
+
 /// The link to one other region.
 #[derive(Debug)]
 pub(super) struct RegionLink {
--- a/crates/core/tests/distribution/restarts.rs
+++ b/crates/core/tests/distribution/restarts.rs
@@ -269,9 +269,7 @@
     mesh.run_ms(CONTROL_LATE_MS);
 
     controls.iter().for_each(|host| mesh.start(*host));
-    let took_ms = mesh.run_until("everybody knows everybody", 10, |mesh| {
-        mesh.running().all(|(_, process)| mesh.alive_at(process) == mesh.len())
-    });
+    let took_ms = mesh.run_until("everybody knows everybody", 10, Mesh::is_joined);
 
     println!("joined {took_ms} ms after the seeds");
     assert!(took_ms <= JOINED_MS, "{took_ms} ms");
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -139,9 +139,7 @@
     mesh.set_cut(&[isolated], &others, false);
 
     assert!(given_up);
-    mesh.run_until("alive again", 15, |m| {
-        m.running().all(|(_, process)| m.alive_at(process) == m.len())
-    });
+    mesh.run_until("alive again", 15, Mesh::is_joined);
     let after: Vec<u64> =
         others.iter().map(|h| mesh.member_at(0, *h).unwrap().incarnation).collect();
     assert_eq!(before, after);
@@ -170,9 +168,7 @@
     mesh.set_cut(&zone, &others, false);
 
     assert!(inside);
-    mesh.run_until("healed", 15, |m| {
-        m.running().all(|(_, process)| m.alive_at(process) == m.len())
-    });
+    mesh.run_until("healed", 15, Mesh::is_joined);
     assert_eq!(mesh.member_at(0, zone[1]).unwrap().incarnation, incarnation);
     assert!(seen_everywhere(&mesh, &target, TargetState::Ready));
 }
@@ -187,7 +183,7 @@
     mesh.faults = Faults::default();
 
     mesh.run_until("healed", 30, |m| {
-        let all = m.running().all(|(_, process)| m.alive_at(process) == m.len());
+        let all = m.is_joined();
         all && seen_everywhere(m, &target, TargetState::Ready)
     });
 }
@@ -201,9 +197,7 @@
     mesh.run_ms(100);
     half.iter().for_each(|host| mesh.start(*host));
 
-    let took_ms = mesh.run_until("all back", 5, |m| {
-        m.running().all(|(_, process)| m.alive_at(process) == m.len())
-    });
+    let took_ms = mesh.run_until("all back", 5, Mesh::is_joined);
     println!("all back after {took_ms} ms");
 }
 
@@ -234,9 +228,7 @@
     mesh.run_ms(4_000);
     mesh.faults = Faults::default();
 
-    mesh.run_until("healed", 20, |m| {
-        m.running().all(|(_, process)| m.alive_at(process) == m.len())
-    });
+    mesh.run_until("healed", 20, Mesh::is_joined);
 }
 
 /// The seeds are exchanged for others while a host is alone with dead ones.
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -202,9 +202,7 @@
         for host in 0..mesh.len() {
             mesh.start(host);
         }
-        mesh.run_until("everybody knows everybody", 60, |mesh| {
-            mesh.running().all(|(_, process)| mesh.alive_at(process) == mesh.len())
-        });
+        mesh.run_until("everybody knows everybody", 60, Mesh::is_joined);
         mesh
     }
 
@@ -240,6 +238,11 @@
         (0..self.len()).filter(|host| self.hosts[*host].me.control).collect()
     }
 
+    /// Whether each process that runs knows every host to be alive.
+    pub fn is_joined(&self) -> bool {
+        self.running().all(|(_, process)| self.alive_at(process) == self.len())
+    }
+
     pub fn alive_at(&self, process: &Process) -> usize {
         let members = process.membership.members();
         members.filter(|member| member.status == MemberStatus::Alive).count()
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -69,7 +69,8 @@
         let key_value = key.as_ref().map(headers::key_value);
         let targets = Pool::new(MAX_IDLE);
         let owners = Pool::new(MIN_IDLE_TO_OWNER);
-        let bulk_lanes = settings.bulk_lanes.map(BulkLanes::new).map(Arc::new);
+        let bulk_lanes =
+            settings.bulk_lanes.map(|link| Arc::new(BulkLanes::new(link, Arc::clone(&runtime))));
         let clock = BootClock::new();
         Arc::new(Self {
             clock,
