Logs: follow a change and a read of an operator from host to commit

The host that took a request logs its end with the time and attempts that it took; the leader logs a proposal; each replica logs a version that it commits. No decision changes.

--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -8,6 +8,7 @@
 //! response, the outcome is unknown.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -19,6 +20,7 @@
 use crate::config::ChangeRequest;
 use crate::consensus::ChangeOutcome;
 use crate::context::{Context, Identity};
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{IdempotencyKey, Name, NodeId, RequestId};
 use crate::membership::{Member, Membership};
 use crate::time::Instant;
@@ -101,8 +103,20 @@
     }
 }
 
+impl fmt::Display for ReplicaRequest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Change(ChangeRequest { key: Some(key), .. }) => write!(f, "Change {key}"),
+            Self::Change(_) => write!(f, "Change without a key"),
+            Self::ReplaceVoter { old, new } => write!(f, "Replacement of voter {old} by {new}"),
+            Self::Read(_) => write!(f, "Read"),
+        }
+    }
+}
+
 struct PendingRequest {
     replica_request: ReplicaRequest,
+    arrived_at: Instant,
     deadline: Instant,
     attempt_at: Instant,
     attempts: usize,
@@ -138,6 +152,7 @@
             return false;
         }
         let pending = PendingRequest {
+            arrived_at: cx.now,
             deadline: cx.now.plus_ms(replica_request.timeout_ms()),
             attempt_at: cx.now,
             attempts: 0,
@@ -151,9 +166,25 @@
     }
 
     /// Removes a request whose client disconnected.
-    pub(super) fn remove(&mut self, request: RequestId) {
-        self.pending.remove(&request);
+    pub(super) fn remove(&mut self, cx: &mut Context<'_>, request: RequestId) {
+        if let Some(pending) = self.pending.remove(&request) {
+            pending.log_end(cx, "abandoned by its client");
+        }
+        self.update_next_deadline();
+    }
+
+    /// Removes a request and responds to its client.
+    fn finish(
+        &mut self,
+        cx: &mut Context<'_>,
+        request: RequestId,
+        result: Result<ApiResponse, ApiError>,
+    ) {
+        if let Some(pending) = self.pending.remove(&request) {
+            pending.log_end(cx, &describe_result(&result));
+        }
         self.update_next_deadline();
+        respond(cx, request, result);
     }
 
     /// Time at which [`PendingRequests::due`] must be called.
@@ -172,8 +203,9 @@
         };
         let expired: Vec<RequestId> = self.pending.iter().filter_map(expired).collect();
         for request in expired {
-            if let Some(pending) = self.pending.remove(&request) {
-                respond(cx, request, Err(pending.into_timeout_error()));
+            let error = self.pending.get(&request).map(PendingRequest::timeout_error);
+            if let Some(error) = error {
+                self.finish(cx, request, Err(error));
             }
         }
         self.update_next_deadline();
@@ -246,9 +278,7 @@
             ChangeOutcome::Unknown => return self.schedule_retry(cx, request, None),
         };
         self.leader_hint = Some(from);
-        self.pending.remove(&request);
-        self.update_next_deadline();
-        respond(cx, request, result);
+        self.finish(cx, request, result);
     }
 
     /// Handles the result of a read, sent by a replica.
@@ -269,9 +299,7 @@
             }
             result => {
                 self.leader_hint = Some(from);
-                self.pending.remove(&request);
-                self.update_next_deadline();
-                respond(cx, request, result.map(ApiResponse::from));
+                self.finish(cx, request, result.map(ApiResponse::from));
             }
         }
     }
@@ -347,7 +375,20 @@
         index.map(|index| self.unresolved_attempts.swap_remove(index)).is_some()
     }
 
-    fn into_timeout_error(self) -> ApiError {
+    /// Logs the end of the request with the time and the attempts that it took.
+    fn log_end(&self, cx: &mut Context<'_>, end: &str) {
+        let request = &self.replica_request;
+        let elapsed_ms = cx.now.since_ms(self.arrived_at);
+        let last_replica = self.awaited_replica.map_or("none".to_owned(), |node| node.to_string());
+        let attempts = self.attempts;
+        let text = format!(
+            "{request}: {end} after {elapsed_ms} ms; attempts: {attempts}, waiting for replica: \
+             {last_replica}."
+        );
+        cx.log(LogLevel::Info, LogPart::Api, text);
+    }
+
+    fn timeout_error(&self) -> ApiError {
         match self.replica_request {
             ReplicaRequest::Change(_) | ReplicaRequest::ReplaceVoter { .. }
                 if !self.unresolved_attempts.is_empty() =>
@@ -363,7 +404,7 @@
                 "refused: no leader of the control replicas could be reached within 6 s, and \
                  nothing was proposed; send it again later",
             ),
-            ReplicaRequest::Read(_) => self.last_error.unwrap_or_else(|| {
+            ReplicaRequest::Read(_) => self.last_error.clone().unwrap_or_else(|| {
                 ApiError::new(
                     ErrorCode::Unavailable,
                     "no control replica confirmed the read with a quorum within 3 s; \
@@ -398,6 +439,16 @@
     RETRY_DELAY_MS + cx.rng.random_range(0..=RETRY_DELAY_MS)
 }
 
+/// Describes a result for the log.
+fn describe_result(result: &Result<ApiResponse, ApiError>) -> String {
+    match result {
+        Ok(ApiResponse::Accepted { version }) => format!("accepted as version {version}"),
+        Ok(ApiResponse::List { version, .. }) => format!("answered from version {version}"),
+        Ok(_) => "answered".to_owned(),
+        Err(error) => format!("failed ({})", error.code),
+    }
+}
+
 fn respond(cx: &mut Context<'_>, request: RequestId, result: Result<ApiResponse, ApiError>) {
     let response = result.unwrap_or_else(ApiResponse::Error);
     cx.emit(Effect::Answer { request, response });
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -144,8 +144,8 @@
     }
 
     /// Handles the disconnect of the client of a request.
-    pub fn client_disconnected(&mut self, _cx: &mut Context<'_>, request: RequestId) {
-        self.pending_requests.remove(request);
+    pub fn client_disconnected(&mut self, cx: &mut Context<'_>, request: RequestId) {
+        self.pending_requests.remove(cx, request);
         self.watches.close(request);
     }
 
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -13,6 +13,7 @@
 use super::{ChangeOutcome, ControlOutput};
 use crate::api::{ApiError, ErrorCode};
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, Version};
 use crate::time::Instant;
 
@@ -139,7 +140,7 @@
                 self.output(ControlOutput::Outcome(origin, ChangeOutcome::Unknown));
             }
             self.storage.write(cx, DiskWrite::Snapshot { snapshot, keep_entries });
-            self.publish_version(previous_version);
+            self.publish_version(cx, previous_version);
             self.answer_remote_reads();
         }
         self.verified_index = self.verified_index.max(self.commit_index);
@@ -183,7 +184,7 @@
             let Some(entry) = self.log.get(self.state_machine.index() + 1).cloned() else { break };
             let previous_version = self.state_machine.configuration().version();
             let outcome = self.state_machine.apply(&entry);
-            self.publish_version(previous_version);
+            self.publish_version(cx, previous_version);
             self.resolve_proposals(&entry, outcome);
             if let Payload::Voters(_) = entry.payload {
                 self.pending_voters.retain(|(index, _)| *index > entry.index);
@@ -195,24 +196,31 @@
         if needs_hard_state_write {
             self.set_hard_state(cx, self.hard_state.term, self.hard_state.vote);
         }
-        self.begin_publishing();
+        self.begin_publishing(cx);
         self.answer_remote_reads();
         self.compact(cx);
     }
 
     /// Starts publishing versions once this replica has reached a leader's commit index.
     /// Before that, its version must not be taken for the newest one.
-    fn begin_publishing(&mut self) {
+    fn begin_publishing(&mut self, cx: &mut Context<'_>) {
         if self.is_confirmed && !self.is_publishing {
             self.is_publishing = true;
-            self.publish_version(Version(0));
+            self.publish_version(cx, Version(0));
         }
     }
 
-    fn publish_version(&mut self, previous: Version) {
+    fn publish_version(&mut self, cx: &mut Context<'_>, previous: Version) {
         let configuration = self.state_machine.configuration();
         if self.is_publishing && configuration.version() != previous {
             let configuration = Arc::clone(configuration);
+            let text = format!(
+                "Committed version {} at index {}, release {}.",
+                configuration.version(),
+                self.state_machine.index(),
+                configuration.release_number()
+            );
+            cx.log(LogLevel::Info, LogPart::Consensus, text);
             self.output(ControlOutput::Committed(configuration));
         }
     }
--- a/crates/core/src/consensus/proposals.rs
+++ b/crates/core/src/consensus/proposals.rs
@@ -9,6 +9,7 @@
 use crate::api::{ApiError, ErrorCode};
 use crate::config::{ChangeRequest, narrow_to_differences};
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
 
 impl ControlReplica {
@@ -27,8 +28,13 @@
             true => narrow_to_differences(changes, self.configuration()),
             false => changes,
         };
+        let text = match &key {
+            Some(key) => format!("Proposes change {key} of host {}", origin.node),
+            None => format!("Proposes a change of host {}", origin.node),
+        };
         let change = ChangeRequest { key, changes };
         let index = self.append(cx, Payload::Change { origin, change });
+        cx.log(LogLevel::Info, LogPart::Consensus, format!("{text} at index {index}."));
         self.track_proposal(cx, origin, index);
     }
 
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -184,6 +184,12 @@
     }
 }
 
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 impl TryFrom<CompactString> for IdempotencyKey {
     type Error = KeyError;
 
