API: a control host without the log forwards requests like a proxy

Cause: a leader replicates to its voters and at most 8 learners. On the large deployment 11 of 24 control replicas get nothing and know no leader. Their processes asked their own replica alone, every 50 to 100 ms, until the request timed out; a process without a replica forwards it.

Change: a replica states how it takes part in the log: as a member, or as a standby with the leader that others report in their responses to its hellos. A process with a standby forwards changes and reads, first to that leader, then as a proxy does, and redirects others to it.

--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -18,7 +18,7 @@
 use super::{ApiError, ErrorCode};
 use crate::Effect;
 use crate::config::ChangeRequest;
-use crate::consensus::ChangeOutcome;
+use crate::consensus::{ChangeOutcome, Participation};
 use crate::context::{Context, Identity};
 use crate::event::{LogLevel, LogPart};
 use crate::ids::{IdempotencyKey, Name, NodeId, RequestId};
@@ -216,23 +216,29 @@
     /// Sends a request to a replica. If that is the replica of this process,
     /// returns the request with its attempt key instead, for the caller to carry out.
     ///
-    /// `local_leader` is `None` if this process runs no usable control replica, and
-    /// otherwise the leader that its control replica follows.
+    /// `local` is how the control replica of this process takes part in the log, if it runs one.
     pub(super) fn attempt(
         &mut self,
         cx: &mut Context<'_>,
         membership: &Membership,
-        local_leader: Option<Option<NodeId>>,
+        local: Option<Participation>,
         request: RequestId,
     ) -> Option<(RequestId, ReplicaRequest)> {
         let leader_hint = self.leader_hint;
         let pending = self.pending.get_mut(&request)?;
-        let to = match local_leader {
-            // Every control replica can confirm a linearizable read: only the read index
-            // crosses the network, not the resources.
-            Some(_) if matches!(pending.replica_request, ReplicaRequest::Read(_)) => Some(cx.me.id),
-            Some(leader) => leader,
-            None => leader_hint.or_else(|| nearest_replica(cx, membership, pending.attempts)),
+        let is_read = matches!(pending.replica_request, ReplicaRequest::Read(_));
+        let remembered_or_nearest =
+            || leader_hint.or_else(|| nearest_replica(cx, membership, pending.attempts));
+        let to = match local {
+            // A replica that receives the log can confirm a linearizable read: only the read
+            // index crosses the network, not the resources.
+            Some(Participation::Member { .. }) if is_read => Some(cx.me.id),
+            Some(Participation::Member { leader }) => leader,
+            // The reported leader may be gone, so only the first attempt goes there.
+            Some(Participation::Standby { leader }) => {
+                leader.filter(|_| pending.attempts == 0).or_else(remembered_or_nearest)
+            }
+            None => remembered_or_nearest(),
         };
         pending.attempts += 1;
         pending.awaited_replica = to;
@@ -418,7 +424,8 @@
 /// Selects a control replica: those of the same availability zone first, then those
 /// of the region, then the others. Each attempt selects the next one.
 fn nearest_replica(cx: &Context<'_>, membership: &Membership, attempts: usize) -> Option<NodeId> {
-    let mut replicas: Vec<&Member> = membership.control_replicas().collect();
+    let others = membership.control_replicas().filter(|member| member.id != cx.me.id);
+    let mut replicas: Vec<&Member> = others.collect();
     replicas.sort_by_key(|member| (locality_distance(cx, member), member.id));
     let index = attempts.checked_rem(replicas.len())?;
     Some(replicas[index].id)
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::Effect;
 use crate::config::Configuration;
-use crate::consensus::{ChangeOutcome, ControlReplica, Origin};
+use crate::consensus::{ChangeOutcome, ControlReplica, Origin, Participation};
 use crate::context::Context;
 use crate::distribution::{Distribution, Progress};
 use crate::ids::{NodeId, RequestId};
@@ -266,12 +266,9 @@
 
     /// Forwards a request to the leader, or to a control replica that can redirect to it.
     fn attempt(&mut self, cx: &mut Context<'_>, parts: &mut ApiParts<'_>, request: RequestId) {
-        // A failed replica takes no part in consensus and never has a leader. The request
-        // goes to another replica.
-        let control = parts.control.as_ref().filter(|control| !control.has_failed());
-        let leader = control.map(|control| control.leader());
+        let local = parts.control.as_ref().map(|control| control.participation(cx.me.id));
         let Some(replica_request) =
-            self.pending_requests.attempt(cx, parts.membership, leader, request)
+            self.pending_requests.attempt(cx, parts.membership, local, request)
         else {
             return;
         };
@@ -313,7 +310,9 @@
     let Some(control) = parts.control else {
         return Err(message::Redirect::default());
     };
-    match control.leader() {
+    let (Participation::Member { leader } | Participation::Standby { leader }) =
+        control.participation(cx.me.id);
+    match leader {
         Some(leader) if leader == cx.me.id => Ok(control),
         Some(leader) => Err(message::Redirect::to(membership.member(leader))),
         None => Err(message::Redirect::default()),
--- a/crates/core/src/consensus/bootstrap.rs
+++ b/crates/core/src/consensus/bootstrap.rs
@@ -102,6 +102,8 @@
             self.raise_floor(from, hello.disk, observed);
         } else {
             self.check_floor(cx, from, &hello);
+            let leader = hello.leader.filter(|leader| *leader != cx.me.id);
+            self.reported_leader = leader.or(self.reported_leader);
         }
         match &mut self.role {
             Role::Blank(bootstrap) => {
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -48,6 +48,7 @@
 pub use outcomes::{MAX_OUTCOME_AGE_MS, MAX_OUTCOME_BYTES, MAX_OUTCOMES, OutcomeRecord};
 pub use pending::{PROPOSAL_TIMEOUT_MS, READ_TIMEOUT_MS};
 pub use replica::ControlReplica;
+pub use role::Participation;
 pub use snapshot::Snapshot;
 pub use status::{ControlRole, ControlStatus};
 
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -12,7 +12,7 @@
 use super::log::Log;
 use super::message::{ConsensusMessage, VoteResponse};
 use super::pending::PendingRequests;
-use super::role::{Bootstrap, Role};
+use super::role::{Bootstrap, Participation, Role};
 use super::start::PendingStart;
 use super::state_machine::StateMachine;
 use super::storage::Storage;
@@ -38,6 +38,9 @@
     pub(super) hard_state: HardState,
     pub(super) role: Role,
     pub(super) leader: Option<NodeId>,
+    /// The leader that another replica last named in a response to a hello. Used only while no
+    /// leader replicates to this replica.
+    pub(super) reported_leader: Option<NodeId>,
     pub(super) log: Log,
     /// Voter sets in the log that are not applied, each with the index of its entry.
     pub(super) pending_voters: VecDeque<(u64, VoterSet)>,
@@ -99,6 +102,7 @@
             hard_state: recovered.hard_state,
             role,
             leader: None,
+            reported_leader: None,
             pending_voters: log.voter_sets_after(commit_index),
             commit_index,
             verified_index: commit_index,
@@ -130,6 +134,19 @@
         self.leader
     }
 
+    /// How this replica takes part in the replicated log.
+    pub fn participation(&self, node: NodeId) -> Participation {
+        let is_blank = matches!(self.role, Role::Blank(_));
+        let is_voter = self.is_voter(Voter { node, disk: self.disk });
+        if self.storage.has_failed() {
+            Participation::Standby { leader: None }
+        } else if is_blank || (self.leader.is_none() && !is_voter) {
+            Participation::Standby { leader: self.leader.or(self.reported_leader) }
+        } else {
+            Participation::Member { leader: self.leader }
+        }
+    }
+
     /// Records the control replicas that membership lists, with their peer
     /// addresses.
     pub fn set_known_replicas(&mut self, cx: &mut Context<'_>, replicas: &[(NodeId, SocketAddr)]) {
--- a/crates/core/src/consensus/role.rs
+++ b/crates/core/src/consensus/role.rs
@@ -7,6 +7,22 @@
 use crate::ids::NodeId;
 use crate::time::Instant;
 
+/// How a control replica takes part in the replicated log, and the leader that it knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Participation {
+    /// Leads, follows a leader, or votes for one.
+    Member {
+        /// The leader that it follows; itself where it leads.
+        leader: Option<NodeId>,
+    },
+    /// Receives nothing from the log: a leader replicates to a bounded number of replicas, and a
+    /// replica without a usable storage takes no part. Its process acts like a proxy.
+    Standby {
+        /// The leader that other replicas report.
+        leader: Option<NodeId>,
+    },
+}
+
 /// Current role of a replica.
 #[derive(Debug)]
 pub(super) enum Role {
