Distribution: a standby control host as relay receives versions like a proxy

What operators would see: in an availability zone whose relay is a control host to which no leader replicates, or whose relay has such a host as its parent, new versions came late, by fetches from peers only (1 to 2 s), the whole zone counted as cut off from the control plane, and a restarted proxy could not confirm its version through the tree.

A relay with a control replica had no parent at all; a relay without one chose the nearest control host, whose own parent in the zone's tree may be that relay.

Change: the reducer tells the distribution whether its replica is a standby. Such a relay chooses a parent like a proxy, its status says that it is a standby, and a relay that learns this from its parent, unless that is the hub of the region, goes on to its next candidate.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -184,7 +184,9 @@
         };
         self.children.children.insert(from, child);
         self.children.record_held_version(cx.now, from, report.version);
-        if report.is_status_requested && report.is_awaiting_control {
+        // A relay that asks a standby gets its answer at once and tries another parent.
+        let must_hold = report.is_awaiting_control && !(self.is_standby && report.is_relay);
+        if report.is_status_requested && must_hold {
             self.children.held_requests.insert(from, cx.now);
             self.request_control_contact(cx, membership);
         } else if report.is_status_requested {
@@ -210,7 +212,8 @@
         let newest_known = self.newest_known.max(version);
         let control_age_ms = self.control_age_ms(cx);
         let held_ms = cx.now.since_ms(requested_at);
-        let status = Status { version, newest_known, control_age_ms, held_ms };
+        let is_standby = self.is_standby;
+        let status = Status { version, newest_known, control_age_ms, held_ms, is_standby };
         cx.send(to, DistributionMessage::Status(status));
     }
 
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -119,6 +119,10 @@
     /// Time for which the parent held the request before it answered, in milliseconds.
     #[serde(rename = "d", default, skip_serializing_if = "crate::message::is_zero")]
     pub held_ms: u64,
+    /// Whether the parent is a control replica that receives nothing from the log. It may depend
+    /// on the relay that asks.
+    #[serde(rename = "s", default, skip_serializing_if = "crate::message::is_zero")]
+    pub is_standby: bool,
 }
 
 /// A newer version: a delta against an older one, or a full snapshot.
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -67,6 +67,8 @@
     newest_known: Version,
     /// Whether a version was published here and not forwarded yet.
     has_pending_publication: bool,
+    /// Whether this process has a control replica that receives nothing from the log.
+    is_standby: bool,
 }
 
 impl Distribution {
@@ -87,6 +89,7 @@
             last_control_contact_at: None,
             newest_known: Version(0),
             has_pending_publication: false,
+            is_standby: false,
         }
     }
 
@@ -102,11 +105,12 @@
     }
 
     /// Time of the last contact with a control replica, if the process counts as cut off from
-    /// the control plane. None while it is in contact, and always at a control replica.
+    /// the control plane. None while it is in contact, and always at a control replica that takes
+    /// part in the log.
     pub fn cut_off_since(&self, now: Instant, is_control: bool) -> Option<Instant> {
         let contact_at = self.last_control_contact_at.unwrap_or(Instant::ZERO);
         let is_cut_off = now.since_ms(contact_at) >= CUT_OFF_FROM_CONTROL_AFTER_MS;
-        (is_cut_off && !is_control).then_some(contact_at)
+        (is_cut_off && (self.is_standby || !is_control)).then_some(contact_at)
     }
 
     /// The parent, from which this process receives its updates.
@@ -317,7 +321,10 @@
             self.last_control_contact_at = self.last_control_contact_at.max(Some(contact_at));
             self.readiness.record_control_contact(contact_at);
         }
-        if is_parent && (!self.readiness.is_confirmed() || self.children.has_held_requests()) {
+        if is_parent && status.is_standby {
+            self.replace_standby_parent(cx, membership, from);
+        } else if is_parent && (!self.readiness.is_confirmed() || self.children.has_held_requests())
+        {
             self.upstream.request_status_soon(cx.now, status.held_ms > 0);
         }
     }
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -103,6 +103,16 @@
 }
 
 impl Distribution {
+    /// Records whether the control replica of this process is a standby, which receives
+    /// versions like a proxy.
+    pub fn set_standby(&mut self, cx: &mut Context<'_>, membership: &Membership, is_standby: bool) {
+        if self.is_standby != is_standby {
+            self.is_standby = is_standby;
+            self.upstream.generation = None;
+            self.update_candidates(cx, membership);
+        }
+    }
+
     /// Updates the candidates after a change of the membership.
     pub(super) fn update_candidates(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         let generation = membership.generation();
@@ -113,7 +123,8 @@
         self.upstream.generation = Some(generation);
         let own = &cx.me.locality.availability_zone;
         self.upstream.is_relay = membership.relay(own) == Some(cx.me.id);
-        let candidates = candidates(cx, membership);
+        let receives_log = cx.me.control && !self.is_standby;
+        let candidates = candidates(cx, membership, receives_log);
         let has_preferred_changed = candidates.first() != self.upstream.candidates.first();
         self.upstream.candidates = candidates;
         let is_still_candidate =
@@ -223,6 +234,18 @@
         }
     }
 
+    /// Replaces a parent that is a standby, unless it is the hub, which has a parent of its own.
+    pub(super) fn replace_standby_parent(
+        &mut self,
+        cx: &mut Context<'_>,
+        membership: &Membership,
+        parent: NodeId,
+    ) {
+        if self.upstream.is_relay && membership.hub(&cx.me.locality.region) != Some(parent) {
+            self.try_next_parent(cx, membership);
+        }
+    }
+
     fn try_next_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         self.upstream.attempt += 1;
         self.upstream.retry_preferred_at = cx.now.plus_ms(RETRY_PREFERRED_AFTER_MS);
@@ -241,11 +264,13 @@
 }
 
 /// The processes from which this one can receive updates, the preferred one first.
-fn candidates(cx: &Context<'_>, membership: &Membership) -> Vec<NodeId> {
+fn candidates(cx: &Context<'_>, membership: &Membership, receives_log: bool) -> Vec<NodeId> {
     let own = &cx.me.locality.availability_zone;
     let Some(zone) = membership.topology().zone(own) else { return Vec::new() };
     let order = &zone.order;
     match order.iter().position(|id| *id == cx.me.id) {
+        // A relay that receives versions from the replicated log needs no parent.
+        Some(0) if receives_log => Vec::new(),
         Some(0) => relay_candidates(cx, membership),
         position => {
             let parent =
@@ -260,14 +285,11 @@
 
 /// The processes from which a relay can receive updates, the nearest first.
 fn relay_candidates(cx: &Context<'_>, membership: &Membership) -> Vec<NodeId> {
-    if cx.me.control {
-        // A control replica receives versions from the replicated log.
-        return Vec::new();
-    }
     let own = &cx.me.locality;
     let hub = membership.hub(&own.region).filter(|hub| *hub != cx.me.id);
     let mut replicas: Vec<_> = membership
         .control_replicas()
+        .filter(|replica| replica.id != cx.me.id)
         .map(|replica| {
             let locality = &replica.locality;
             let distance = match (locality.region == own.region, *locality == *own) {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -1,7 +1,7 @@
 //! The entry point of the reducer: [`reduce`].
 
 use crate::api::ApiParts;
-use crate::consensus::ControlOutput;
+use crate::consensus::{ControlOutput, Participation};
 use crate::context::Context;
 use crate::event::{Effect, Event};
 use crate::ids::NodeId;
@@ -24,7 +24,7 @@
     announce_stop_if_due(state, now, &mut effects);
     propagate_changes(state, now, &mut effects);
     if !is_call {
-        report_current_control(state, now);
+        report_control_state(state, now, &mut effects);
     }
     if state.is_stopping && !state.has_exited && state.routing.is_idle() {
         state.has_exited = true;
@@ -35,12 +35,17 @@
     effects
 }
 
-/// Reports to the distribution when the control replica of this process was last current.
-fn report_current_control(state: &mut State, now: Instant) {
-    let control = state.control.as_ref();
-    if let Some(at) = control.and_then(|control| control.published_all_at(now)) {
+/// Reports to the distribution whether the control replica of this process receives the log, and
+/// when it was last current.
+fn report_control_state(state: &mut State, now: Instant, effects: &mut Vec<Effect>) {
+    let Some(control) = &state.control else { return };
+    if let Some(at) = control.published_all_at(now) {
         state.distribution.record_control_contact(at);
     }
+    let participation = control.participation(state.me.id);
+    let is_standby = matches!(participation, Participation::Standby { .. });
+    let mut cx = Context { now, rng: &mut state.rng, me: &state.me, effects };
+    state.distribution.set_standby(&mut cx, &state.membership, is_standby);
 }
 
 macro_rules! context {
--- a/crates/core/tests/fuzz/control_hosts.rs
+++ b/crates/core/tests/fuzz/control_hosts.rs
@@ -1,5 +1,6 @@
 //! Operators' requests at a mesh with many more control hosts than voters.
 
+use fireflylug_core::distribution::CUT_OFF_FROM_CONTROL_AFTER_MS;
 use rstest::rstest;
 
 use crate::world::{Layout, World};
@@ -12,10 +13,10 @@
 const JOIN_MS: u64 = 10_000;
 
 /// A mesh in eight availability zones with `control_hosts` control hosts and eight proxies, whose
-/// leader maintains five voters.
-fn started_world(control_hosts: usize, seed: u64) -> World {
+/// leader maintains five voters. With slow proxies, control hosts are the relays of the zones.
+fn started_world(control_hosts: usize, has_slow_proxies: bool, seed: u64) -> World {
     let zones = (0..control_hosts + 8).map(|host| host % 8).collect();
-    let layout = Layout { zones, control_hosts, desired_voter_count: Some(5) };
+    let layout = Layout { zones, control_hosts, desired_voter_count: Some(5), has_slow_proxies };
     let mut world = World::with_layout(seed, &layout);
     world.run_ms(JOIN_MS);
     world.put(0, 0, None);
@@ -28,9 +29,10 @@
 #[rstest]
 fn every_control_host_answers_changes_and_reads(
     #[values(3, 9, 24)] control_hosts: usize,
+    #[values(false, true)] has_slow_proxies: bool,
     #[values(1, 2)] seed: u64,
 ) {
-    let mut world = started_world(control_hosts, seed);
+    let mut world = started_world(control_hosts, has_slow_proxies, seed);
 
     for host in 0..world.hosts.len() {
         world.put(host, 0, None);
@@ -42,3 +44,29 @@
     let unanswered: Vec<usize> = (0..world.hosts.len()).filter(open).collect();
     assert!(unanswered.is_empty(), "no answer within {CLIENT_TIMEOUT_MS} ms at {unanswered:?}");
 }
+
+/// A control host to which no leader replicates was the relay of its availability zone and had no
+/// parent: the zone lost contact with the control plane, and a proxy that was restarted there
+/// waited for a contact that never came.
+#[rstest]
+fn zone_keeps_contact_with_the_control_plane_whichever_control_host_is_its_relay(
+    #[values(3, 9, 24)] control_hosts: usize,
+    #[values(false, true)] has_slow_proxies: bool,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut world = started_world(control_hosts, has_slow_proxies, seed);
+    let proxies = control_hosts..world.hosts.len();
+
+    for host in proxies.clone() {
+        world.crash(host);
+        world.start(host);
+    }
+    world.run_ms(CUT_OFF_FROM_CONTROL_AFTER_MS + JOIN_MS);
+
+    let cut_off: Vec<usize> =
+        (0..world.hosts.len()).filter(|host| world.is_cut_off_from_control(*host)).collect();
+    let serving: Vec<usize> = world.serving().into_iter().map(|(host, _)| host).collect();
+    let waiting: Vec<usize> = proxies.filter(|host| !serving.contains(host)).collect();
+    assert!(cut_off.is_empty(), "cut off from the control plane: {cut_off:?}");
+    assert!(waiting.is_empty(), "not serving since the restart: {waiting:?}");
+}
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -38,12 +38,19 @@
     pub control_hosts: usize,
     /// Number of voters that the leader maintains. With none, it changes no voters.
     pub desired_voter_count: Option<usize>,
+    /// Whether the hosts without a disk have slow links, so that control hosts are the relays.
+    pub has_slow_proxies: bool,
 }
 
 impl Layout {
     /// The layout of the fuzz test.
     fn fuzz() -> Self {
-        Self { zones: ZONES.to_vec(), control_hosts: CONTROL_HOSTS, desired_voter_count: None }
+        Self {
+            zones: ZONES.to_vec(),
+            control_hosts: CONTROL_HOSTS,
+            desired_voter_count: None,
+            has_slow_proxies: false,
+        }
     }
 }
 
@@ -96,6 +103,7 @@
     pub calls: Calls,
     pub rng: SmallRng,
     desired_voter_count: Option<usize>,
+    has_slow_proxies: bool,
     pending_requests: BTreeMap<(usize, u64, RequestId), PendingRequest>,
     next_request: u64,
     is_traced: bool,
@@ -119,6 +127,7 @@
             calls: Calls::new(),
             rng: SmallRng::seed_from_u64(seed),
             desired_voter_count: layout.desired_voter_count,
+            has_slow_proxies: layout.has_slow_proxies,
             pending_requests: BTreeMap::new(),
             next_request: 0,
             is_traced: std::env::var_os("FIREFLYLUG_FUZZ_TRACE").is_some(),
@@ -198,7 +207,7 @@
             started_unix_ms,
             addresses: addresses(index),
             control: host.disk.is_some(),
-            is_link_slow: false,
+            is_link_slow: self.has_slow_proxies && host.disk.is_none(),
         }
     }
 
@@ -478,6 +487,14 @@
         }
     }
 
+    /// Whether a host counts as cut off from the control plane.
+    pub fn is_cut_off_from_control(&self, host: usize) -> bool {
+        let host = &self.hosts[host];
+        let now = Instant::from_us(self.now_us - host.started_us);
+        let distribution = host.state.as_ref().map(State::distribution);
+        distribution.is_some_and(|distribution| distribution.cut_off_since(now, false).is_some())
+    }
+
     /// Changes and reads sent to a host that have no outcome or answer.
     pub fn open_requests(&self, host: usize) -> usize {
         let of_host =
