API: a watch at a standby control host is redirected to the leader

Change: a standby answers 421 like a proxy and names the leader that it knows; the other control hosts may be standbys too.

--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -48,6 +48,18 @@
     pub slo: &'a Slo,
 }
 
+impl ApiParts<'_> {
+    /// How the control replica of this process takes part in the log, if it runs one.
+    fn participation(&self, cx: &Context<'_>) -> Option<Participation> {
+        self.control.as_ref().map(|control| control.participation(cx.me.id))
+    }
+
+    /// Whether this process runs a control replica that receives nothing from the log.
+    fn is_standby(&self, cx: &Context<'_>) -> bool {
+        matches!(self.participation(cx), Some(Participation::Standby { .. }))
+    }
+}
+
 /// Pending requests and watches of the resource API.
 #[derive(Default)]
 pub struct Api {
@@ -116,16 +128,16 @@
                     ReplicaRequest::Read(ReadQuery::List(kind)),
                 );
             }
-            ApiRequest::Watch { from } if cx.me.control => {
+            ApiRequest::Watch { from } if cx.me.control && !parts.is_standby(cx) => {
                 return self.watches.open(cx, request, from);
             }
             ApiRequest::Watch { .. } => {
-                ApiResponse::Error(status::misdirected_error(&parts, "watches"))
+                ApiResponse::Error(status::misdirected_error(cx, &parts, "watches"))
             }
             ApiRequest::Status => ApiResponse::Status(Arc::new(status::report(cx, &parts))),
             ApiRequest::Burn if cx.me.control => ApiResponse::Burn(parts.slo.report(cx.now)),
             ApiRequest::Burn => {
-                ApiResponse::Error(status::misdirected_error(&parts, "burn reports"))
+                ApiResponse::Error(status::misdirected_error(cx, &parts, "burn reports"))
             }
             ApiRequest::Announce(announcement) => {
                 parts.membership.announce_target(cx, announcement);
@@ -266,7 +278,7 @@
 
     /// Forwards a request to the leader, or to a control replica that can redirect to it.
     fn attempt(&mut self, cx: &mut Context<'_>, parts: &mut ApiParts<'_>, request: RequestId) {
-        let local = parts.control.as_ref().map(|control| control.participation(cx.me.id));
+        let local = parts.participation(cx);
         let Some(replica_request) =
             self.pending_requests.attempt(cx, parts.membership, local, request)
         else {
--- a/crates/core/src/api/status.rs
+++ b/crates/core/src/api/status.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ApiError, ApiParts, ErrorCode};
-use crate::consensus::{ControlRole, ControlStatus};
+use crate::consensus::{ControlRole, ControlStatus, Participation};
 use crate::context::Context;
 use crate::ids::{Name, NodeId, Version};
 use crate::membership::{Member, MemberStatus, Membership, TargetState};
@@ -134,9 +134,19 @@
 
 /// Builds the error for a request that only control replicas serve.
 ///
-/// `request_kind` names the kind of request in the plural, for example `watches`.
-pub(super) fn misdirected_error(parts: &ApiParts<'_>, request_kind: &str) -> ApiError {
-    let replicas = control_replicas(parts.membership);
+/// `request_kind` names the kind of request in the plural, for example `watches`. A standby
+/// names only the leader, since the other control replicas may be standbys too.
+pub(super) fn misdirected_error(
+    cx: &Context<'_>,
+    parts: &ApiParts<'_>,
+    request_kind: &str,
+) -> ApiError {
+    let mut replicas = control_replicas(parts.membership);
+    if let Some(Participation::Standby { leader: Some(leader) }) = parts.participation(cx)
+        && let Some(leader) = parts.membership.member(leader)
+    {
+        replicas.retain(|replica| replica.host == leader.host);
+    }
     let addresses: Vec<String> = replicas.iter().map(|replica| replica.api.to_string()).collect();
     let message = if addresses.is_empty() {
         format!(
--- a/crates/core/tests/fuzz/control_hosts.rs
+++ b/crates/core/tests/fuzz/control_hosts.rs
@@ -1,5 +1,6 @@
 //! Operators' requests at a mesh with many more control hosts than voters.
 
+use fireflylug_core::api::ApiRequest;
 use fireflylug_core::distribution::CUT_OFF_FROM_CONTROL_AFTER_MS;
 use rstest::rstest;
 
@@ -70,3 +71,26 @@
     assert!(cut_off.is_empty(), "cut off from the control plane: {cut_off:?}");
     assert!(waiting.is_empty(), "not serving since the restart: {waiting:?}");
 }
+
+/// A watch at a control host to which no leader replicates stayed open and never reported a
+/// version.
+#[rstest]
+fn every_open_watch_reports_the_next_version(
+    #[values(3, 9, 24)] control_hosts: usize,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut world = started_world(control_hosts, true, seed);
+    for host in 0..world.hosts.len() {
+        world.send_api_request(host, ApiRequest::Watch { from: None });
+    }
+
+    world.put(0, 1, None);
+    world.run_ms(CLIENT_TIMEOUT_MS);
+
+    let newest = world.oracle.newest_accepted();
+    let watched = world.watched_versions();
+    let silent: Vec<usize> =
+        watched.iter().filter(|(_, version)| *version < newest).map(|(host, _)| *host).collect();
+    assert!(watched.len() >= 3, "open watches: {watched:?}");
+    assert!(silent.is_empty(), "version {newest} is not reported at {silent:?}");
+}
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -78,7 +78,8 @@
 enum PendingRequest {
     Change(u32),
     Read(Version),
-    Watch,
+    /// An open watch, with the newest version that it reported as accepted.
+    Watch(Version),
     Other,
 }
 
@@ -245,7 +246,7 @@
             | ApiRequest::List(_, Freshness::Linearizable) => {
                 PendingRequest::Read(self.oracle.newest_accepted())
             }
-            ApiRequest::Watch { .. } => PendingRequest::Watch,
+            ApiRequest::Watch { .. } => PendingRequest::Watch(Version(0)),
             _ => PendingRequest::Other,
         };
         self.send_request(host, pending, body);
@@ -467,7 +468,7 @@
 
     fn handle_response(&mut self, host: usize, request: RequestId, response: ApiResponse) {
         let key = (host, self.hosts[host].epoch, request);
-        match (self.pending_requests.get(&key), response) {
+        match (self.pending_requests.get_mut(&key), response) {
             (Some(PendingRequest::Change(marker)), response) => {
                 let marker = *marker;
                 self.oracle.record_answer(marker, reported_outcome(&response));
@@ -478,11 +479,18 @@
                 self.pending_requests.remove(&key);
             }
             (
-                Some(PendingRequest::Watch),
+                Some(PendingRequest::Watch(_)),
                 ApiResponse::Watch(WatchEvent::InForce { version, .. }),
             ) => {
                 self.oracle.check_in_force(version, &self.serving());
             }
+            (
+                Some(PendingRequest::Watch(reported)),
+                ApiResponse::Watch(WatchEvent::Accepted { version, .. }),
+            ) => *reported = version,
+            (Some(PendingRequest::Watch(_)), ApiResponse::Error(_)) => {
+                self.pending_requests.remove(&key);
+            }
             _ => {}
         }
     }
@@ -505,6 +513,16 @@
         of_host.filter(|(_, pending)| counts(pending)).count()
     }
 
+    /// The hosts with an open watch, and the newest version that each reported as accepted.
+    pub fn watched_versions(&self) -> Vec<(usize, Version)> {
+        let watches =
+            self.pending_requests.iter().filter_map(|((host, ..), pending)| match pending {
+                PendingRequest::Watch(version) => Some((*host, *version)),
+                _ => None,
+            });
+        watches.collect()
+    }
+
     /// Hosts that may serve calls, with the version by which they serve.
     pub fn serving(&self) -> Vec<(usize, Version)> {
         let hosts = self.hosts.iter().enumerate();
