Peers: a connected seed is not dialed again

What operators would see: messages between two hosts in touch are lost now and then, without a fault on the link; a read at a follower whose request is lost so is answered only after a second, which is as long as the operator waits.

Cause: each process dials its seeds again every 30 to 60 s, and at once when its settings name other seeds. The address was dialed although its process was connected; the new connection took the place of the present one, which was cut with whatever was queued or in transit on it.

connected_seed_is_not_dialed_again failed before (2 connections) and passes.

--- a/crates/daemon/src/peers/registry.rs
+++ b/crates/daemon/src/peers/registry.rs
@@ -159,9 +159,15 @@
         self.lock().peers.get(&id).is_some_and(|peer| !peer.connections.is_empty())
     }
 
-    /// Marks an address as being dialed. Returns false if it already is.
+    /// Marks an address as being dialed. Returns false if it already is, or if the process at the
+    /// address is connected: a new connection would replace the present one, and the messages in
+    /// transit on it would be lost.
     pub fn begin_dial(&self, address: SocketAddr) -> bool {
-        self.lock().dialed_addresses.insert(address)
+        let mut inner = self.lock();
+        let is_at_address = |peer: &&Peer| peer.address == Some(address);
+        let is_connected =
+            inner.peers.values().filter(is_at_address).any(|peer| !peer.connections.is_empty());
+        !is_connected && inner.dialed_addresses.insert(address)
     }
 
     /// Ends [`Registry::begin_dial`].
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -1,6 +1,8 @@
 //! Connections between daemons: joining, restarts, wrong keys and garbage.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use fireflylug_core::ids::{Locality, Name};
@@ -11,7 +13,7 @@
 use rstest::rstest;
 use tempfile::NamedTempFile;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 fn name(text: &str) -> Name {
     Name::new(text).unwrap()
@@ -102,6 +104,45 @@
     })
 }
 
+/// Forwards connections to `upstream` and counts them.
+async fn counting_front(upstream: SocketAddr) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let accepted = Arc::clone(&count);
+    tokio::spawn(async move {
+        while let Ok((mut client, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::Relaxed);
+            tokio::spawn(async move {
+                let mut server = TcpStream::connect(upstream).await.unwrap();
+                let _ = tokio::io::copy_bidirectional(&mut client, &mut server).await;
+            });
+        }
+    });
+    (address, count)
+}
+
+/// A dial of a seed that was connected already replaced the connection, and the messages in
+/// transit on it were lost.
+#[rstest]
+#[tokio::test]
+async fn connected_seed_is_not_dialed_again() {
+    let seed = Daemon::start(settings("host-0", &[])).await.unwrap();
+    let other_seed = Daemon::start(settings("host-1", &[])).await.unwrap();
+    let (seed_address, other_address) = (seed.addresses().peers, other_seed.addresses().peers);
+    let (front, connections) = counting_front(seed_address).await;
+    let mut joining = settings("host-2", &[seed_address]);
+    joining.translate = vec![(seed_address, front)];
+    let daemon = Daemon::start(joining.clone()).await.unwrap();
+    wait_for("the seed", || alive_members(&daemon) == 2).await;
+    let before = connections.load(Ordering::Relaxed);
+
+    daemon.reload(&joining.with_seeds(vec![seed_address, other_address]));
+    wait_for("the other seed", || alive_members(&daemon) == 3).await;
+
+    assert_eq!(connections.load(Ordering::Relaxed), before);
+}
+
 #[rstest]
 #[tokio::test]
 async fn daemon_with_another_key_is_refused() {
