--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -8,27 +8,23 @@
 //! response, the outcome is unknown.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 
 use rand::Rng;
 
-use super::message::{ApiMessage, ReadAnswer, ReadQuery};
+use super::message::ReadAnswer;
+use super::nearest::nearest_replica;
+use super::replica_request::ReplicaRequest;
 use super::request::ApiResponse;
 use super::{ApiError, ErrorCode};
 use crate::Effect;
-use crate::config::ChangeRequest;
 use crate::consensus::{ChangeOutcome, Participation};
-use crate::context::{Context, Identity};
+use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
-use crate::ids::{IdempotencyKey, Name, NodeId, RequestId};
-use crate::membership::{Member, Membership};
+use crate::ids::{NodeId, RequestId};
+use crate::membership::Membership;
 use crate::time::Instant;
 
-/// Timeout of a change, in milliseconds from its arrival.
-const CHANGE_TIMEOUT_MS: u64 = 6_000;
-/// Timeout of a linearizable read, in milliseconds from its arrival.
-const READ_TIMEOUT_MS: u64 = 3_000;
 /// Timeout of one attempt, in milliseconds. Another attempt follows.
 const ATTEMPT_TIMEOUT_MS: u64 = 1_500;
 /// Base delay between attempts while no leader is reachable, in milliseconds. Jitter
@@ -54,66 +50,6 @@
     RequestId(attempt.0 >> ATTEMPT_BITS)
 }
 
-/// A request that only a control replica can carry out.
-#[derive(Clone)]
-pub(super) enum ReplicaRequest {
-    /// A change that carries an idempotency key.
-    Change(ChangeRequest),
-    /// A replacement of a voter. It is idempotent: proposing it twice has the
-    /// effect of proposing it once.
-    ReplaceVoter {
-        /// The voter to remove.
-        old: NodeId,
-        /// The process that becomes a voter.
-        new: NodeId,
-    },
-    /// A linearizable read.
-    Read(ReadQuery),
-}
-
-impl ReplicaRequest {
-    /// Creates the request for a change. If the client sent no idempotency key, it
-    /// gets one that is unique to this process.
-    pub(super) fn change(me: &Identity, request: RequestId, mut change: ChangeRequest) -> Self {
-        change.key = change.key.or_else(|| {
-            let text = format!("auto-{}-{}-{}", me.id, me.incarnation, request.0);
-            IdempotencyKey::new(text).ok()
-        });
-        Self::Change(change)
-    }
-
-    /// Creates the request to replace a voter, from the names of the hosts.
-    pub(super) fn replace_voter(old: &Name, new: &Name) -> Self {
-        Self::ReplaceVoter { old: NodeId::of_host(old), new: NodeId::of_host(new) }
-    }
-
-    fn timeout_ms(&self) -> u64 {
-        match self {
-            Self::Change(_) | Self::ReplaceVoter { .. } => CHANGE_TIMEOUT_MS,
-            Self::Read(_) => READ_TIMEOUT_MS,
-        }
-    }
-
-    fn message(&self, request: RequestId, incarnation: u64) -> ApiMessage {
-        match self.clone() {
-            Self::Change(change) => ApiMessage::Propose { request, change, incarnation },
-            Self::ReplaceVoter { old, new } => ApiMessage::ReplaceVoter { request, old, new },
-            Self::Read(query) => ApiMessage::Read { request, query },
-        }
-    }
-}
-
-impl fmt::Display for ReplicaRequest {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Change(ChangeRequest { key: Some(key), .. }) => write!(f, "Change {key}"),
-            Self::Change(_) => write!(f, "Change without a key"),
-            Self::ReplaceVoter { old, new } => write!(f, "Replacement of voter {old} by {new}"),
-            Self::Read(_) => write!(f, "Read"),
-        }
-    }
-}
-
 struct PendingRequest {
     replica_request: ReplicaRequest,
     arrived_at: Instant,
@@ -226,19 +162,18 @@
     ) -> Option<(RequestId, ReplicaRequest)> {
         let leader_hint = self.leader_hint;
         let pending = self.pending.get_mut(&request)?;
-        let is_read = matches!(pending.replica_request, ReplicaRequest::Read(_));
-        let remembered_or_nearest =
-            || leader_hint.or_else(|| nearest_replica(cx, membership, pending.attempts));
-        let to = match local {
+        let to = match (local, pending.attempts) {
             // A replica that receives the log can confirm a linearizable read: only the read
             // index crosses the network, not the resources.
-            Some(Participation::Member { .. }) if is_read => Some(cx.me.id),
-            Some(Participation::Member { leader }) => leader,
+            (Some(Participation::Member { .. }), _) if pending.replica_request.is_read() => {
+                Some(cx.me.id)
+            }
+            (Some(Participation::Member { leader }), _) => leader,
             // The reported leader may be gone, so only the first attempt goes there.
-            Some(Participation::Standby { leader }) => {
-                leader.filter(|_| pending.attempts == 0).or_else(remembered_or_nearest)
+            (Some(Participation::Standby { leader: Some(leader) }), 0) => Some(leader),
+            (Some(Participation::Standby { .. }) | None, attempts) => {
+                leader_hint.or_else(|| nearest_replica(cx, membership, attempts))
             }
-            None => remembered_or_nearest(),
         };
         pending.attempts += 1;
         pending.awaited_replica = to;
@@ -421,27 +356,6 @@
     }
 }
 
-/// Selects a control replica: those of the same availability zone first, then those
-/// of the region, then the others. Each attempt selects the next one.
-fn nearest_replica(cx: &Context<'_>, membership: &Membership, attempts: usize) -> Option<NodeId> {
-    let others = membership.control_replicas().filter(|member| member.id != cx.me.id);
-    let mut replicas: Vec<&Member> = others.collect();
-    replicas.sort_by_key(|member| (locality_distance(cx, member), member.id));
-    let index = attempts.checked_rem(replicas.len())?;
-    Some(replicas[index].id)
-}
-
-fn locality_distance(cx: &Context<'_>, member: &Member) -> u8 {
-    let here = &cx.me.locality;
-    if member.locality.availability_zone == here.availability_zone {
-        0
-    } else if member.locality.region == here.region {
-        1
-    } else {
-        2
-    }
-}
-
 fn retry_delay_ms(cx: &mut Context<'_>) -> u64 {
     RETRY_DELAY_MS + cx.rng.random_range(0..=RETRY_DELAY_MS)
 }
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -8,7 +8,9 @@
 mod error;
 mod forward;
 mod message;
+mod nearest;
 mod proposals;
+mod replica_request;
 mod request;
 mod status;
 mod watch;
@@ -32,8 +34,9 @@
 use crate::slo::Slo;
 use crate::time::Instant;
 
-use forward::{PendingRequests, ReplicaRequest};
+use forward::PendingRequests;
 use proposals::SeenProposals;
+use replica_request::ReplicaRequest;
 use watch::Watches;
 
 /// The other parts of the process state that the API reads and updates.
