Status: a control replica to which no leader replicates is a standby

The operators' test that waited for a role other than learner now waits for a voter's role, which is stricter.

status_tells_standbys_from_learners needs the new role and fails to compile without it.

--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -5,7 +5,7 @@
 use super::ELECTION_TIMEOUT_MAX_MS;
 use super::entry::{Voter, VoterSet};
 use super::replica::ControlReplica;
-use super::role::Role;
+use super::role::{Participation, Role};
 use crate::ids::{NodeId, Version};
 use crate::time::Instant;
 
@@ -19,6 +19,8 @@
     /// Follows without a vote: its storage is not that of a voter, or the entry
     /// that makes it a voter is not known to be committed.
     Learner,
+    /// Receives nothing from the log: no leader replicates to it, and it has no vote.
+    Standby,
     /// Follows as a voter.
     Follower,
     /// Requests votes or pre-votes.
@@ -122,6 +124,9 @@
             Role::Follower if self.state_machine.voters().disk_of(node) == Some(self.disk) => {
                 ControlRole::Follower
             }
+            Role::Follower if matches!(self.participation(node), Participation::Standby { .. }) => {
+                ControlRole::Standby
+            }
             Role::Follower => ControlRole::Learner,
             Role::PreCandidate(_) | Role::Candidate(_) => ControlRole::Candidate,
             Role::Leader(_) => ControlRole::Leader,
--- a/crates/core/tests/fuzz/control_hosts.rs
+++ b/crates/core/tests/fuzz/control_hosts.rs
@@ -1,11 +1,15 @@
 //! Control hosts of a mesh, of which there may be many more than voters.
 
 use fireflylug_core::api::ApiRequest;
+use fireflylug_core::consensus::ControlRole;
 use fireflylug_core::distribution::CUT_OFF_FROM_CONTROL_AFTER_MS;
 use rstest::rstest;
 
 use crate::world::{Layout, World};
 
+/// Number of voters that the leader maintains.
+const VOTERS: usize = 5;
+
 /// Time within which an operator's client expects an answer, in milliseconds. It then
 /// sends the request to another host.
 const CLIENT_TIMEOUT_MS: u64 = 1_000;
@@ -20,7 +24,8 @@
 /// leader maintains five voters. With slow proxies, control hosts are the relays of the zones.
 fn started_world(control_hosts: usize, has_slow_proxies: bool, seed: u64) -> World {
     let zones = (0..control_hosts + 8).map(|host| host % 8).collect();
-    let layout = Layout { zones, control_hosts, desired_voter_count: Some(5), has_slow_proxies };
+    let layout =
+        Layout { zones, control_hosts, desired_voter_count: Some(VOTERS), has_slow_proxies };
     let mut world = World::with_layout(seed, &layout);
     world.run_ms(JOIN_MS);
     world.put(0, 0, None);
@@ -75,6 +80,19 @@
     assert!(waiting.is_empty(), "not serving since the restart: {waiting:?}");
 }
 
+/// A control host to which no leader replicates was reported as a learner, which an operator
+/// takes for one that follows.
+#[rstest]
+fn status_tells_standbys_from_learners() {
+    let world = started_world(24, true, 1);
+
+    let roles = (0..world.hosts.len()).filter_map(|host| world.control_role(host));
+    let standbys = roles.filter(|role| *role == ControlRole::Standby).count();
+
+    assert!(standbys > 0);
+    assert_eq!(world.voters().len(), VOTERS);
+}
+
 /// A change that was just accepted is lost with the tolerated number of disks while every other
 /// process loses its power.
 #[rstest]
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -6,7 +6,7 @@
 
 use fireflylug_core::api::{ApiRequest, ApiResponse, ErrorCode, Freshness, WatchEvent};
 use fireflylug_core::config::Configuration;
-use fireflylug_core::consensus::{ControlSettings, DiskEvent};
+use fireflylug_core::consensus::{ControlRole, ControlSettings, DiskEvent};
 use fireflylug_core::context::{Addresses, Identity};
 use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, Version};
 use fireflylug_core::membership::MembershipSettings;
@@ -495,6 +495,13 @@
         }
     }
 
+    /// Role of the control replica of a host; none at a host without one.
+    pub fn control_role(&self, host: usize) -> Option<ControlRole> {
+        let host = &self.hosts[host];
+        let now = Instant::from_us(self.now_us - host.started_us);
+        Some(host.state.as_ref()?.control()?.status(host.id, now).role)
+    }
+
     /// The hosts that vote, by the replica of the first host; the leader that it follows comes first.
     pub fn voters(&self) -> Vec<usize> {
         let host = &self.hosts[0];
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -177,7 +177,8 @@
 
     let replaced = hosts.send(0, "POST /v1/voters", &replacement).await;
     let again = hosts.send(3, "POST /v1/voters", &replacement).await;
-    let status = hosts.wait_for(3, |status| status.role != ControlRole::Learner).await;
+    let votes = |role| matches!(role, ControlRole::Follower | ControlRole::Leader);
+    let status = hosts.wait_for(3, |status| votes(status.role)).await;
     hosts.kill(old);
     let next = hosts.put_service(3, "bookbook").await;
 
