Consensus: a follower sends a read request again after 300 ms without a response

Cause: the request or its response was lost; nothing sent it again.

Change: the request is sent again every 300 ms until the read times out. It names the same read, so a second response finds nothing to answer.

read_whose_request_was_lost_is_answered_before_its_timeout failed before (no answer 950 ms after the loss) and passes.

--- a/crates/core/src/consensus/pending.rs
+++ b/crates/core/src/consensus/pending.rs
@@ -12,6 +12,10 @@
 /// Timeout of a read, in milliseconds. The read is then refused.
 pub const READ_TIMEOUT_MS: u64 = 1_000;
 
+/// Time without a response after which a follower sends its read request to the leader again,
+/// in milliseconds: the request may be lost with a connection.
+const RESEND_READ_AFTER_MS: u64 = 300;
+
 /// A proposal that was appended to the log.
 #[derive(Debug)]
 pub(super) struct Proposal {
@@ -37,9 +41,29 @@
 pub(super) struct RemoteRead {
     /// Read index: the entry that must be applied first; none before the leader's response.
     pub(super) index: Option<u64>,
+    pub(super) resend_at: Instant,
     pub(super) deadline: Instant,
 }
 
+impl RemoteRead {
+    /// Creates a read whose request to the leader is sent now.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            index: None,
+            resend_at: now.plus_ms(RESEND_READ_AFTER_MS),
+            deadline: now.plus_ms(READ_TIMEOUT_MS),
+        }
+    }
+
+    /// When the request is sent again, or the read is refused.
+    fn next_deadline(&self) -> Instant {
+        match self.index {
+            Some(_) => self.deadline,
+            None => self.deadline.min(self.resend_at),
+        }
+    }
+}
+
 /// Proposals and reads without an answer yet.
 #[derive(Debug, Default)]
 pub(super) struct PendingRequests {
@@ -57,10 +81,21 @@
         // first. Remote reads are few, so all are compared.
         let proposal = self.proposals.values().next().map_or(Instant::NEVER, |p| p.deadline);
         let read = self.reads.front().map_or(Instant::NEVER, |read| read.deadline);
-        let remote = self.remote_reads.values().map(|read| read.deadline);
+        let remote = self.remote_reads.values().map(RemoteRead::next_deadline);
         remote.fold(proposal.min(read), Instant::min)
     }
 
+    /// Returns the reads whose request is sent to the leader again now.
+    pub(super) fn take_reads_to_resend(&mut self, now: Instant) -> Vec<Origin> {
+        let is_due = |read: &RemoteRead| read.index.is_none() && read.resend_at <= now;
+        let due = self.remote_reads.iter_mut().filter(|(_, read)| is_due(read));
+        let resend = due.map(|(origin, read)| {
+            read.resend_at = now.plus_ms(RESEND_READ_AFTER_MS);
+            *origin
+        });
+        resend.collect()
+    }
+
     /// Removes and returns the proposals appended at this index, with their terms.
     pub(super) fn take_proposals_at(&mut self, index: u64) -> Vec<(u64, Origin)> {
         let range = (index, 0)..=(index, u64::MAX);
--- a/crates/core/src/consensus/proposals.rs
+++ b/crates/core/src/consensus/proposals.rs
@@ -123,6 +123,7 @@
             self.output(ControlOutput::Outcome(origin, ChangeOutcome::Unknown));
         }
         self.refuse_expired_reads(cx);
+        self.resend_read_requests(cx);
     }
 
     /// Ends every pending proposal and follower read, after a failure of the disk: their outcome
--- a/crates/core/src/consensus/reads.rs
+++ b/crates/core/src/consensus/reads.rs
@@ -20,8 +20,7 @@
             _ if self.storage.has_failed() => self.refuse_read(origin),
             (Role::Leader(_), _) => self.queue_read(cx, origin, None),
             (_, Some(leader)) => {
-                let deadline = cx.now.plus_ms(READ_TIMEOUT_MS);
-                self.pending.remote_reads.insert(origin, RemoteRead { index: None, deadline });
+                self.pending.remote_reads.insert(origin, RemoteRead::new(cx.now));
                 cx.send(leader, ConsensusMessage::ReadRequest { origin });
             }
             (_, None) => self.refuse_read(origin),
@@ -133,6 +132,15 @@
         }
     }
 
+    /// Sends the read requests again whose response is late.
+    pub(super) fn resend_read_requests(&mut self, cx: &mut Context<'_>) {
+        let due = self.pending.take_reads_to_resend(cx.now);
+        let Some(leader) = self.leader.filter(|leader| *leader != cx.me.id) else { return };
+        for origin in due {
+            cx.send(leader, ConsensusMessage::ReadRequest { origin });
+        }
+    }
+
     /// Refuses every read at this follower that waits for the leader.
     pub(super) fn refuse_remote_reads(&mut self) {
         for origin in std::mem::take(&mut self.pending.remote_reads).into_keys() {
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -2,7 +2,8 @@
 
 use fireflylug_core::api::ErrorCode;
 use fireflylug_core::consensus::{
-    ChangeOutcome, ControlRole, ELECTION_TIMEOUT_MAX_MS, MAX_OUTCOMES, PROPOSAL_TIMEOUT_MS, Voter,
+    ChangeOutcome, ControlRole, ELECTION_TIMEOUT_MAX_MS, MAX_OUTCOMES, PROPOSAL_TIMEOUT_MS,
+    READ_TIMEOUT_MS, Voter,
 };
 use fireflylug_core::ids::Version;
 use rstest::rstest;
@@ -105,6 +106,22 @@
     assert!(cluster.now_us - crashed_us < 3_000_000);
 }
 
+/// The request of a follower to the leader was lost with a connection, and the read was refused
+/// after a second, by when its client had left.
+#[test]
+fn read_whose_request_was_lost_is_answered_before_its_timeout() {
+    let (mut cluster, leader) = cluster_with_leader(3, 5);
+    let follower = (leader + 1) % 3;
+
+    cluster.isolate(follower);
+    let read = cluster.read(follower);
+    cluster.run_for(50);
+    cluster.heal();
+    cluster.run_for(READ_TIMEOUT_MS - 100);
+
+    assert_eq!(cluster.reads.get(&read), Some(&true));
+}
+
 #[test]
 fn read_is_answered_by_every_replica_in_touch() {
     let (mut cluster, _) = cluster_with_leader(3, 5);
