Core tests: split the simulated mesh by job

mesh/mod.rs was 679 lines with four jobs. The process, the queued events and the fixtures are files of their own; the network and the clock stay (about 517). No test changes but for its imports.

--- a/crates/core/tests/distribution/main.rs
+++ b/crates/core/tests/distribution/main.rs
@@ -11,7 +11,8 @@
     DistributionMessage, HeldVersion, Holders, Update, ZoneReport,
 };
 use fireflylug_core::ids::Version;
-use mesh::{Faults, Mesh, configuration, name, two_regions, versions, zone};
+use mesh::fixtures::{Zone, configuration, name, two_regions, versions, zone};
+use mesh::{Faults, Mesh};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -41,7 +42,7 @@
 }
 
 /// A mesh whose hosts all hold the first of a series of versions.
-fn mesh_with_first(zones: &[mesh::Zone], seed: u64) -> (Mesh, Vec<Arc<Configuration>>) {
+fn mesh_with_first(zones: &[Zone], seed: u64) -> (Mesh, Vec<Arc<Configuration>>) {
     let mut mesh = Mesh::started(zones, seed);
     let versions = versions(600);
     mesh.publish(&versions[0]);
@@ -55,10 +56,7 @@
 #[case::one_host(vec![zone("kochi", "kochi-aluva", 1, 1)], 1)]
 #[case::users_size(two_regions(4), 2)]
 #[case::deep_tree(two_regions(30), 3)]
-fn version_reaches_everybody_and_all_replicas_say_so(
-    #[case] zones: Vec<mesh::Zone>,
-    #[case] seed: u64,
-) {
+fn version_reaches_everybody_and_all_replicas_say_so(#[case] zones: Vec<Zone>, #[case] seed: u64) {
     let (mut mesh, versions) = mesh_with_first(&zones, seed);
 
     mesh.publish(&versions[1]);
--- a/crates/core/tests/distribution/restarts.rs
+++ b/crates/core/tests/distribution/restarts.rs
@@ -7,7 +7,8 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::mesh::{self, Mesh, configuration, two_regions, zone};
+use crate::mesh::Mesh;
+use crate::mesh::fixtures::{Zone, configuration, two_regions, zone};
 use crate::{all_hold, all_ready, all_report_in_force, mesh_with_first, ready_version, version_of};
 
 #[rstest]
@@ -64,7 +65,7 @@
 #[case::users_size(two_regions(4), 4)]
 #[case::deep_tree(two_regions(30), 5)]
 fn mesh_restarted_as_a_whole_serves_as_soon_as_there_is_a_leader(
-    #[case] zones: Vec<mesh::Zone>,
+    #[case] zones: Vec<Zone>,
     #[case] seed: u64,
 ) {
     let (mut mesh, versions) = mesh_with_first(&zones, seed);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -5,7 +5,8 @@
 
 use fireflylug_core::ids::TargetId;
 use fireflylug_core::membership::{MemberStatus, TargetState};
-use mesh::{Faults, Mesh, name, two_regions};
+use mesh::fixtures::{name, two_regions};
+use mesh::{Faults, Mesh};
 use rstest::rstest;
 
 fn target(id: &str) -> TargetId {
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -7,6 +7,9 @@
 
 #![allow(dead_code)]
 
+mod event;
+pub mod fixtures;
+mod process;
 mod traffic;
 
 use std::cmp::Reverse;
@@ -14,22 +17,24 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use fireflylug_core::config::{Configuration, StoredResource};
+use fireflylug_core::config::Configuration;
 use fireflylug_core::context::{Addresses, Context, Identity};
-use fireflylug_core::distribution::{Distribution, DistributionSettings, Progress};
-use fireflylug_core::ids::{Locality, Name, NodeId, TargetId, Version};
+use fireflylug_core::distribution::{Distribution, DistributionSettings};
+use fireflylug_core::ids::{Locality, NodeId, TargetId};
 use fireflylug_core::membership::{
-    Member, MemberStatus, Membership, MembershipChange, MembershipSettings, TargetAnnouncement,
-    TargetState,
+    Member, MemberStatus, Membership, MembershipSettings, TargetAnnouncement, TargetState,
 };
 use fireflylug_core::message::PeerMessage;
-use fireflylug_core::resource::{Resource, Service};
 use fireflylug_core::{Effect, Event, Instant};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+pub use process::Process;
 pub use traffic::Traffic;
 
+use event::{Scheduled, SimEvent};
+use fixtures::{Zone, name};
+
 /// Unix time at the start of every test, in milliseconds.
 const EPOCH_UNIX_MS: u64 = 1_700_000_000_000;
 
@@ -52,18 +57,6 @@
     pub delay_us: u64,
 }
 
-/// A running process.
-pub struct Process {
-    pub me: Identity,
-    pub membership: Membership,
-    pub distribution: Distribution,
-    pub progress: Option<Progress>,
-    rng: SmallRng,
-    started_us: u64,
-    /// Whether a control replica counts as current, as it does under a leader.
-    has_leader: bool,
-}
-
 /// A host: its process, if one runs, and the state that outlives a process.
 struct Host {
     me: Identity,
@@ -72,43 +65,6 @@
     starts: u64,
 }
 
-#[derive(Debug)]
-enum SimEvent {
-    Tick,
-    Connected { peer: usize },
-    Disconnected { peer: usize },
-    Message { from: usize, message: Box<PeerMessage> },
-    Break { peer: usize },
-}
-
-struct Scheduled {
-    at_us: u64,
-    order: u64,
-    host: usize,
-    start: u64,
-    event: SimEvent,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        self.order == other.order
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_us, self.order).cmp(&(other.at_us, other.order))
-    }
-}
-
 /// Outgoing network link of a host.
 #[derive(Clone, Copy, Debug)]
 struct Link {
@@ -138,35 +94,6 @@
     rng: SmallRng,
 }
 
-/// One availability zone of a mesh, with its numbers of hosts and control replicas.
-#[derive(Clone, Debug)]
-pub struct Zone {
-    pub region: &'static str,
-    pub name: &'static str,
-    pub hosts: usize,
-    pub control: usize,
-}
-
-/// Creates a [`Zone`].
-pub fn zone(region: &'static str, name: &'static str, hosts: usize, control: usize) -> Zone {
-    Zone { region, name, hosts, control }
-}
-
-/// Two regions with two availability zones each, as in the users' deployment.
-/// Each zone has `hosts` hosts.
-pub fn two_regions(hosts: usize) -> Vec<Zone> {
-    vec![
-        zone("kochi", "kochi-aluva", hosts, 1),
-        zone("kochi", "kochi-ernakulam", hosts, 1),
-        zone("kozhikode", "kzd-feroke", hosts, 1),
-        zone("kozhikode", "kzd-mavoor", hosts, 0),
-    ]
-}
-
-pub fn name(text: &str) -> Name {
-    Name::new(text).unwrap()
-}
-
 impl Mesh {
     /// Creates the hosts of the zones without starting any. The first hosts of the first
     /// two availability zones are the seeds of all.
@@ -588,92 +515,3 @@
         Self { me, seeds: Vec::new(), process: None, starts: 0 }
     }
 }
-
-impl Process {
-    pub fn version(&self) -> u64 {
-        self.distribution.current().version().0
-    }
-
-    fn with_context<T>(
-        &mut self,
-        now_us: u64,
-        effects: &mut Vec<Effect>,
-        act: impl FnOnce(&mut Self, &mut Context<'_>) -> T,
-    ) -> T {
-        let now = Instant::from_us(now_us - self.started_us);
-        let mut rng = self.rng.clone();
-        let me = self.me.clone();
-        let mut cx = Context { now, rng: &mut rng, me: &me, effects };
-        let result = act(self, &mut cx);
-        self.rng = rng;
-        result
-    }
-
-    fn handle_event(&mut self, cx: &mut Context<'_>, event: Event) {
-        match event {
-            Event::Tick => {
-                self.membership.tick(cx);
-                self.distribution.tick(cx, &self.membership);
-            }
-            Event::PeerConnected { peer } => {
-                self.membership.peer_connected(cx, peer);
-                self.distribution.peer_connected(cx, &self.membership, peer);
-            }
-            Event::PeerDisconnected { peer } => {
-                self.membership.peer_disconnected(cx, peer);
-                self.distribution.peer_disconnected(cx, &self.membership, peer);
-            }
-            Event::PeerMessage { from, message } => match message {
-                PeerMessage::Membership(message) => self.membership.step(cx, from, message),
-                PeerMessage::Distribution(message) => {
-                    self.distribution.step(cx, &self.membership, from, message);
-                }
-                _ => {}
-            },
-            _ => {}
-        }
-    }
-
-    fn propagate_changes(&mut self, now_us: u64, effects: &mut Vec<Effect>) {
-        self.with_context(now_us, effects, |process, cx| {
-            for change in process.membership.take_changes() {
-                let MembershipChange::Target(_) = change else {
-                    process.distribution.membership_changed(cx, &process.membership, &change);
-                    continue;
-                };
-            }
-            process.distribution.take_new_configuration();
-            if process.me.control && process.has_leader {
-                process.distribution.record_control_contact(cx.now);
-            }
-            if let Some(progress) = process.distribution.take_progress() {
-                process.progress = Some(progress);
-            }
-        });
-    }
-}
-
-/// A configuration version with these services, each paired with the version that
-/// last changed it.
-pub fn configuration(version: u64, services: &[(String, u64)]) -> Arc<Configuration> {
-    let stored = services.iter().map(|(service, changed)| {
-        let resource = Arc::new(Resource::Service(Service::new(name(service))));
-        (resource.key(), StoredResource { version: Version(*changed), resource })
-    });
-    Arc::new(Configuration::new(Version(version), stored.collect()))
-}
-
-/// Consecutive versions. Each adds a service, and every third one also deletes an
-/// older service.
-pub fn versions(count: u64) -> Vec<Arc<Configuration>> {
-    let mut services: Vec<(String, u64)> = Vec::new();
-    let mut versions = Vec::new();
-    for version in 1..=count {
-        services.push((format!("service-{version}"), version));
-        if version % 3 == 0 {
-            services.remove(services.len() / 2);
-        }
-        versions.push(configuration(version, &services));
-    }
-    versions
-}
--- a/crates/core/tests/scale.rs
+++ b/crates/core/tests/scale.rs
@@ -9,7 +9,8 @@
 use std::collections::BTreeMap;
 
 use fireflylug_core::ids::{NodeId, Version};
-use mesh::{Mesh, Zone, configuration, zone};
+use mesh::Mesh;
+use mesh::fixtures::{Zone, configuration, zone};
 use rstest::rstest;
 
 /// Number of resources of the configuration that is changed.
