--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -134,10 +134,10 @@
         self.leader
     }
 
-    /// How this replica takes part in the replicated log.
-    pub fn participation(&self, node: NodeId) -> Participation {
+    /// How this replica, of process `me`, takes part in the replicated log.
+    pub fn participation(&self, me: NodeId) -> Participation {
         let is_blank = matches!(self.role, Role::Blank(_));
-        let is_voter = self.is_voter(Voter { node, disk: self.disk });
+        let is_voter = self.is_voter(Voter { node: me, disk: self.disk });
         if self.storage.has_failed() {
             Participation::Standby { leader: None }
         } else if is_blank || (self.leader.is_none() && !is_voter) {
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -234,19 +234,18 @@
         }
     }
 
-    /// Replaces a parent that is a standby, unless it is the hub, which has a parent of its own.
-    pub(super) fn replace_standby_parent(
-        &mut self,
-        cx: &mut Context<'_>,
+    /// Whether a parent that is a standby must be replaced: at a relay, since the standby may be its
+    /// own child. The hub has a parent of its own.
+    pub(super) fn needs_other_parent(
+        &self,
+        cx: &Context<'_>,
         membership: &Membership,
         parent: NodeId,
-    ) {
-        if self.upstream.is_relay && membership.hub(&cx.me.locality.region) != Some(parent) {
-            self.try_next_parent(cx, membership);
-        }
+    ) -> bool {
+        self.upstream.is_relay && membership.hub(&cx.me.locality.region) != Some(parent)
     }
 
-    fn try_next_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
+    pub(super) fn try_next_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         self.upstream.attempt += 1;
         self.upstream.retry_preferred_at = cx.now.plus_ms(RETRY_PREFERRED_AFTER_MS);
         let count = self.upstream.candidates.len().max(1);
--- a/crates/core/tests/fuzz/control_hosts.rs
+++ b/crates/core/tests/fuzz/control_hosts.rs
@@ -14,6 +14,10 @@
 /// sends the request to another host.
 const CLIENT_TIMEOUT_MS: u64 = 1_000;
 
+/// Time within which a restarted proxy of a mesh without faults serves, in milliseconds. Shorter than
+/// the interval at which a process refreshes the status of its parent.
+const SERVES_AFTER_START_MS: u64 = 3_000;
+
 /// Time after the end of all faults within which the mesh has recovered, in milliseconds.
 const RECOVERY_MS: u64 = 15_000;
 
@@ -129,6 +133,24 @@
     assert_eq!(world.serving().len(), world.hosts.len());
 }
 
+/// A proxy restarted below a relay without the log could ask it for a contact with the control
+/// plane once only, and then wait for the next refresh.
+#[rstest]
+fn proxy_restarted_below_a_standby_relay_serves_soon(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut world = started_world(24, true, seed);
+    let proxies = 24..world.hosts.len();
+
+    for host in proxies.clone() {
+        world.crash(host);
+        world.start(host);
+    }
+    world.run_ms(SERVES_AFTER_START_MS);
+
+    let serving: Vec<usize> = world.serving().into_iter().map(|(host, _)| host).collect();
+    let waiting: Vec<usize> = proxies.filter(|host| !serving.contains(host)).collect();
+    assert!(waiting.is_empty(), "not serving {SERVES_AFTER_START_MS} ms after: {waiting:?}");
+}
+
 /// A watch at a control host to which no leader replicates stayed open and never reported a
 /// version.
 #[rstest]
