--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -59,7 +59,7 @@
 
     /// Whether this process runs a control replica that receives nothing from the log.
     fn is_standby(&self, cx: &Context<'_>) -> bool {
-        matches!(self.participation(cx), Some(Participation::Standby { .. }))
+        self.participation(cx).is_some_and(Participation::is_standby)
     }
 }
 
@@ -325,9 +325,7 @@
     let Some(control) = parts.control else {
         return Err(message::Redirect::default());
     };
-    let (Participation::Member { leader } | Participation::Standby { leader }) =
-        control.participation(cx.me.id);
-    match leader {
+    match control.participation(cx.me.id).leader() {
         Some(leader) if leader == cx.me.id => Ok(control),
         Some(leader) => Err(message::Redirect::to(membership.member(leader))),
         None => Err(message::Redirect::default()),
--- a/crates/core/src/consensus/role.rs
+++ b/crates/core/src/consensus/role.rs
@@ -23,6 +23,20 @@
     },
 }
 
+impl Participation {
+    /// Whether the replica receives nothing from the log.
+    pub fn is_standby(self) -> bool {
+        matches!(self, Self::Standby { .. })
+    }
+
+    /// The leader that the replica follows or that others report.
+    pub fn leader(self) -> Option<NodeId> {
+        match self {
+            Self::Member { leader } | Self::Standby { leader } => leader,
+        }
+    }
+}
+
 /// Current role of a replica.
 #[derive(Debug)]
 pub(super) enum Role {
--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -5,7 +5,7 @@
 use super::ELECTION_TIMEOUT_MAX_MS;
 use super::entry::{Voter, VoterSet};
 use super::replica::ControlReplica;
-use super::role::{Participation, Role};
+use super::role::Role;
 use crate::ids::{NodeId, Version};
 use crate::time::Instant;
 
@@ -63,11 +63,6 @@
             && now.since_ms(self.last_quorum_contact_at(now)) < ELECTION_TIMEOUT_MAX_MS
     }
 
-    /// Whether the disk failed, so that the replica no longer takes part in consensus.
-    pub fn has_failed(&self) -> bool {
-        self.storage.has_failed()
-    }
-
     /// Last time at which the replica had contact with a quorum.
     pub(super) fn last_quorum_contact_at(&self, now: Instant) -> Instant {
         let Role::Leader(leadership) = &self.role else { return self.last_leader_contact_at };
@@ -124,9 +119,7 @@
             Role::Follower if self.state_machine.voters().disk_of(node) == Some(self.disk) => {
                 ControlRole::Follower
             }
-            Role::Follower if matches!(self.participation(node), Participation::Standby { .. }) => {
-                ControlRole::Standby
-            }
+            Role::Follower if self.participation(node).is_standby() => ControlRole::Standby,
             Role::Follower => ControlRole::Learner,
             Role::PreCandidate(_) | Role::Candidate(_) => ControlRole::Candidate,
             Role::Leader(_) => ControlRole::Leader,
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -1,7 +1,7 @@
 //! The entry point of the reducer: [`reduce`].
 
 use crate::api::ApiParts;
-use crate::consensus::{ControlOutput, Participation};
+use crate::consensus::ControlOutput;
 use crate::context::Context;
 use crate::event::{Effect, Event};
 use crate::ids::NodeId;
@@ -42,8 +42,7 @@
     if let Some(at) = control.published_all_at(now) {
         state.distribution.record_control_contact(at);
     }
-    let participation = control.participation(state.me.id);
-    let is_standby = matches!(participation, Participation::Standby { .. });
+    let is_standby = control.participation(state.me.id).is_standby();
     let mut cx = Context { now, rng: &mut state.rng, me: &state.me, effects };
     state.distribution.set_standby(&mut cx, &state.membership, is_standby);
 }
