Logs: where a version came from, parents and children, members that return

Now each process names the sender of a version, each change of its parent and its children, each fetch, and each member of its zone that is alive again after it was dead. A child that no longer reports is removed like any other, with its transfer and its held request.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -4,9 +4,10 @@
 
 use rand::Rng;
 
-use super::Distribution;
 use super::message::{DistributionMessage, Holders, Report, Status};
+use super::{Distribution, host_label};
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, Version};
 use crate::membership::Membership;
 use crate::time::Instant;
@@ -119,11 +120,11 @@
         self.children.remove(&id).is_some()
     }
 
-    /// Removes children whose last report is too old. Returns whether there were any.
-    pub fn remove_expired(&mut self, now: Instant) -> bool {
-        let before = self.children.len();
-        self.children.retain(|_, child| now.since_ms(child.last_report_at) < CHILD_TIMEOUT_MS);
-        self.children.len() != before
+    /// Children whose last report is too old.
+    pub fn expired(&self, now: Instant) -> Vec<NodeId> {
+        let is_expired = |child: &Child| now.since_ms(child.last_report_at) >= CHILD_TIMEOUT_MS;
+        let expired = self.children.iter().filter(|(_, child)| is_expired(child));
+        expired.map(|(id, _)| *id).collect()
     }
 
     /// Reserves a slot for a large transfer. Returns false if none is free.
@@ -159,6 +160,23 @@
 }
 
 impl Distribution {
+    /// Removes a child if it is one, for a reason that the log names.
+    pub(super) fn remove_child(
+        &mut self,
+        cx: &mut Context<'_>,
+        membership: &Membership,
+        id: NodeId,
+        reason: &str,
+    ) {
+        if !self.children.remove(id) {
+            return;
+        }
+        let child = host_label(membership, id);
+        let text = format!("No longer sends versions to {child}: {reason}.");
+        cx.log(LogLevel::Info, LogPart::Distribution, text);
+        self.schedule_report(cx.now);
+    }
+
     /// Handles the report of a child.
     pub(super) fn handle_report(
         &mut self,
@@ -173,6 +191,10 @@
             self.send_busy(cx, from);
             return;
         }
+        if !is_known {
+            let text = format!("Sends versions to {}.", host_label(membership, from));
+            cx.log(LogLevel::Info, LogPart::Distribution, text);
+        }
         let in_flight = self.children.children.get(&from).and_then(|child| child.in_flight);
         let child = Child {
             version: report.version,
--- a/crates/core/src/distribution/fetch.rs
+++ b/crates/core/src/distribution/fetch.rs
@@ -12,6 +12,7 @@
 use super::Distribution;
 use super::message::DistributionMessage;
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, Version};
 use crate::membership::Membership;
 use crate::time::Instant;
@@ -109,6 +110,8 @@
         self.fetcher.requested_from = Some(peer);
         self.fetcher.fetch_at = cx.now.plus_ms(FETCH_TIMEOUT_MS);
         let version = self.current.version();
+        let text = format!("Fetches a version newer than {version} from {peer}.");
+        cx.log(LogLevel::Info, LogPart::Distribution, text);
         cx.send(peer, DistributionMessage::Fetch { version, needs_snapshot });
     }
 
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -201,7 +201,7 @@
             MembershipChange::Member(_) => {}
             MembershipChange::MemberForgotten(id) => {
                 self.acknowledged.remove(id);
-                self.children.remove(*id);
+                self.remove_child(cx, membership, *id, "it is forgotten");
             }
         }
         self.update_candidates(cx, membership);
@@ -224,9 +224,7 @@
         peer: NodeId,
     ) {
         self.fetcher.peer_lost(cx.now, peer);
-        if self.children.remove(peer) {
-            self.schedule_report(cx.now);
-        }
+        self.remove_child(cx, membership, peer, "the connection closed");
         if self.upstream.parent == Some(peer) {
             self.parent_disconnected(cx, membership);
         }
@@ -251,9 +249,7 @@
                 self.handle_status(cx, membership, from, status);
             }
             DistributionMessage::Unsubscribe => {
-                if self.children.remove(from) {
-                    self.schedule_report(cx.now);
-                }
+                self.remove_child(cx, membership, from, "it has another parent");
             }
             DistributionMessage::Update(update) => {
                 self.handle_update(cx, membership, from, &update);
@@ -348,6 +344,10 @@
                     let text =
                         format!("Holds its first version, {version}: {bytes} bytes from {from}.");
                     cx.log(LogLevel::Info, LogPart::Distribution, text);
+                } else {
+                    let sender = host_label(membership, from);
+                    let text = format!("Version {} came from {sender}.", update.version);
+                    cx.log(LogLevel::Info, LogPart::Distribution, text);
                 }
                 self.history.record_change(&self.current, &applied.next, applied.deletes);
                 self.current = Arc::new(applied.next);
@@ -424,3 +424,8 @@
         }
     }
 }
+
+/// The name of a host for a log line, or its key if no record of it is held.
+fn host_label(membership: &Membership, id: NodeId) -> String {
+    membership.member(id).map_or_else(|| id.to_string(), |member| member.host.to_string())
+}
--- a/crates/core/src/distribution/reports.rs
+++ b/crates/core/src/distribution/reports.rs
@@ -247,8 +247,8 @@
     pub(super) fn tick_reporter(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         if cx.now >= self.reporter.repeat_at {
             self.reporter.repeat_at = cx.now.plus_ms(REPEAT_EVERY_MS);
-            if self.children.remove_expired(cx.now) {
-                self.schedule_report(cx.now);
+            for child in self.children.expired(cx.now) {
+                self.remove_child(cx, membership, child, "it no longer reports");
             }
             self.report(cx, membership, true);
             self.report_to_other_regions(cx, membership);
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -7,10 +7,11 @@
 
 use rand::Rng;
 
-use super::Distribution;
 use super::message::{DistributionMessage, Holders, Report};
 use super::ready::CONFIRM_AFTER_START_MS;
+use super::{Distribution, host_label};
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, Version};
 use crate::membership::Membership;
 use crate::membership::hash::rank;
@@ -142,6 +143,13 @@
         if let Some(old) = self.upstream.parent.filter(|old| Some(*old) != chosen) {
             cx.send(old, DistributionMessage::Unsubscribe);
         }
+        if chosen != self.upstream.parent {
+            let text = chosen.map_or_else(
+                || "Has no parent.".to_owned(),
+                |parent| format!("Its parent is {}.", host_label(membership, parent)),
+            );
+            cx.log(LogLevel::Info, LogPart::Distribution, text);
+        }
         self.upstream.parent = chosen;
         self.upstream.requested_at = None;
         self.upstream.last_reported = None;
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -11,6 +11,7 @@
 use super::{Member, MemberStatus, Membership, TargetRecord, TargetState};
 use crate::Effect;
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{Name, NodeId};
 use crate::time::Instant;
 
@@ -82,9 +83,11 @@
         let id = member.id;
         let address = member.addresses.peers;
         let is_urgent = member.status != MemberStatus::Alive;
+        let old_status = self.view.outgoing_member(id).map(|old| old.status);
         if !self.view.merge_member(cx.now, member) {
             return;
         }
+        self.log_return(cx, id, old_status);
         if id != cx.me.id {
             cx.emit(Effect::StorePeerAddress { peer: id, address });
             // A record of a live member shows that others receive its messages, even if
@@ -94,6 +97,16 @@
         self.queue_record(cx.now, RecordKey::Member(id), from, is_urgent);
     }
 
+    /// Logs that a member of the own availability zone that was dead is a member again.
+    fn log_return(&self, cx: &mut Context<'_>, id: NodeId, old_status: Option<MemberStatus>) {
+        let Some(member) = self.view.member(id) else { return };
+        let is_same_zone = member.locality.availability_zone == cx.me.locality.availability_zone;
+        if old_status == Some(MemberStatus::Dead) && is_same_zone {
+            let text = format!("Host {} is {} again.", member.host, member.status);
+            cx.log(LogLevel::Info, LogPart::Membership, text);
+        }
+    }
+
     /// Refutes a record of this process that would replace its own, such as a suspicion:
     /// writes its own record again with an incarnation above it.
     fn refute(&mut self, cx: &mut Context<'_>, remote: &Member) {
@@ -102,6 +115,8 @@
             return;
         }
         let incarnation = remote.incarnation + 1;
+        let text = format!("Refutes that it is {}.", remote.status);
+        cx.log(LogLevel::Info, LogPart::Membership, text);
         self.merge_member(cx, Member { incarnation, ..own }, None);
     }
 
