--- a/crates/core/tests/distribution/main.rs
+++ b/crates/core/tests/distribution/main.rs
@@ -3,6 +3,7 @@
 #[path = "../mesh/mod.rs"]
 mod mesh;
 mod restarts;
+mod splits;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/core/tests/distribution/splits.rs
@@ -0,0 +1,64 @@
+//! Cuts that split availability zones, so that the hosts on each side go on with one another.
+
+use rand::rngs::SmallRng;
+use rand::seq::index::sample;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+use super::mesh::Mesh;
+use super::mesh::fixtures::two_regions;
+use super::{all_hold, mesh_with_first};
+
+/// Time within which a host that can reach the others again has every new version, in seconds:
+/// the users' bounds for being in touch and for a configuration.
+const IN_FORCE_WITHIN_S: u64 = 4 + 2;
+
+/// How a cut looks to the hosts on its two sides.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// Connections are reset and dials are refused.
+    Resets,
+    /// Messages and dials get no response.
+    Silent,
+}
+
+fn cut(mesh: &mut Mesh, one: &[usize], kind: Cut) {
+    let others = mesh.hosts_except(one);
+    match kind {
+        Cut::Resets => mesh.cut_with_resets(one, &others),
+        Cut::Silent => mesh.set_cut(one, &others, true),
+    }
+}
+
+/// Some hosts without a control replica, of any zone.
+fn some_proxies(mesh: &Mesh, share: f64, seed: u64) -> Vec<usize> {
+    let proxies: Vec<usize> =
+        (0..mesh.len()).filter(|host| !mesh.identity(*host).control).collect();
+    let count = (proxies.len() as f64 * share).ceil() as usize;
+    let mut rng = SmallRng::seed_from_u64(seed);
+    sample(&mut rng, proxies.len(), count).iter().map(|index| proxies[index]).collect()
+}
+
+// Guards against a split that lasts: after a cut, hosts that declared each other dead stay on an
+// old version.
+#[rstest]
+fn hosts_that_were_cut_off_together_get_new_versions_after_the_cut(
+    #[values(Cut::Resets, Cut::Silent)] kind: Cut,
+    #[values(4, 10)] hosts: usize,
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(hosts), seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let proxies = some_proxies(&mesh, rng.random_range(0.3..0.7), seed);
+    let others = mesh.hosts_except(&proxies);
+    cut(&mut mesh, &proxies, kind);
+    mesh.run_ms(rng.random_range(5_000..15_000));
+    mesh.publish(&versions[1]);
+    mesh.set_cut(&proxies, &others, false);
+
+    mesh.run_until("all hold the version of the cut", IN_FORCE_WITHIN_S, |mesh| all_hold(mesh, 2));
+    for version in 3..=5 {
+        mesh.publish(&versions[version as usize - 1]);
+        mesh.run_until("all hold the next version", 2, |mesh| all_hold(mesh, version));
+    }
+}
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -85,6 +85,8 @@
     /// pending dial to another.
     dialing: BTreeSet<(usize, usize)>,
     cuts: BTreeSet<(usize, usize)>,
+    /// Whether a dial across a cut is refused at once instead of timing out.
+    has_refusing_cuts: bool,
     last_delivery_us: BTreeMap<(usize, usize), u64>,
     /// Links of the hosts whose bandwidth is limited.
     links: BTreeMap<usize, Link>,
@@ -119,6 +121,7 @@
             connected: BTreeSet::new(),
             dialing: BTreeSet::new(),
             cuts: BTreeSet::new(),
+            has_refusing_cuts: false,
             last_delivery_us: BTreeMap::new(),
             links: BTreeMap::new(),
             queue: BinaryHeap::new(),
@@ -236,6 +239,16 @@
         }
     }
 
+    /// Partitions two sets of hosts from each other. All connections between them are reset, and
+    /// dials are refused until the partition heals.
+    pub fn cut_with_resets(&mut self, one: &[usize], other: &[usize]) {
+        self.has_refusing_cuts = true;
+        self.set_cut(one, other, true);
+        for (a, b) in one.iter().flat_map(|a| other.iter().map(|b| (*a, *b))) {
+            self.disconnect(a, b);
+        }
+    }
+
     /// Sets the addresses through which a host joins at its next start.
     pub fn set_seeds(&mut self, host: usize, seeds: Vec<SocketAddr>) {
         self.hosts[host].seeds = seeds;
@@ -416,7 +429,8 @@
         }
         let cut = self.cuts.contains(&(host, peer));
         if cut || self.hosts[peer].process.is_none() {
-            let wait_us = if cut { DIAL_TIMEOUT_US } else { self.latency_us(host, peer) * 2 };
+            let is_silent = cut && !self.has_refusing_cuts;
+            let wait_us = if is_silent { DIAL_TIMEOUT_US } else { self.latency_us(host, peer) * 2 };
             if self.dialing.insert((host, peer)) {
                 self.schedule(self.now_us + wait_us, host, SimEvent::Disconnected { peer });
             }
