Membership: the sides of a split zone probe each other and refute

Callers saw: minutes after a cut, routes that had been acknowledged for long were answered 404 by the proxies that had been cut off.

Cause: the members on each side of a split declare those on the other dead and remove their links. A dead record is refuted only by a member that receives it, and it is sent along links alone, so after the cut nobody sent anything to the other side. The six proxies went on as a mesh of their own, without a control replica.

Change: in each heartbeat round a process probes one of the dead members between itself and the next live one in its ring. A process that receives a hello or a heartbeat from a member that it holds as dead sends it that record and compares all records with it. A refutation also goes to the process that sent the record, which need not be a link.

--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -35,6 +35,7 @@
         match message {
             MembershipMessage::Hello { records, is_new } => {
                 self.merge_records(cx, from, records);
+                self.greet_if_dead(cx, from);
                 let reachability = self.reachability.reports();
                 if is_new {
                     let records = self.view.records();
@@ -76,8 +77,8 @@
         member: Member,
         from: Option<NodeId>,
     ) {
-        if member.id == cx.me.id && from.is_some() {
-            self.refute(cx, &member);
+        if let Some(from) = from.filter(|_| member.id == cx.me.id) {
+            self.refute(cx, from, &member);
             return;
         }
         let id = member.id;
@@ -87,7 +88,9 @@
         if !self.view.merge_member(cx.now, member) {
             return;
         }
-        self.log_return(cx, id, old_status);
+        if old_status == Some(MemberStatus::Dead) {
+            self.record_return(cx, id);
+        }
         if id != cx.me.id {
             cx.emit(Effect::StorePeerAddress { peer: id, address });
             // A record of a live member shows that others receive its messages, even if
@@ -97,19 +100,10 @@
         self.queue_record(cx.now, RecordKey::Member(id), from, is_urgent);
     }
 
-    /// Logs that a member of the own availability zone that was dead is a member again.
-    fn log_return(&self, cx: &mut Context<'_>, id: NodeId, old_status: Option<MemberStatus>) {
-        let Some(member) = self.view.member(id) else { return };
-        let is_same_zone = member.locality.availability_zone == cx.me.locality.availability_zone;
-        if old_status == Some(MemberStatus::Dead) && is_same_zone {
-            let text = format!("Host {} is {} again.", member.host, member.status);
-            cx.log(LogLevel::Info, LogPart::Membership, text);
-        }
-    }
-
     /// Refutes a record of this process that would replace its own, such as a suspicion:
-    /// writes its own record again with an incarnation above it.
-    fn refute(&mut self, cx: &mut Context<'_>, remote: &Member) {
+    /// writes its own record again with an incarnation above it. The sender need not have a link
+    /// to this process, so it receives the new record directly.
+    fn refute(&mut self, cx: &mut Context<'_>, from: NodeId, remote: &Member) {
         let Some(own) = self.view.outgoing_member(cx.me.id) else { return };
         if (remote.incarnation, remote.status) <= (own.incarnation, own.status) {
             return;
@@ -118,6 +112,7 @@
         let text = format!("Refutes that it is {}.", remote.status);
         cx.log(LogLevel::Info, LogPart::Membership, text);
         self.merge_member(cx, Member { incarnation, ..own }, None);
+        self.send_records(cx, from, vec![cx.me.id]);
     }
 
     /// Merges a target's record and queues it for the links if it is new.
@@ -174,6 +169,7 @@
     }
 
     fn handle_heartbeat(&mut self, cx: &mut Context<'_>, from: NodeId, heartbeat: Heartbeat) {
+        self.greet_if_dead(cx, from);
         self.reachability.record_heartbeats(cx.now, heartbeat.zone_heartbeats);
         if heartbeat
             .reachability_digest
@@ -195,7 +191,7 @@
         }
     }
 
-    fn zone_digests(&self) -> Vec<ZoneDigest> {
+    pub(super) fn zone_digests(&self) -> Vec<ZoneDigest> {
         let zones = self.topology.zones();
         let digest = |(name, _): (&Name, _)| ZoneDigest {
             availability_zone: name.clone(),
--- a/crates/core/src/membership/health.rs
+++ b/crates/core/src/membership/health.rs
@@ -71,6 +71,7 @@
         self.update_links(cx);
         let mut peers: Vec<NodeId> = self.links.peers().collect();
         peers.extend(self.peers_to_probe(cx));
+        peers.extend(self.dead_member_to_probe(cx));
         for peer in peers {
             self.send_heartbeat(cx, peer, false);
         }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -24,6 +24,7 @@
 mod message;
 mod reachability;
 mod record;
+mod rejoin;
 mod topology;
 mod view;
 
--- a/crates/core/tests/distribution/splits.rs
+++ b/crates/core/tests/distribution/splits.rs
@@ -1,5 +1,6 @@
 //! Cuts that split availability zones, so that the hosts on each side go on with one another.
 
+use fireflylug_core::membership::FORGET_DEAD_AFTER_MS;
 use rand::rngs::SmallRng;
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
@@ -13,6 +14,9 @@
 /// the users' bounds for being in touch and for a configuration.
 const IN_FORCE_WITHIN_S: u64 = 4 + 2;
 
+/// Time within which hosts that forgot each other meet through their seeds, in seconds.
+const MEET_AGAIN_WITHIN_S: u64 = 60;
+
 /// How a cut looks to the hosts on its two sides.
 #[derive(Clone, Copy, Debug)]
 enum Cut {
@@ -62,3 +66,23 @@
         mesh.run_until("all hold the next version", 2, |mesh| all_hold(mesh, version));
     }
 }
+
+// Guards against a split that lasts: hosts that were apart until they forgot each other.
+#[rstest]
+fn hosts_that_forgot_each_other_in_a_cut_meet_again(
+    #[values(Cut::Resets, Cut::Silent)] kind: Cut,
+    #[values(1, 2)] seed: u64,
+) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(4), seed);
+    let proxies = some_proxies(&mesh, 0.4, seed);
+    let others = mesh.hosts_except(&proxies);
+    cut(&mut mesh, &proxies, kind);
+    mesh.run_ms(FORGET_DEAD_AFTER_MS + 10_000);
+    mesh.publish(&versions[1]);
+    mesh.set_cut(&proxies, &others, false);
+
+    let within_s = MEET_AGAIN_WITHIN_S + IN_FORCE_WITHIN_S;
+    mesh.run_until("all hold the version of the cut", within_s, |mesh| all_hold(mesh, 2));
+    mesh.publish(&versions[2]);
+    mesh.run_until("all hold the next version", 2, |mesh| all_hold(mesh, 3));
+}
