Calls: read the rate limit that a target states, log it with the calls sent meanwhile

The limit comes with each response as TargetNotice, beside the owner's load report; the owner's admission control counts calls under it and limits nothing yet.

--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -14,6 +14,7 @@
 
 use super::call::{CallClass, TargetLoad};
 use super::estimate::{ByClass, Estimate};
+use super::rate_limit::{RateGate, RateLimit};
 use crate::ids::CallId;
 use crate::time::Instant;
 
@@ -81,6 +82,8 @@
     /// fast.
     bulk_limit: Option<u32>,
     bulk_in_flight: u32,
+    /// Present while the target states a rate limit.
+    rate_gate: Option<RateGate>,
     /// Queued calls, next one first.
     queue: Vec<QueuedCall>,
     /// Time for which a call holds a slot, over all classes.
@@ -96,6 +99,18 @@
         self.bulk_limit = is_link_slow.then_some(bulk_limit);
     }
 
+    pub fn rate_gate(&self) -> Option<RateGate> {
+        self.rate_gate
+    }
+
+    /// Sets the rate limit that the target states, or removes it.
+    pub fn set_rate_limit(&mut self, stated: Option<RateLimit>, now: Instant) {
+        match (&mut self.rate_gate, stated) {
+            (Some(gate), Some(limit)) => gate.set_limit(limit),
+            (gate, stated) => *gate = stated.map(|limit| RateGate::new(limit, now)),
+        }
+    }
+
     /// Whether the call has a large response and the link has no capacity for another one.
     fn is_link_busy(&self, is_bulk: bool) -> bool {
         is_bulk && self.bulk_limit.is_some_and(|limit| self.bulk_in_flight >= limit)
@@ -104,6 +119,7 @@
     fn take_slot(&mut self, is_bulk: bool) {
         self.in_flight += 1;
         self.bulk_in_flight += u32::from(is_bulk);
+        self.rate_gate.iter_mut().for_each(RateGate::record_call);
     }
 
     pub fn load(&self) -> TargetLoad {
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -2,7 +2,7 @@
 //! release of the slot.
 
 use super::admission::{AdmissionRequest, AdmissionResult};
-use super::call::{CallClass, ForwardHead, TargetLoad};
+use super::call::{CallClass, ForwardHead, TargetLoad, TargetNotice};
 use super::chain::Chain;
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
@@ -229,7 +229,7 @@
         id: CallId,
         attempt: u8,
         status: u16,
-        load: Option<TargetLoad>,
+        notice: TargetNotice,
     ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Stage::Running(running) = call.stage else { return };
@@ -237,8 +237,11 @@
             return;
         }
         let is_ingress = call.is_ingress();
+        if running.holds_slot {
+            self.apply_rate_limit(cx, running.target, notice.rate_limit);
+        }
         if is_ingress {
-            self.observe_answer(cx, id, running, status, load);
+            self.observe_answer(cx, id, running, status, notice.load);
             if self.retries_server_error(cx, id, running, status) {
                 return;
             }
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use super::chain::Chain;
+use super::rate_limit::RateLimit;
 use super::refusal::{Refusal, RefusalCode};
 use super::transit::Transit;
 use crate::ids::{CallId, NodeId, TargetId};
@@ -24,6 +25,21 @@
     pub held_ms: u32,
 }
 
+/// What a response says about its target besides the result of the call.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetNotice {
+    /// Load of the target, if its owner reported it.
+    pub load: Option<TargetLoad>,
+    /// Rate limit that the target states.
+    pub rate_limit: Option<RateLimit>,
+}
+
+impl From<TargetLoad> for TargetNotice {
+    fn from(load: TargetLoad) -> Self {
+        Self { load: Some(load), ..Self::default() }
+    }
+}
+
 /// Head of a call that an ingress forwards to the owner of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ForwardHead {
@@ -99,8 +115,8 @@
         attempt: u8,
         /// HTTP status.
         status: u16,
-        /// Load of the target, if its owner reported it.
-        load: Option<TargetLoad>,
+        /// What the response says about the target.
+        notice: TargetNotice,
     },
     /// An attempt ended without a response from a target.
     Failed {
@@ -112,8 +128,8 @@
         refusal: Refusal,
         /// Whether the complete request body is still buffered at this proxy.
         is_replayable: bool,
-        /// Load of the target, if its owner reported it.
-        load: Option<TargetLoad>,
+        /// What a refusal of the owner or the target says about the target.
+        notice: TargetNotice,
     },
     /// The response was relayed completely, or was cut off.
     Ended {
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -2,7 +2,7 @@
 //! retried.
 
 use super::Routing;
-use super::call::TargetLoad;
+use super::call::{TargetLoad, TargetNotice};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Stage};
@@ -25,7 +25,7 @@
         attempt: u8,
         refusal: Refusal,
         is_replayable: bool,
-        load: Option<TargetLoad>,
+        notice: TargetNotice,
     ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (Stage::Running(running) | Stage::Cancelling(running)) = call.stage else { return };
@@ -33,9 +33,13 @@
             return;
         }
         call.is_replayable &= is_replayable;
-        if call.is_ingress() {
-            let is_bulk = call.is_bulk;
-            self.observe_failure(cx, running, refusal, load, is_bulk);
+        let (is_ingress, is_bulk) = (call.is_ingress(), call.is_bulk);
+        // Many failures come without a response, so a missing limit says nothing here.
+        if running.holds_slot && notice.rate_limit.is_some() {
+            self.apply_rate_limit(cx, running.target, notice.rate_limit);
+        }
+        if is_ingress {
+            self.observe_failure(cx, running, refusal, notice.load, is_bulk);
         }
         self.release(cx, id, running, false);
         self.attempt_failed(cx, id, refusal);
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -25,6 +25,7 @@
 mod link_share;
 mod metrics;
 mod network_path;
+mod rate_limit;
 mod recent_minimum;
 mod refusal;
 mod region_link;
@@ -40,11 +41,14 @@
 
 use slotmap::SlotMap;
 
-pub use call::{CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, TargetLoad};
+pub use call::{
+    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, TargetLoad, TargetNotice,
+};
 pub use chain::{Chain, ChainError};
 pub use decision::{Decision, Step};
 pub use link_share::LinkShare;
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
+pub use rate_limit::RateLimit;
 pub use refusal::{Outcome, Refusal, RefusalCode};
 pub use transit::{ClockId, Transit};
 
@@ -158,11 +162,11 @@
     pub fn step(&mut self, cx: &mut Context<'_>, slo: &mut Slo, event: CallEvent) {
         match event {
             CallEvent::Arrived { call, head } => self.arrived(cx, call, head),
-            CallEvent::Answered { call, attempt, status, load } => {
-                self.answered(cx, call, attempt, status, load);
+            CallEvent::Answered { call, attempt, status, notice } => {
+                self.answered(cx, call, attempt, status, notice);
             }
-            CallEvent::Failed { call, attempt, refusal, is_replayable, load } => {
-                self.failed(cx, call, attempt, refusal, is_replayable, load);
+            CallEvent::Failed { call, attempt, refusal, is_replayable, notice } => {
+                self.failed(cx, call, attempt, refusal, is_replayable, notice);
             }
             CallEvent::Ended { call, attempt, is_complete } => {
                 self.ended(cx, call, attempt, is_complete)
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -9,6 +9,7 @@
 use fireflylug_core::membership::TargetAnnouncement;
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal, RefusalCode,
+    TargetNotice,
 };
 use rand::Rng;
 
@@ -213,7 +214,12 @@
                 if let Some(state) = self.calls.legs.get_mut(&leg) {
                     state.answered_attempt = Some(attempt);
                 }
-                let answered = CallEvent::Answered { call: leg, attempt, status: 200, load: None };
+                let answered = CallEvent::Answered {
+                    call: leg,
+                    attempt,
+                    status: 200,
+                    notice: TargetNotice::default(),
+                };
                 self.deliver_to_leg(leg, answered);
             }
             CallItem::Deliver { leg, event } => self.deliver_to_leg(leg, event),
@@ -335,8 +341,13 @@
     }
 
     fn push_failed(&mut self, leg: CallId, attempt: u8, refusal: Refusal) {
-        let event =
-            CallEvent::Failed { call: leg, attempt, refusal, is_replayable: true, load: None };
+        let event = CallEvent::Failed {
+            call: leg,
+            attempt,
+            refusal,
+            is_replayable: true,
+            notice: TargetNotice::default(),
+        };
         self.push_call(CallItem::Deliver { leg, event });
     }
 
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -13,7 +13,7 @@
 use fireflylug_core::resource::Resource;
 use fireflylug_core::routing::{
     CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
-    RefusalCode, Routing, RoutingSettings, Transit,
+    RefusalCode, Routing, RoutingSettings, TargetNotice, Transit,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -194,7 +194,7 @@
     }
 
     pub fn answer(&mut self, call: CallId, attempt: u8, status: u16) {
-        self.step(CallEvent::Answered { call, attempt, status, load: None });
+        self.step(CallEvent::Answered { call, attempt, status, notice: TargetNotice::default() });
     }
 
     /// Lets the response of the attempt arrive and be relayed completely.
@@ -205,7 +205,13 @@
 
     pub fn fail(&mut self, call: CallId, attempt: u8, code: RefusalCode, outcome: Outcome) {
         let refusal = refusal(code, outcome);
-        self.step(CallEvent::Failed { call, attempt, refusal, is_replayable: true, load: None });
+        self.step(CallEvent::Failed {
+            call,
+            attempt,
+            refusal,
+            is_replayable: true,
+            notice: TargetNotice::default(),
+        });
     }
 
     /// Removes and returns the effects on calls since the last time.
--- a/crates/core/tests/routing/links.rs
+++ b/crates/core/tests/routing/links.rs
@@ -165,8 +165,13 @@
             let harness = &mut self.ingresses[ingress];
             if answer.is_head {
                 let held_ms = WORK_MS;
-                let load = Some(TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, held_ms });
-                harness.step(CallEvent::Answered { call, attempt, status: 200, load });
+                let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, held_ms };
+                harness.step(CallEvent::Answered {
+                    call,
+                    attempt,
+                    status: 200,
+                    notice: load.into(),
+                });
             } else {
                 harness.step(CallEvent::Ended { call, attempt, is_complete: true });
                 self.count(&answer);
@@ -247,8 +252,8 @@
         let call = harness.arrive("/scan", true);
         assert_eq!(harness.take_attempts().len(), 1, "round {round}");
         harness.pass_ms(100 + round * 5);
-        let load = Some(TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, held_ms: WORK_MS });
-        harness.step(CallEvent::Answered { call, attempt: 1, status: 200, load });
+        let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, held_ms: WORK_MS };
+        harness.step(CallEvent::Answered { call, attempt: 1, status: 200, notice: load.into() });
         harness.step(CallEvent::Ended { call, attempt: 1, is_complete: true });
         harness.take_effects();
         harness.pass_ms(31_000);
@@ -310,7 +315,7 @@
             attempt,
             refusal: refusal(RefusalCode::Overloaded, Outcome::NotRun),
             is_replayable: true,
-            load: Some(TargetLoad { in_flight: 4, queued: 2, wait_ms: 300, held_ms: 0 }),
+            notice: TargetLoad { in_flight: 4, queued: 2, wait_ms: 300, held_ms: 0 }.into(),
         });
     };
     let first = harness.arrive("/scan", true);
--- a/crates/core/tests/routing/regions.rs
+++ b/crates/core/tests/routing/regions.rs
@@ -72,7 +72,7 @@
 }
 
 fn complete_with_load(harness: &mut Harness, call: CallId, load: TargetLoad) {
-    harness.step(CallEvent::Answered { call, attempt: 1, status: 200, load: Some(load) });
+    harness.step(CallEvent::Answered { call, attempt: 1, status: 200, notice: load.into() });
     harness.step(CallEvent::Ended { call, attempt: 1, is_complete: true });
     harness.take_effects();
 }
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -6,7 +6,7 @@
 
 use compact_str::CompactString;
 use fireflylug_core::routing::{
-    CallEffect, CallEvent, CallHead, CallOrigin, Outcome, Refusal, RefusalCode, TargetLoad,
+    CallEffect, CallEvent, CallHead, CallOrigin, Outcome, Refusal, RefusalCode, TargetNotice,
 };
 use http::header::{self, HeaderMap, HeaderValue};
 use http::request::Parts;
@@ -161,12 +161,12 @@
 /// An attempt that ended without a response of a target.
 struct Failure {
     refusal: Refusal,
-    load: Option<TargetLoad>,
+    notice: TargetNotice,
 }
 
 impl Failure {
     fn new(code: RefusalCode, outcome: Outcome) -> Self {
-        Self { refusal: Refusal { code, outcome }, load: None }
+        Self { refusal: Refusal { code, outcome }, notice: TargetNotice::default() }
     }
 }
 
@@ -244,11 +244,12 @@
 }
 
 fn report_answer(open: &OpenCall, attempt: u8, answer: &Answer) {
+    let dialect = &open.proxy.settings.dialect;
     open.submit(CallEvent::Answered {
         call: open.call,
         attempt,
         status: answer.response.status().as_u16(),
-        load: headers::load(answer.response.headers()),
+        notice: headers::notice(answer.response.headers(), dialect),
     });
 }
 
@@ -268,7 +269,7 @@
         attempt,
         refusal: failure.refusal,
         is_replayable: body.is_replayable(),
-        load: failure.load,
+        notice: failure.notice,
     });
 }
 
@@ -307,7 +308,7 @@
             let connection_request = connection_request(address, usize::MAX, forward.is_repeatable);
             let sent =
                 send(&proxy.owners, connection_request, head, &outgoing.body, max_body_bytes).await;
-            classify_owner_response(sent?).await
+            classify_owner_response(&proxy.settings.dialect, sent?).await
         }
         _ => unreachable!("only dispatch and forward start an attempt"),
     }
@@ -341,8 +342,9 @@
             StatusCode::MISDIRECTED_REQUEST => RefusalCode::TargetGone,
             _ => RefusalCode::TargetRefused,
         };
+        let notice = headers::notice(header_map, dialect);
         drain(answer).await;
-        return Err(Failure::new(code, Outcome::NotRun));
+        return Err(Failure { refusal: Refusal { code, outcome: Outcome::NotRun }, notice });
     }
     let lacks_stamp = dialect.stamp.as_ref().is_some_and(|stamp| !header_map.contains_key(stamp));
     if status.is_success() && lacks_stamp {
@@ -362,12 +364,12 @@
 }
 
 /// Distinguishes an owner's refusal from a relayed response of a target.
-async fn classify_owner_response(answer: Answer) -> Result<Answer, Failure> {
+async fn classify_owner_response(dialect: &CallDialect, answer: Answer) -> Result<Answer, Failure> {
     let header_map = answer.response.headers();
     let Some((code, outcome)) = headers::refusal(header_map) else { return Ok(answer) };
-    let load = headers::load(header_map);
+    let notice = headers::notice(header_map, dialect);
     drain(answer).await;
-    Err(Failure { refusal: Refusal { code, outcome }, load })
+    Err(Failure { refusal: Refusal { code, outcome }, notice })
 }
 
 /// Sends a request on an exclusive connection. The error has the outcome `not-run` only if
--- a/crates/daemon/src/calls/dialect.rs
+++ b/crates/daemon/src/calls/dialect.rs
@@ -33,6 +33,9 @@
     pub target_id: HeaderName,
     /// Header of a health response: running calls, waiting calls and slots, separated by commas.
     pub target_load: HeaderName,
+    /// Response header: calls per second that the target accepts from all proxies together,
+    /// as a decimal number, for as long as it is present.
+    pub rate_limit: HeaderName,
     /// Header of every response of a target that ran the call; `None` if targets send no
     /// such header. A success response without it does not belong to the call.
     pub stamp: Option<HeaderName>,
@@ -53,6 +56,7 @@
             not_run: HeaderName::from_static("fireflylug-not-run"),
             target_id: HeaderName::from_static("fireflylug-target-id"),
             target_load: HeaderName::from_static("fireflylug-target-load"),
+            rate_limit: HeaderName::from_static("fireflylug-rate-limit"),
             stamp: None,
             has_mesh_headers: true,
             statuses: StatusRule::ByCode,
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -9,6 +9,7 @@
 //! | `fireflylug-caller-service` | mesh to target | service of the caller |
 //! | `fireflylug-target` | mesh to target | id of the target that the call is for |
 //! | `fireflylug-not-run` | target to mesh | the target did not run the call |
+//! | `fireflylug-rate-limit` | target to mesh | calls per second that the target accepts from all proxies together |
 //! | `fireflylug-forward` | ingress to owner | parameters of the forwarded call |
 //! | `fireflylug-sent` | ingress to owner | `clock.time`: id of the ingress's clock and its time in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
@@ -16,7 +17,8 @@
 
 use fireflylug_core::ids::{Name, TargetId};
 use fireflylug_core::routing::{
-    CallClass, Chain, ClockId, ForwardHead, Outcome, RefusalCode, TargetLoad,
+    CallClass, Chain, ClockId, ForwardHead, Outcome, RateLimit, RefusalCode, TargetLoad,
+    TargetNotice,
 };
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
@@ -193,7 +195,7 @@
 }
 
 /// Parses the load of a target from its owner's response.
-pub(super) fn load(headers: &HeaderMap) -> Option<TargetLoad> {
+fn load(headers: &HeaderMap) -> Option<TargetLoad> {
     let mut fields = headers.get(LOAD)?.to_str().ok()?.split('.');
     Some(TargetLoad {
         in_flight: fields.next()?.parse().ok()?,
@@ -203,6 +205,17 @@
     })
 }
 
+/// Parses what a response says about its target.
+pub(super) fn notice(headers: &HeaderMap, dialect: &CallDialect) -> TargetNotice {
+    TargetNotice { load: load(headers), rate_limit: rate_limit(headers, dialect) }
+}
+
+/// Parses the rate limit that a target states; `None` if absent or malformed.
+fn rate_limit(headers: &HeaderMap, dialect: &CallDialect) -> Option<RateLimit> {
+    let text = headers.get(&dialect.rate_limit)?.to_str().ok()?;
+    RateLimit::per_second(text.trim().parse().ok()?)
+}
+
 /// Parses the refusal in an owner's response.
 pub(super) fn refusal(headers: &HeaderMap) -> Option<(RefusalCode, Outcome)> {
     let code = headers.get(ERROR)?.to_str().ok()?.parse().ok()?;
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -15,7 +15,7 @@
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, CallOrigin, Chain, Outcome, Refusal, RefusalCode, Routing,
-    RoutingSettings,
+    RoutingSettings, TargetNotice,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -257,7 +257,12 @@
             }
             SimEvent::Ends { call, attempt, lost: false } => {
                 let call = CallId(call);
-                let answered = CallEvent::Answered { call, attempt, status: 200, load: None };
+                let answered = CallEvent::Answered {
+                    call,
+                    attempt,
+                    status: 200,
+                    notice: TargetNotice::default(),
+                };
                 self.step(answered);
                 self.step(CallEvent::Ended { call, attempt, is_complete: true });
             }
@@ -270,7 +275,13 @@
 
     fn fail(&mut self, call: u64, attempt: u8, refusal: Refusal) {
         let call = CallId(call);
-        self.step(CallEvent::Failed { call, attempt, refusal, is_replayable: true, load: None });
+        self.step(CallEvent::Failed {
+            call,
+            attempt,
+            refusal,
+            is_replayable: true,
+            notice: TargetNotice::default(),
+        });
     }
 
     /// Starts a call of each service and schedules the next arrival after a random pause.
