--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -199,7 +199,12 @@
 
     /// Lets the response of the attempt arrive and be relayed completely.
     pub fn complete(&mut self, call: CallId, attempt: u8) {
-        self.answer(call, attempt, 200);
+        self.complete_with(call, attempt, TargetNotice::default());
+    }
+
+    /// The same, with what the response says about its target.
+    pub fn complete_with(&mut self, call: CallId, attempt: u8, notice: TargetNotice) {
+        self.step(CallEvent::Answered { call, attempt, status: 200, notice });
         self.step(CallEvent::Ended { call, attempt, is_complete: true });
     }
 
