Calls: the owner keeps the rate limit that a target states

Cause: nothing read the limit; the owner admitted by slots alone.

Change: a gate in the owner's admission control lets calls pass at the stated rate. A call that would wait too long is refused at once. The owner reports the slots that the target can use to the ingresses. A response without a limit, or a new announcement, ends it.

Why it works: every call to a target passes its owner, so the sum over all hosts is exact.

--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -1,5 +1,5 @@
 //! Admission control for one target, run by the owner of the target: a limit of concurrent
-//! calls and a short queue.
+//! calls, the rate limit that the target states, and a short queue.
 //!
 //! A call that finds no free slot is queued only if its response is expected within the target
 //! latency of its policy. The queue is ordered by priority, and within one priority by the time
@@ -106,7 +106,7 @@
     /// Sets the rate limit that the target states, or removes it.
     pub fn set_rate_limit(&mut self, stated: Option<RateLimit>, now: Instant) {
         match (&mut self.rate_gate, stated) {
-            (Some(gate), Some(limit)) => gate.set_limit(limit),
+            (Some(gate), Some(limit)) => gate.set_limit(limit, now),
             (gate, stated) => *gate = stated.map(|limit| RateGate::new(limit, now)),
         }
     }
@@ -116,34 +116,63 @@
         is_bulk && self.bulk_limit.is_some_and(|limit| self.bulk_in_flight >= limit)
     }
 
-    fn take_slot(&mut self, is_bulk: bool) {
+    /// Calls that hold a slot.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Calls in the queue.
+    pub fn queued(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    /// Number of slots that calls can use: all of them, or as many as the rate limit allows.
+    pub fn usable_slots(&self) -> u32 {
+        let within_rate = self.rate_gate.map(|gate| gate.usable_slots(self.hold_time.mean_us()));
+        within_rate.map_or(self.limit, |slots| slots.min(self.limit))
+    }
+
+    /// When the rate limit allows the next queued call, if only that limit delays it.
+    pub fn gate_opens_at(&self, now: Instant) -> Option<Instant> {
+        let gate = self.rate_gate.filter(|gate| !gate.is_open(now))?;
+        let waits_for_gate = !self.queue.is_empty() && self.in_flight < self.limit;
+        waits_for_gate.then(|| now.plus_us(gate.wait_us(0, now)))
+    }
+
+    fn is_gate_open(&self, now: Instant) -> bool {
+        self.rate_gate.is_none_or(|gate| gate.is_open(now))
+    }
+
+    fn take_slot(&mut self, is_bulk: bool, now: Instant) {
         self.in_flight += 1;
         self.bulk_in_flight += u32::from(is_bulk);
-        self.rate_gate.iter_mut().for_each(RateGate::record_call);
+        self.rate_gate.iter_mut().for_each(|gate| gate.record_call(now));
     }
 
-    pub fn load(&self) -> TargetLoad {
-        let queued = self.queue.len() as u32;
-        let wait_us = if self.has_free_slot() { 0 } else { self.wait_us(self.queue.len()) };
+    pub fn load(&self, now: Instant) -> TargetLoad {
+        let wait_us = if self.has_free_slot(now) { 0 } else { self.wait_us(self.queue.len(), now) };
         TargetLoad {
             in_flight: self.in_flight,
-            queued,
+            queued: self.queued(),
             wait_ms: (wait_us / 1_000) as u32,
+            usable_slots: self.rate_gate.map(|_| self.usable_slots()),
             held_ms: 0,
         }
     }
 
     /// Whether a call without a large response would be admitted at once.
-    pub fn has_free_slot(&self) -> bool {
+    pub fn has_free_slot(&self, now: Instant) -> bool {
         // Calls that wait for the link do not block other calls.
         let waits_for_slot = |queued: &QueuedCall| !self.is_link_busy(queued.request.is_bulk);
-        self.in_flight < self.limit && !self.queue.iter().any(waits_for_slot)
+        self.in_flight < self.limit
+            && self.is_gate_open(now)
+            && !self.queue.iter().any(waits_for_slot)
     }
 
     /// Admits, queues or sheds a call.
     pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionResult {
-        if self.has_free_slot() && !self.is_link_busy(request.is_bulk) {
-            self.take_slot(request.is_bulk);
+        if self.has_free_slot(now) && !self.is_link_busy(request.is_bulk) {
+            self.take_slot(request.is_bulk, now);
             return AdmissionResult::Admitted;
         }
         let max_ahead = request.max_queued.min(self.limit) as usize;
@@ -169,7 +198,7 @@
     /// Whether a call at a position of the queue is expected to end within its target latency,
     /// or before its deadline if its class is short.
     fn is_in_time(&self, request: &AdmissionRequest, position: usize, now: Instant) -> bool {
-        let wait_us = self.wait_us(position).max(self.link_wait_us(request));
+        let wait_us = self.wait_us(position, now).max(self.link_wait_us(request));
         let answered_at = now.plus_us(wait_us + self.high_hold_time_us(request.class));
         let is_short = self.is_short(request.class);
         let until = if is_short { request.deadline } else { request.useful_until };
@@ -187,14 +216,18 @@
     /// Whether a call may be queued although it is expected to miss its target latency.
     fn may_queue_late(&self, request: &AdmissionRequest, now: Instant) -> bool {
         let late_count = self.queue.iter().filter(|queued| queued.is_late).count();
-        let wait_us = self.wait_us(self.queue.len()).max(self.link_wait_us(request));
+        let wait_us = self.wait_us(self.queue.len(), now).max(self.link_wait_us(request));
         let answered_at = now.plus_us(wait_us + self.high_hold_time_us(request.class));
         late_count < self.limit as usize / SLOTS_PER_LATE_CALL && answered_at <= request.deadline
     }
 
     /// Expected time until the call at a position of the queue is admitted.
-    fn wait_us(&self, position: usize) -> u64 {
-        (position as u64 + 1) * self.hold_time.mean_us() / u64::from(self.limit.max(1))
+    fn wait_us(&self, position: usize, now: Instant) -> u64 {
+        let free_slots = u64::from(self.limit.saturating_sub(self.in_flight));
+        let releases = (position as u64 + 1).saturating_sub(free_slots);
+        let slot_wait_us = releases * self.hold_time.mean_us() / u64::from(self.limit.max(1));
+        let gate_wait_us = self.rate_gate.map_or(0, |gate| gate.wait_us(position, now));
+        slot_wait_us.max(gate_wait_us)
     }
 
     /// Expected time until the link has capacity for one more large response.
@@ -274,9 +307,10 @@
         }
     }
 
-    /// Removes the next call that may be admitted from the queue, if a slot is free.
-    pub fn pop_next(&mut self) -> Option<CallId> {
-        if self.in_flight >= self.limit {
+    /// Removes the next call that may be admitted from the queue, if a slot is free and the
+    /// rate limit allows it.
+    pub fn pop_next(&mut self, now: Instant) -> Option<CallId> {
+        if self.in_flight >= self.limit || !self.is_gate_open(now) {
             return None;
         }
         let may_start = |queued: &QueuedCall| !self.is_link_busy(queued.request.is_bulk);
@@ -288,7 +322,7 @@
     pub fn admit_queued(&mut self, now: Instant, deadline: Instant, is_bulk: bool) -> bool {
         let is_servable = now.plus_us(self.hold_time.mean_us()) <= deadline && now < deadline;
         if is_servable {
-            self.take_slot(is_bulk);
+            self.take_slot(is_bulk, now);
         }
         is_servable
     }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -101,11 +101,12 @@
                     queued: target_state
                         .admission
                         .as_ref()
-                        .map_or(0, |admission| admission.load().queued),
+                        .map_or(0, |admission| admission.queued()),
                     remaining_ms: deadline.since_ms(cx.now),
                 };
                 cx.log_decision(id, step);
                 self.refuse_unservable(cx, target);
+                self.schedule_admission(cx, target);
             }
             AdmissionResult::Shed => return false,
         }
@@ -116,7 +117,7 @@
     /// its deadline is refused instead.
     pub(super) fn admit_queued(&mut self, cx: &mut Context<'_>, target: TargetKey) {
         while let Some(admission) = &mut self.targets[target].admission
-            && let Some(id) = admission.pop_next()
+            && let Some(id) = admission.pop_next(cx.now)
         {
             let call = &self.calls[&id];
             if admission.admit_queued(cx.now, call.deadline, call.is_bulk) {
@@ -126,6 +127,7 @@
                 self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
             }
         }
+        self.schedule_admission(cx, target);
     }
 
     /// Refuses queued calls as soon as they are not expected to be served in time.
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -20,6 +20,8 @@
     pub queued: u32,
     /// Expected wait of one more call for a slot, in milliseconds.
     pub wait_ms: u32,
+    /// Number of slots that the target can use within its rate limit. None without a limit.
+    pub usable_slots: Option<u32>,
     /// Time from the arrival of the call at the owner to this report, in milliseconds. The
     /// remainder of the time that the ingress measures is the network round trip.
     pub held_ms: u32,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -113,6 +113,8 @@
     calls: HashMap<CallId, state::Call>,
     /// The time at which each call is checked next.
     deadlines: BTreeSet<(Instant, CallId)>,
+    /// When the admission control of a target may admit the next call under its rate limit.
+    admissions_due: BTreeSet<(Instant, TargetKey)>,
     /// Services with calls in flight.
     busy_services: u32,
     refusals: metrics::RefusalCounts,
@@ -146,6 +148,7 @@
             transits: transit::Transits::default(),
             calls: HashMap::default(),
             deadlines: BTreeSet::new(),
+            admissions_due: BTreeSet::new(),
             busy_services: 0,
             refusals: metrics::RefusalCounts::default(),
             splits: split::Splits::default(),
@@ -182,7 +185,8 @@
         let call = self.deadlines.first().map_or(Instant::NEVER, |(due, _)| *due);
         let stop = self.refuse_at.filter(|_| !self.is_refusing).unwrap_or(Instant::NEVER);
         let leave = self.leave_at.unwrap_or(Instant::NEVER);
-        call.min(stop).min(leave).min(self.close_at.unwrap_or(Instant::NEVER))
+        let admission = self.admissions_due.first().map_or(Instant::NEVER, |(due_at, _)| *due_at);
+        call.min(admission).min(stop).min(leave).min(self.close_at.unwrap_or(Instant::NEVER))
     }
 
     /// Handles every timer that is due.
@@ -200,6 +204,7 @@
             let text = format!("Refusing new calls; {} in flight.", self.calls.len());
             cx.log(LogLevel::Info, LogPart::Calls, text);
         }
+        self.admit_due(cx);
         while let Some((due, call)) = self.deadlines.first().copied()
             && due <= cx.now
         {
@@ -253,11 +258,11 @@
 }
 
 fn target_metrics(target: &target::Target) -> TargetMetrics {
-    let admission = target.admission.as_ref().map(admission::AdmissionControl::load);
+    let admission = target.admission.as_ref();
     TargetMetrics {
         target: target.record.target.clone(),
-        in_flight: admission.map_or(target.in_flight, |load| load.in_flight),
-        queued: admission.map_or(0, |load| load.queued),
+        in_flight: admission.map_or(target.in_flight, |admission| admission.in_flight()),
+        queued: admission.map_or(0, |admission| admission.queued()),
         latency_us: target.latency.mean_us(),
         is_ejected: target.health.is_ejected(),
     }
--- a/crates/core/src/routing/network_path.rs
+++ b/crates/core/src/routing/network_path.rs
@@ -95,7 +95,7 @@
         target: TargetKey,
     ) -> Option<TargetLoad> {
         let call = self.calls.get(&id).filter(|call| !call.is_ingress())?;
-        let load = self.targets.get(target)?.admission.as_ref()?.load();
+        let load = self.targets.get(target)?.admission.as_ref()?.load(cx.now);
         let held_ms = u32::try_from(cx.now.since_ms(call.arrived_at)).unwrap_or(u32::MAX);
         Some(TargetLoad { held_ms, ..load })
     }
--- a/crates/core/src/routing/rate_limit.rs
+++ b/crates/core/src/routing/rate_limit.rs
@@ -1,4 +1,8 @@
 //! Rate limits that targets state in their responses.
+//!
+//! The owner of a target admits every call to it, so it alone applies the limit: a gate in the
+//! admission control opens once per interval. To the ingresses the owner reports how many slots
+//! the target can use at that rate, by which they choose other targets.
 
 use std::fmt;
 
@@ -12,6 +16,9 @@
 /// Longest interval between two calls, in microseconds. A target that accepts no calls still
 /// gets one at times, since only a response can end its limit.
 const MAX_INTERVAL_US: u64 = 2_000_000;
+/// Time by which calls may be ahead of the rate, in microseconds. It lets calls that arrive
+/// close together pass without a wait.
+const BURST_US: u64 = 250_000;
 
 /// Rate of calls that a target accepts from all proxies together. It holds until a response of
 /// the target states another one, or none.
@@ -37,27 +44,48 @@
     }
 }
 
-/// The rate limit of one target, and the calls that its owner has admitted under it.
+/// Gate in front of one target that states a rate limit (generic cell rate algorithm).
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RateGate {
     limit: RateLimit,
     stated_at: Instant,
     admitted: u64,
+    /// When the next call is due at the exact rate.
+    next_due_at: Instant,
 }
 
 impl RateGate {
     pub fn new(limit: RateLimit, now: Instant) -> Self {
-        Self { limit, stated_at: now, admitted: 0 }
+        Self { limit, stated_at: now, admitted: 0, next_due_at: now }
     }
 
     /// Replaces the limit by one that a later response stated.
-    pub fn set_limit(&mut self, limit: RateLimit) {
+    pub fn set_limit(&mut self, limit: RateLimit, now: Instant) {
         self.limit = limit;
+        // Calls admitted at a lower rate do not delay those at a higher one.
+        self.next_due_at = self.next_due_at.min(now.plus_us(BURST_US + limit.interval_us));
     }
 
     /// Records a call that is sent to the target.
-    pub fn record_call(&mut self) {
+    pub fn record_call(&mut self, now: Instant) {
         self.admitted += 1;
+        self.next_due_at = self.next_due_at.max(now).plus_us(self.limit.interval_us);
+    }
+
+    /// Time until the gate opens for the call at a position of the queue, in microseconds.
+    pub fn wait_us(&self, position: usize, now: Instant) -> u64 {
+        let due_at = self.next_due_at.plus_us(position as u64 * self.limit.interval_us);
+        due_at.since_us(now).saturating_sub(BURST_US)
+    }
+
+    /// Whether a call may be sent to the target.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.wait_us(0, now) == 0
+    }
+
+    /// Number of slots that calls use at the stated rate if each holds one for `hold_us`.
+    pub fn usable_slots(&self, hold_us: u64) -> u32 {
+        u32::try_from(hold_us.div_ceil(self.limit.interval_us)).unwrap_or(u32::MAX).max(1)
     }
 
     /// What was admitted under limits, for the log.
@@ -81,13 +109,35 @@
         admission.set_rate_limit(stated, cx.now);
         let id = &target.record.target;
         let text = match (previous, stated) {
+            (None, None) => return,
+            (Some(_), Some(_)) => return self.admit_queued(cx, key),
             (None, Some(limit)) => format!("Target {id} accepts at most {limit}."),
             (Some(gate), None) => {
                 let summary = gate.summary(cx.now);
                 format!("Target {id} accepts any rate again, after {summary}.")
             }
-            _ => return,
         };
         cx.log(LogLevel::Info, LogPart::Calls, text);
+        self.admit_queued(cx, key);
+    }
+
+    /// Schedules the admission of the next queued call for when the gate of its target opens.
+    pub(super) fn schedule_admission(&mut self, cx: &Context<'_>, key: TargetKey) {
+        let admission = self.targets[key].admission.as_ref();
+        if let Some(at) = admission.and_then(|admission| admission.gate_opens_at(cx.now)) {
+            self.admissions_due.insert((at, key));
+        }
+    }
+
+    /// Admits queued calls of the targets whose gates have opened.
+    pub(super) fn admit_due(&mut self, cx: &mut Context<'_>) {
+        while let Some((due_at, key)) = self.admissions_due.first().copied()
+            && due_at <= cx.now
+        {
+            self.admissions_due.pop_first();
+            if self.targets.contains_key(key) {
+                self.admit_queued(cx, key);
+            }
+        }
     }
 }
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -33,6 +33,7 @@
 struct LoadHint {
     other_calls: u64,
     wait_ms: u32,
+    usable_slots: Option<u32>,
     received_at: Instant,
     lifetime_us: u64,
 }
@@ -96,6 +97,7 @@
         let moved = record.address != self.record.address || record.owner != self.record.owner;
         self.record = record;
         if !was_ready || moved {
+            self.admission.iter_mut().for_each(|admission| admission.set_rate_limit(None, now));
             self.begin_slow_start(now);
             self.health = Health::default();
             self.latency = Estimate::default();
@@ -113,17 +115,14 @@
     fn record_self_report(&mut self, now: Instant) {
         let Some(percent) = self.record.load_percent else { return };
         let load = u64::from(self.record.slots) * u64::from(percent) / 100;
-        self.set_load_hint(load, 0, now, SELF_REPORT_LIFETIME_US);
+        let usable_slots = self.fresh_hint(now).and_then(|hint| hint.usable_slots);
+        let load = TargetLoad { in_flight: load as u32, usable_slots, ..TargetLoad::default() };
+        self.set_load_hint(load, now, SELF_REPORT_LIFETIME_US);
     }
 
     /// Records the load that the owner reported.
     pub fn record_owner_load(&mut self, load: TargetLoad, now: Instant) {
-        self.set_load_hint(
-            u64::from(load.in_flight + load.queued),
-            load.wait_ms,
-            now,
-            OWNER_LOAD_LIFETIME_US,
-        );
+        self.set_load_hint(load, now, OWNER_LOAD_LIFETIME_US);
     }
 
     /// Records that the owner had no capacity for a call with a large response.
@@ -138,9 +137,11 @@
         now < self.link_busy_until
     }
 
-    fn set_load_hint(&mut self, load: u64, wait_ms: u32, now: Instant, lifetime_us: u64) {
-        let other_calls = load.saturating_sub(u64::from(self.in_flight));
-        self.hint = Some(LoadHint { other_calls, wait_ms, received_at: now, lifetime_us });
+    fn set_load_hint(&mut self, load: TargetLoad, now: Instant, lifetime_us: u64) {
+        let TargetLoad { in_flight, queued, wait_ms, usable_slots, .. } = load;
+        let other_calls = u64::from(in_flight + queued).saturating_sub(u64::from(self.in_flight));
+        let hint = LoadHint { other_calls, wait_ms, usable_slots, received_at: now, lifetime_us };
+        self.hint = Some(hint);
     }
 
     /// Records a response that arrived `us` after the start of its attempt.
@@ -176,17 +177,22 @@
         self.record.state == TargetState::Ready
     }
 
-    /// Maximum number of concurrent calls at the target.
-    pub fn limit(&self) -> u64 {
-        u64::from(self.record.slots.min(self.record.connections))
+    /// Maximum number of concurrent calls at the target, or the number that its rate limit
+    /// leaves of them.
+    pub fn limit(&self, now: Instant) -> u64 {
+        let slots = self.record.slots.min(self.record.connections);
+        let usable = match &self.admission {
+            Some(admission) => Some(admission.usable_slots()),
+            None => self.fresh_hint(now).and_then(|hint| hint.usable_slots),
+        };
+        u64::from(usable.map_or(slots, |usable| usable.min(slots)))
     }
 
     /// Estimated number of calls at the target. The proxy's own calls are exact; calls of other
     /// proxies come from a report whose weight decreases with age.
     pub fn expected_load(&self, now: Instant) -> u64 {
         if let Some(admission) = &self.admission {
-            let load = admission.load();
-            return u64::from(load.in_flight + load.queued);
+            return u64::from(admission.in_flight() + admission.queued());
         }
         let other_calls = self.hint.map_or(0, |hint| {
             let remaining_us = hint.lifetime_us.saturating_sub(now.since_us(hint.received_at));
@@ -199,7 +205,7 @@
     /// report.
     pub fn wait_ms(&self, now: Instant) -> u32 {
         if let Some(admission) = &self.admission {
-            return admission.load().wait_ms;
+            return admission.load(now).wait_ms;
         }
         self.fresh_hint(now).map_or(0, |hint| hint.wait_ms)
     }
@@ -219,7 +225,7 @@
     }
 
     pub fn has_free_slot(&self, now: Instant) -> bool {
-        self.expected_load(now) < self.limit()
+        self.expected_load(now) < self.limit(now)
     }
 
     /// Share of calls for the target, in thousandths. It grows during the slow start.
@@ -239,7 +245,7 @@
             // A call that has waited this long will not be answered in less.
             answer_us = answer_us.max(now.since_us(self.waiting_since));
         }
-        let (load, limit) = (self.expected_load(now), self.limit().max(1));
+        let (load, limit) = (self.expected_load(now), self.limit(now).max(1));
         // Targets near their limit are often slower.
         let contention_us = answer_us * load.min(limit) / limit / 2;
         let wait_us = answer_us * (load + 1).saturating_sub(limit) / limit;
--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -4,13 +4,14 @@
 
 use fireflylug_core::Instant;
 use fireflylug_core::ids::CallId;
+use fireflylug_core::membership::{MemberStatus, TargetRecord, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
-use fireflylug_core::routing::{RateLimit, TargetNotice};
+use fireflylug_core::routing::{Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::harness::{Harness, name, record};
+use crate::harness::{Harness, locality, name, record, refusal};
 
 /// Time for which the target works on each call, in milliseconds.
 const WORK_MS: u64 = 200;
@@ -113,3 +114,96 @@
     let most = owner.most_in_a_window(stated_at.plus_ms(CONNECTIVITY_WINDOW_MS));
     assert!(most as f64 <= allowed, "{most} calls in {WINDOW_MS} ms, {allowed} allowed");
 }
+
+// Guards against a limit that costs more than the target asked for.
+#[rstest]
+fn a_target_gets_the_calls_that_its_limit_allows(
+    #[values(3.0, 15.3, 30.0)] calls_per_s: f64,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut owner = Owner::new(seed);
+    owner.run_ms(2_000, 55.0, TargetNotice::default());
+    owner.run_ms(1_000, 55.0, states(calls_per_s));
+    owner.sent_at.clear();
+
+    owner.run_ms(20_000, 55.0, states(calls_per_s));
+
+    let sent = owner.sent_at.len();
+    assert!(sent as f64 >= 0.9 * calls_per_s * 20.0, "{sent} calls in 20 s");
+}
+
+// Guards against a target that gets no calls after its need is over.
+#[test]
+fn a_limit_ends_with_the_first_response_without_it() {
+    let mut owner = Owner::new(1);
+    owner.run_ms(2_000, 40.0, states(0.0));
+
+    owner.run_ms(2_500, 40.0, TargetNotice::default());
+    owner.sent_at.clear();
+    owner.run_ms(4_000, 40.0, TargetNotice::default());
+
+    let sent = owner.sent_at.len();
+    assert!(sent > 120, "{sent} calls in 4 s");
+}
+
+// Guards against calls that wait for a limit until their deadline, only to be refused then.
+#[test]
+fn a_call_that_the_limit_makes_late_is_refused_at_once() {
+    let mut owner = Owner::new(1);
+    owner.run_ms(4_000, 20.0, states(1.0));
+
+    let call = owner.harness.arrive_forwarded("seatdesk", "one", 500);
+
+    let expected = refusal(RefusalCode::Overloaded, Outcome::NotRun);
+    assert_eq!(owner.harness.take_refusals(), [(call, expected)]);
+}
+
+// Guards against a limit of an earlier start of the target that outlives it.
+#[test]
+fn a_target_that_announces_itself_again_has_no_limit() {
+    let mut owner = Owner::new(1);
+    owner.run_ms(4_000, 20.0, states(0.0));
+    let mut draining = record("seatdesk", "one", "host-a");
+    (draining.sequence, draining.state) = (2, TargetState::Draining);
+    owner.harness.set_target(draining);
+    owner.harness.set_target(TargetRecord { sequence: 3, ..record("seatdesk", "one", "host-a") });
+    owner.harness.take_effects();
+
+    (0..4).for_each(|_| _ = owner.harness.arrive_forwarded("seatdesk", "one", 500));
+
+    assert_eq!(owner.harness.take_attempts().len(), 4);
+}
+
+// Guards against calls that are sent to a target at its limit while another one has room.
+#[test]
+fn calls_go_to_a_target_with_room_while_another_one_is_at_its_limit() {
+    let mut ingress = Harness::new("host-a", resources());
+    for (id, host) in [("one", "host-b"), ("two", "host-c")] {
+        ingress.set_member(host, locality("z1", "r1"), MemberStatus::Alive);
+        ingress.set_target(TargetRecord {
+            slots: 12,
+            connections: 120,
+            ..record("seatdesk", id, host)
+        });
+    }
+    let at_limit = TargetLoad {
+        in_flight: 2,
+        queued: 0,
+        wait_ms: 0,
+        usable_slots: Some(1),
+        held_ms: WORK_MS as u32,
+    };
+    let with_room = TargetLoad { in_flight: 6, usable_slots: None, ..at_limit };
+    (0..20).for_each(|_| _ = ingress.arrive("/seats", true));
+    ingress.pass_ms(WORK_MS);
+    for attempt in ingress.take_attempts() {
+        let load = if attempt.target == "one" { at_limit } else { with_room };
+        ingress.complete_with(attempt.call, 1, load.into());
+    }
+
+    let calls: Vec<CallId> = (0..6).map(|_| ingress.arrive("/seats", true)).collect();
+
+    let attempts = ingress.take_attempts();
+    assert_eq!(attempts.len(), calls.len());
+    assert!(attempts.iter().all(|attempt| attempt.target == "two"), "{attempts:?}");
+}
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -13,7 +13,7 @@
 //! | `fireflylug-forward` | ingress to owner | parameters of the forwarded call |
 //! | `fireflylug-sent` | ingress to owner | `clock.time`: id of the ingress's clock and its time in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
-//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call |
+//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; then `.usable_slots` under a rate limit |
 
 use fireflylug_core::ids::{Name, TargetId};
 use fireflylug_core::routing::{
@@ -190,8 +190,13 @@
 
 /// Adds the load of a target to an owner's response.
 pub(super) fn add_load(headers: &mut HeaderMap, load: TargetLoad) {
-    let TargetLoad { in_flight, queued, wait_ms, held_ms } = load;
-    headers.insert(LOAD, value(format_args!("{in_flight}.{queued}.{wait_ms}.{held_ms}")));
+    let TargetLoad { in_flight, queued, wait_ms, usable_slots, held_ms } = load;
+    let text = format!("{in_flight}.{queued}.{wait_ms}.{held_ms}");
+    let text = match usable_slots {
+        Some(slots) => format!("{text}.{slots}"),
+        None => text,
+    };
+    headers.insert(LOAD, value(text));
 }
 
 /// Parses the load of a target from its owner's response.
@@ -202,6 +207,7 @@
         queued: fields.next()?.parse().ok()?,
         wait_ms: fields.next()?.parse().ok()?,
         held_ms: fields.next()?.parse().ok()?,
+        usable_slots: fields.next().and_then(|slots| slots.parse().ok()),
     })
 }
 
