Calls: a connection on which a target refused is not used again

Change: only a call that ended with a refusal can be refused once more, so the connection is closed with the first one. A refusal with the id of another call was recognised before. Costs a new connection for each refusal of a target.

--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -343,7 +343,8 @@
             _ => RefusalCode::TargetRefused,
         };
         let notice = headers::notice(header_map, dialect);
-        drain(answer).await;
+        // The connection is not reused: a faulty target may send the refusal again, and a later
+        // call would take it for its own.
         return Err(Failure { refusal: Refusal { code, outcome: Outcome::NotRun }, notice });
     }
     let lacks_stamp = dialect.stamp.as_ref().is_some_and(|stamp| !header_map.contains_key(stamp));
@@ -353,7 +354,7 @@
     Ok(answer)
 }
 
-/// Reads a short response to its end so that its connection can be reused.
+/// Reads a short response of an owner to its end so that its connection can be reused.
 async fn drain(answer: Answer) {
     let Answer { response, connection, request_body } = answer;
     let is_closing = response.headers().contains_key(header::CONNECTION);
--- a/crates/daemon/tests/calls/answers.rs
+++ b/crates/daemon/tests/calls/answers.rs
@@ -1,6 +1,8 @@
 //! Responses are complete or recognisably truncated; a caller's disconnect reaches the target.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use fireflylug_core::membership::{TargetRecord, TargetState};
@@ -208,3 +210,80 @@
         assert!(is_own || is_refused, "{id}: {answer}");
     }
 }
+
+/// Which id a target gives to a refusal that it repeats.
+#[derive(Clone, Copy, Debug)]
+enum RepeatedId {
+    None,
+    OfTheRefusedCall,
+}
+
+/// A target that refuses the first call on each connection and runs every later one. Before the
+/// response to a later call it repeats its refusal. Returns the address and the calls that ran.
+async fn target_with_repeated_refusals(id: RepeatedId) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counted = Arc::clone(&counted);
+            tokio::spawn(async move {
+                let mut refusal: Option<String> = None;
+                let mut head = [0; 4_096];
+                while let Ok(length @ 1..) = stream.read(&mut head).await {
+                    let request = String::from_utf8_lossy(&head[..length]);
+                    let bytes = match &refusal {
+                        Some(refusal) => {
+                            counted.fetch_add(1, Ordering::SeqCst);
+                            format!("{refusal}{}", echo(&request))
+                        }
+                        None => refusal.insert(refusal_of(&request, id)).clone(),
+                    };
+                    if stream.write_all(bytes.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
+fn refusal_of(request: &str, id: RepeatedId) -> String {
+    let echoed = request.lines().find(|line| line.starts_with("x-request-id: "));
+    let echoed = match id {
+        RepeatedId::None => String::new(),
+        RepeatedId::OfTheRefusedCall => {
+            format!("{}\r\n", echoed.expect("the proxy forwards the id"))
+        }
+    };
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{echoed}fireflylug-not-run: 1\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
+// Guards against a target's repeated refusal that makes a call that runs look as if it had not.
+#[rstest]
+#[tokio::test]
+async fn a_repeated_refusal_is_never_taken_for_that_of_a_later_call(
+    #[values(RepeatedId::None, RepeatedId::OfTheRefusedCall)] id: RepeatedId,
+    #[values(["first", "second", "third"], ["first", "first", "first"])] calls: [&str; 3],
+) {
+    let (address, runs) = target_with_repeated_refusals(id).await;
+    let mesh = mesh(&[address]).await;
+
+    for call in calls {
+        let ran_before = runs.load(Ordering::SeqCst);
+        let request = format!(
+            "POST /pay HTTP/1.1\r\nhost: x\r\nx-request-id: {call}\r\ncontent-length: 0\r\n\
+             connection: close\r\n\r\n"
+        );
+        let answer = exchange(mesh.calls(1), &request).await;
+
+        let has_run = runs.load(Ordering::SeqCst) > ran_before;
+        let is_not_run = answer.contains("fireflylug-outcome: not-run");
+        assert!(!(has_run && is_not_run), "{call} ran: {answer}");
+    }
+}
