Test: a response head that a target breaks off is no response

It does not happen here: after every length of a head the caller gets 502, for lookups and payments. No change of the code.

--- a/crates/daemon/tests/calls/answers.rs
+++ b/crates/daemon/tests/calls/answers.rs
@@ -287,3 +287,36 @@
         assert!(!(has_run && is_not_run), "{call} ran: {answer}");
     }
 }
+
+/// A target that breaks off the head of each response, one byte later on each connection.
+/// Returns the address and the number of different lengths.
+async fn target_with_broken_heads() -> (SocketAddr, usize) {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-served-by: one\r\n\r\n";
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        for length in (1..HEAD.len()).cycle() {
+            let (mut stream, _) = listener.accept().await.expect("the proxy connects");
+            let mut head = [0; 4_096];
+            let _ = stream.read(&mut head).await;
+            let _ = stream.write_all(&HEAD.as_bytes()[..length]).await;
+        }
+    });
+    (address, HEAD.len() - 1)
+}
+
+// Guards against a head that a target broke off and that is taken for a whole response.
+#[rstest]
+#[case::lookup("GET /seats")]
+#[case::payment("POST /pay")]
+#[tokio::test]
+async fn a_head_that_is_broken_off_is_no_response(#[case] line: &str) {
+    let (address, lengths) = target_with_broken_heads().await;
+    let mesh = mesh(&[address]).await;
+
+    for _ in 0..lengths {
+        let request = format!("{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+        let answer = exchange(mesh.calls(0), &request).await;
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    }
+}
