--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -147,6 +147,27 @@
     assert_eq!(harness.take_refusals(), [(call, expected)]);
 }
 
+// Guards against calls that are taken late in a stop and cut at its end.
+#[test]
+fn a_stopping_proxy_takes_no_call_after_its_notice() {
+    let mut harness = owner();
+    let call = harness.arrive("/seats", false);
+    harness.stop();
+    harness.pass_ms(1_200);
+    harness.take_effects();
+
+    for _ in 0..10 {
+        let late =
+            [harness.arrive("/seats", false), harness.arrive_forwarded("seatdesk", "one", 1_500)];
+        let stopping = refusal(RefusalCode::Stopping, Outcome::NotRun);
+        assert_eq!(harness.take_refusals(), late.map(|call| (call, stopping)));
+        harness.pass_ms(50);
+    }
+
+    harness.complete(call, 1);
+    assert!(harness.routing.is_idle());
+}
+
 #[test]
 fn a_stop_finishes_calls_in_flight_and_then_refuses() {
     let mut harness = owner();
