--- a/crates/core/tests/fuzz/machine.rs
+++ b/crates/core/tests/fuzz/machine.rs
@@ -48,6 +48,11 @@
     Isolate {
         host: usize,
     },
+    /// Cuts hosts of any zones off from all others, and lets time pass.
+    Split {
+        hosts: Vec<usize>,
+        ms: u16,
+    },
     Heal,
     SetFaultRates(FaultRates),
     Put {
@@ -132,6 +137,8 @@
             2 => control.clone().prop_map(|host| Action::Blank { host }),
             2 => (0..3_usize).prop_map(|zone| Action::CutZone { zone }),
             2 => control.clone().prop_map(|host| Action::Isolate { host }),
+            2 => (split_side(), 1..12_000_u16)
+                .prop_map(|(hosts, ms)| Action::Split { hosts, ms }),
             3 => Just(Action::Heal),
             1 => fault_rates().prop_map(Action::SetFaultRates),
             8 => (host.clone(), unit.clone(), any::<bool>())
@@ -184,6 +191,12 @@
     })
 }
 
+/// Hosts on one side of a split: some, but not all.
+fn split_side() -> impl Strategy<Value = Vec<usize>> {
+    let hosts: Vec<usize> = (0..ZONES.len()).collect();
+    prop::sample::subsequence(hosts, 1..ZONES.len())
+}
+
 fn in_zone(zone: usize) -> impl Iterator<Item = usize> {
     (0..ZONES.len()).filter(move |host| ZONES[*host] == zone)
 }
@@ -224,6 +237,10 @@
             Action::Blank { host } => self.replace_disk(*host),
             Action::CutZone { zone } => self.network.cut_zone(*zone),
             Action::Isolate { host } => self.network.isolate(*host),
+            Action::Split { hosts, ms } => {
+                self.network.split(hosts);
+                self.run_ms(u64::from(*ms));
+            }
             Action::Heal => self.network.heal(),
             Action::SetFaultRates(fault_rates) => self.network.set_fault_rates(*fault_rates),
             Action::Put { host, unit, is_conditional } => {
--- a/crates/core/tests/fuzz/network.rs
+++ b/crates/core/tests/fuzz/network.rs
@@ -32,6 +32,8 @@
     fault_rates: FaultRates,
     cut_zones: BTreeSet<usize>,
     isolated: BTreeSet<usize>,
+    /// Hosts on one side of a split; all others are on the other side.
+    split_side: BTreeSet<usize>,
     connections: BTreeSet<(usize, usize)>,
     /// When the latest connection of two processes becomes ready, in microseconds.
     ready_us: BTreeMap<(usize, usize), u64>,
@@ -46,6 +48,7 @@
             fault_rates: NO_FAULTS,
             cut_zones: BTreeSet::new(),
             isolated: BTreeSet::new(),
+            split_side: BTreeSet::new(),
             connections: BTreeSet::new(),
             ready_us: BTreeMap::new(),
             zones,
@@ -62,6 +65,11 @@
         self.isolated.insert(host);
     }
 
+    /// Cuts hosts off from all others. They still reach each other.
+    pub fn split(&mut self, hosts: &[usize]) {
+        self.split_side = hosts.iter().copied().collect();
+    }
+
     /// Sets the rates of random faults.
     pub fn set_fault_rates(&mut self, fault_rates: FaultRates) {
         self.fault_rates = fault_rates;
@@ -72,6 +80,7 @@
         self.fault_rates = NO_FAULTS;
         self.cut_zones.clear();
         self.isolated.clear();
+        self.split_side.clear();
     }
 
     /// Whether messages can pass from one host to the other.
@@ -80,7 +89,8 @@
         let is_cut = from_zone != to_zone
             && (self.cut_zones.contains(&from_zone) || self.cut_zones.contains(&to_zone));
         let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
-        from == to || !(is_cut || is_isolated)
+        let is_split = self.split_side.contains(&from) != self.split_side.contains(&to);
+        from == to || !(is_cut || is_isolated || is_split)
     }
 
     /// Decides what happens to a message.
--- a/crates/core/tests/fuzz/regressions.rs
+++ b/crates/core/tests/fuzz/regressions.rs
@@ -237,3 +237,27 @@
 
     run(6503485279314356825, actions);
 }
+
+/// Guards against a restarted proxy that goes back to an older version: its zone is cut off with a
+/// control host that had missed the newer one.
+#[test]
+fn restarted_proxy_returns_to_a_version_that_is_all_its_zone_holds() {
+    let actions = vec![
+        Put { host: 0, unit: 0, is_conditional: false },
+        Split { hosts: vec![2], ms: 22 },
+        Crash { host: 5 },
+        Heal,
+        CutZone { zone: 2 },
+        Start { host: 5 },
+        Run { ms: 1978 },
+    ];
+
+    run(1084261096143159362, actions);
+}
+
+/// Guards against a split that lasts: three proxies that were cut off together formed a mesh of
+/// their own and never took a newer version.
+#[test]
+fn proxies_that_were_split_off_together_get_the_next_version() {
+    run(352589269608608775, vec![Split { hosts: vec![5, 6, 7], ms: 6_509 }]);
+}
