Calls: a target that states in a response that it leaves is draining

Change: the owner marks its target as draining, for the rest of its run; so does the health query of a restarted daemon. Test: a_target_that_states_in_a_response_that_it_leaves_gets_no_more_calls; without the reading of the header both cases fail, as the second call runs too.

--- a/crates/core/src/membership/leases.rs
+++ b/crates/core/src/membership/leases.rs
@@ -26,6 +26,11 @@
     expires_at: Instant,
     load_due_at: Instant,
     address: SocketAddr,
+    /// When the target started, as Unix time, if its announcements are numbered.
+    started_unix_ms: Option<u64>,
+    /// Whether the target stated in a response that it is leaving. This holds for the rest of
+    /// its run: an announcement that says otherwise may be older.
+    is_leaving: bool,
 }
 
 /// Most addresses for which the newest announcement is stored.
@@ -79,7 +84,8 @@
         if !is_known && self.leases.len() >= MAX_TARGETS {
             return records;
         }
-        let is_draining = announcement.draining || is_stopping;
+        let is_leaving = self.is_leaving(announcement);
+        let is_draining = announcement.draining || is_leaving || is_stopping;
         let state = if is_draining { TargetState::Draining } else { TargetState::Ready };
         let old = view.target(&announcement.target);
         let record = next_record(me, announcement, state, old);
@@ -89,8 +95,12 @@
             expires_at,
             load_due_at: Instant::ZERO,
             address: announcement.address,
+            started_unix_ms: None,
+            is_leaving,
         });
         lease.address = announcement.address;
+        lease.started_unix_ms = announcement.order.map(|order| order.started_unix_ms);
+        lease.is_leaving = is_leaving;
         lease.expires_at = expires_at;
         let needs_record = match old {
             Some(old) if is_equal_except_load(old, &record) => {
@@ -106,6 +116,22 @@
         records
     }
 
+    /// Marks a target as leaving. Returns false if it is already marked, or without a lease.
+    pub fn mark_leaving(&mut self, target: &TargetId) -> bool {
+        let lease = self.leases.get_mut(target);
+        lease.is_some_and(|lease| !std::mem::replace(&mut lease.is_leaving, true))
+    }
+
+    /// Whether the announced target stated before that it is leaving, in the same run.
+    fn is_leaving(&self, announcement: &TargetAnnouncement) -> bool {
+        let started_unix_ms = announcement.order.map(|order| order.started_unix_ms);
+        self.leases.get(&announcement.target).is_some_and(|lease| {
+            let is_same_run =
+                lease.address == announcement.address && lease.started_unix_ms == started_unix_ms;
+            lease.is_leaving && is_same_run
+        })
+    }
+
     /// Records an announcement and returns whether it is newer than all others at its
     /// address. An announcement without an order always counts as newest.
     fn is_newest(&mut self, announcement: &TargetAnnouncement) -> bool {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -46,6 +46,7 @@
 
 use crate::Effect;
 use crate::context::{Context, Identity};
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{Name, NodeId, TargetId};
 use crate::time::Instant;
 use leases::Leases;
@@ -276,6 +277,20 @@
         is_known
     }
 
+    /// Marks a target of this process as draining, because it states in a response that it is
+    /// leaving. Does nothing if it is draining already, or if this process holds no lease of it.
+    pub fn drain_own_target(&mut self, cx: &mut Context<'_>, target: &TargetId) {
+        if !self.leases.mark_leaving(target) {
+            return;
+        }
+        cx.log(LogLevel::Info, LogPart::Membership, format!("Target {target} is leaving."));
+        let old = self.view.target(target).filter(|old| old.owner == cx.me.id);
+        if let Some(record) = old.map(leases::draining_record) {
+            self.merge_target(cx, record, None);
+        }
+        self.apply_view_changes(cx);
+    }
+
     /// The target of this process with this id, in any service.
     pub fn own_target(&self, id: &Name) -> Option<TargetId> {
         self.leases.targets().into_iter().find(|target| target.id == *id)
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -99,7 +99,12 @@
             state.api.request(&mut cx, api_parts!(state), request, body);
         }
         Event::ApiClosed { request } => state.api.client_disconnected(&mut cx, request),
-        Event::Call(event) => state.routing.step(&mut cx, &mut state.slo, event),
+        Event::Call(event) => {
+            state.routing.step(&mut cx, &mut state.slo, event);
+            for target in state.routing.take_leaving_targets() {
+                state.membership.drain_own_target(&mut cx, &target);
+            }
+        }
         Event::SeedsChanged(seeds) => state.membership.set_seeds(&cx, seeds),
         Event::Stop => {
             state.is_stopping = true;
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -241,6 +241,7 @@
         let is_ingress = call.is_ingress();
         if running.holds_slot {
             self.apply_rate_limit(cx, running.target, notice.rate_limit);
+            self.note_leaving(running.target, notice.is_leaving);
         }
         if is_ingress {
             self.observe_answer(cx, id, running, status, notice.load);
@@ -261,6 +262,14 @@
         cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
     }
 
+    /// Notes that a target of this host states that it is leaving.
+    pub(super) fn note_leaving(&mut self, key: TargetKey, is_leaving: bool) {
+        let target = &self.targets[key];
+        if is_leaving && target.is_ready() {
+            self.leaving_targets.push(target.record.target.clone());
+        }
+    }
+
     /// Logs that a server error is relayed.
     pub(super) fn log_server_error(&self, cx: &mut Context<'_>, id: CallId, error: ServerError) {
         let ServerError { attempt, target, status } = error;
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -34,6 +34,8 @@
     pub load: Option<TargetLoad>,
     /// Rate limit that the target states.
     pub rate_limit: Option<RateLimit>,
+    /// Whether the target states that it is leaving.
+    pub is_leaving: bool,
 }
 
 impl From<TargetLoad> for TargetNotice {
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -38,6 +38,9 @@
         if running.holds_slot && notice.rate_limit.is_some() {
             self.apply_rate_limit(cx, running.target, notice.rate_limit);
         }
+        if running.holds_slot {
+            self.note_leaving(running.target, notice.is_leaving);
+        }
         if is_ingress {
             self.observe_failure(cx, running, refusal, notice.load, is_bulk);
         }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -115,6 +115,8 @@
     deadlines: BTreeSet<(Instant, CallId)>,
     /// When the admission control of a target may admit the next call under its rate limit.
     admissions_due: BTreeSet<(Instant, TargetKey)>,
+    /// Targets of this host that stated during the current event that they are leaving.
+    leaving_targets: Vec<TargetId>,
     /// Services with calls in flight.
     busy_services: u32,
     refusals: metrics::RefusalCounts,
@@ -149,6 +151,7 @@
             calls: HashMap::default(),
             deadlines: BTreeSet::new(),
             admissions_due: BTreeSet::new(),
+            leaving_targets: Vec::new(),
             busy_services: 0,
             refusals: metrics::RefusalCounts::default(),
             splits: split::Splits::default(),
@@ -180,6 +183,11 @@
         self.process_ended(cx, slo);
     }
 
+    /// Returns the targets of this host that stated since the last call that they are leaving.
+    pub fn take_leaving_targets(&mut self) -> Vec<TargetId> {
+        std::mem::take(&mut self.leaving_targets)
+    }
+
     /// When [`Routing::tick`] is due.
     pub fn next_deadline(&self) -> Instant {
         let call = self.deadlines.first().map_or(Instant::NEVER, |(due, _)| *due);
--- a/crates/daemon/src/calls/dialect.rs
+++ b/crates/daemon/src/calls/dialect.rs
@@ -4,7 +4,7 @@
 //! callers and targets that use different headers and statuses.
 
 use fireflylug_core::routing::{Outcome, Refusal, RefusalCode};
-use http::header::HeaderName;
+use http::header::{HeaderMap, HeaderName};
 
 /// Rule for the HTTP status of a response that the mesh generates.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,6 +36,8 @@
     /// Response header: calls per second that the target accepts from all proxies together,
     /// as a decimal number, for as long as it is present.
     pub rate_limit: HeaderName,
+    /// Response header with the value 1: the target is leaving and accepts no new calls.
+    pub leaving: HeaderName,
     /// Header of every response of a target that ran the call; `None` if targets send no
     /// such header. A success response without it does not belong to the call.
     pub stamp: Option<HeaderName>,
@@ -57,6 +59,7 @@
             target_id: HeaderName::from_static("fireflylug-target-id"),
             target_load: HeaderName::from_static("fireflylug-target-load"),
             rate_limit: HeaderName::from_static("fireflylug-rate-limit"),
+            leaving: HeaderName::from_static("fireflylug-leaving"),
             stamp: None,
             has_mesh_headers: true,
             statuses: StatusRule::ByCode,
@@ -65,6 +68,11 @@
 }
 
 impl CallDialect {
+    /// Whether a target states in a response that it is leaving.
+    pub fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.get(&self.leaving).is_some_and(|value| value == "1")
+    }
+
     /// Status of a refusal that is sent to a caller.
     pub fn status(&self, refusal: Refusal) -> u16 {
         let by_code = refusal.code.status();
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -10,6 +10,7 @@
 //! | `fireflylug-target` | mesh to target | id of the target that the call is for |
 //! | `fireflylug-not-run` | target to mesh | the target did not run the call |
 //! | `fireflylug-rate-limit` | target to mesh | calls per second that the target accepts from all proxies together |
+//! | `fireflylug-leaving` | target to mesh | 1: the target is leaving and accepts no new calls |
 //! | `fireflylug-forward` | ingress to owner | parameters of the forwarded call |
 //! | `fireflylug-sent` | ingress to owner | `clock.time`: id of the ingress's clock and its time in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
@@ -213,7 +214,11 @@
 
 /// Parses what a response says about its target.
 pub(super) fn notice(headers: &HeaderMap, dialect: &CallDialect) -> TargetNotice {
-    TargetNotice { load: load(headers), rate_limit: rate_limit(headers, dialect) }
+    TargetNotice {
+        load: load(headers),
+        rate_limit: rate_limit(headers, dialect),
+        is_leaving: dialect.is_leaving(headers),
+    }
 }
 
 /// Parses the rate limit that a target states; `None` if absent or malformed.
--- a/crates/daemon/src/local_target.rs
+++ b/crates/daemon/src/local_target.rs
@@ -99,7 +99,7 @@
         connections: u32::MAX,
         lease_ms: target.lease_ms,
         load_percent: None,
-        draining: false,
+        draining: dialect.is_leaving(&headers),
         cold_ms: 0,
         order: None,
     })
--- a/crates/daemon/tests/calls/stops.rs
+++ b/crates/daemon/tests/calls/stops.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use fireflylug_fault::{HttpClient, TargetOptions};
-use fireflylug_measure::calls::mesh::Mesh;
+use fireflylug_measure::calls::mesh::{Mesh, TargetSpec};
+use rstest::rstest;
 
 use crate::fixture::{mesh, target, until};
 
@@ -72,3 +73,30 @@
     assert_eq!(caller.await.unwrap(), Vec::<String>::new());
     assert_eq!(one.total_runs() + two.total_runs(), u64::from(succeeded.load(Ordering::Relaxed)));
 }
+
+// Guards against calls to a target that is leaving, where its announcement does not arrive.
+#[rstest]
+#[case::through_the_ingress(0)]
+#[case::at_the_owner(1)]
+#[tokio::test]
+async fn a_target_that_states_in_a_response_that_it_leaves_gets_no_more_calls(
+    #[case] ingress: usize,
+) {
+    let leaving = ("fireflylug-leaving", "1");
+    let target = target(TargetOptions::new().with_response_header(leaving.0, leaving.1)).await;
+    let mut mesh = mesh(&[target.address()]).await;
+    let (client, address) = (HttpClient::new(), mesh.calls(ingress));
+    let send = || client.send(address, "POST /pay", &[], "fee");
+
+    let last = send().await.unwrap();
+    let refused = send().await.unwrap();
+    mesh.announce(1, TargetSpec::new("seatdesk", "t0", target.address()));
+    let refused_after_an_announcement = send().await.unwrap();
+
+    assert_eq!(last.status, 200);
+    for answer in [refused, refused_after_an_announcement] {
+        assert_eq!(answer.status, 503);
+        assert_eq!(answer.header("fireflylug-outcome"), "not-run");
+    }
+    assert_eq!(target.total_runs(), 1);
+}
