--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -13,7 +13,7 @@
 //! capacity, and the call it was made for usually holds a slot elsewhere for longer.
 
 use super::call::{CallClass, TargetLoad};
-use super::estimate::{ByClass, Estimate};
+use super::hold_times::HoldTimes;
 use super::rate_limit::{RateGate, RateLimit};
 use crate::ids::CallId;
 use crate::time::Instant;
@@ -65,10 +65,6 @@
 /// slow. More of them would only wait for each other and hold slots meanwhile.
 const SLOTS_PER_BULK_CALL: u32 = 3;
 
-/// A class of calls is short if its mean hold time is at most the longest mean of a class
-/// divided by this number.
-const SHORT_HOLD_DIVISOR: u64 = 2;
-
 /// One call that is expected to be late may be queued per this many slots.
 const SLOTS_PER_LATE_CALL: usize = 4;
 
@@ -86,10 +82,7 @@
     rate_gate: Option<RateGate>,
     /// Queued calls, next one first.
     queue: Vec<QueuedCall>,
-    /// Time for which a call holds a slot, over all classes.
-    hold_time: Estimate,
-    /// The same, by class.
-    hold_time_by_class: ByClass<Estimate>,
+    hold_times: HoldTimes,
 }
 
 impl AdmissionControl {
@@ -128,7 +121,7 @@
 
     /// Number of slots that calls can use: all of them, or as many as the rate limit allows.
     pub fn usable_slots(&self) -> u32 {
-        let within_rate = self.rate_gate.map(|gate| gate.usable_slots(self.hold_time.mean_us()));
+        let within_rate = self.rate_gate.map(|gate| gate.usable_slots(self.hold_times.mean_us()));
         within_rate.map_or(self.limit, |slots| slots.min(self.limit))
     }
 
@@ -199,25 +192,17 @@
     /// or before its deadline if its class is short.
     fn is_in_time(&self, request: &AdmissionRequest, position: usize, now: Instant) -> bool {
         let wait_us = self.wait_us(position, now).max(self.link_wait_us(request));
-        let answered_at = now.plus_us(wait_us + self.high_hold_time_us(request.class));
-        let is_short = self.is_short(request.class);
+        let answered_at = now.plus_us(wait_us + self.hold_times.high_us(request.class));
+        let is_short = self.hold_times.is_short(request.class);
         let until = if is_short { request.deadline } else { request.useful_until };
         answered_at <= until.min(request.deadline)
     }
 
-    /// Whether calls of a class hold their slot for a short time, compared with the class that
-    /// holds it longest.
-    fn is_short(&self, class: CallClass) -> bool {
-        let Some(hold_time) = self.hold_time_by_class.get(class) else { return false };
-        let longest_us = self.hold_time_by_class.values().map(Estimate::mean_us).max().unwrap_or(0);
-        hold_time.mean_us() * SHORT_HOLD_DIVISOR <= longest_us
-    }
-
     /// Whether a call may be queued although it is expected to miss its target latency.
     fn may_queue_late(&self, request: &AdmissionRequest, now: Instant) -> bool {
         let late_count = self.queue.iter().filter(|queued| queued.is_late).count();
         let wait_us = self.wait_us(self.queue.len(), now).max(self.link_wait_us(request));
-        let answered_at = now.plus_us(wait_us + self.high_hold_time_us(request.class));
+        let answered_at = now.plus_us(wait_us + self.hold_times.high_us(request.class));
         late_count < self.limit as usize / SLOTS_PER_LATE_CALL && answered_at <= request.deadline
     }
 
@@ -225,7 +210,7 @@
     fn wait_us(&self, position: usize, now: Instant) -> u64 {
         let free_slots = u64::from(self.limit.saturating_sub(self.in_flight));
         let releases = (position as u64 + 1).saturating_sub(free_slots);
-        let slot_wait_us = releases * self.hold_time.mean_us() / u64::from(self.limit.max(1));
+        let slot_wait_us = releases * self.hold_times.mean_us() / u64::from(self.limit.max(1));
         let gate_wait_us = self.rate_gate.map_or(0, |gate| gate.wait_us(position, now));
         slot_wait_us.max(gate_wait_us)
     }
@@ -239,19 +224,8 @@
             .queue
             .iter()
             .filter(|queued| queued.request.is_bulk && queued.request.call != request.call);
-        let hold_time = self.hold_time_of(request.class);
-        (bulk_ahead.count() as u64 + 1) * hold_time.mean_us() / u64::from(limit.max(1))
-    }
-
-    /// Hold time that few calls of a class exceed.
-    fn high_hold_time_us(&self, class: CallClass) -> u64 {
-        let hold_time = self.hold_time_of(class);
-        hold_time.mean_us() + hold_time.deviation_us()
-    }
-
-    /// Hold time of a class; that of all calls if the class was not observed.
-    fn hold_time_of(&self, class: CallClass) -> &Estimate {
-        self.hold_time_by_class.get(class).unwrap_or(&self.hold_time)
+        let hold_us = self.hold_times.mean_us_of(request.class);
+        (bulk_ahead.count() as u64 + 1) * hold_us / u64::from(limit.max(1))
     }
 
     /// Removes the calls that are no longer expected to be served in time and returns them.
@@ -297,13 +271,8 @@
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.bulk_in_flight = self.bulk_in_flight.saturating_sub(u32::from(is_bulk));
-        if !completed {
-            return;
-        }
-        let hold_time_us = now.since_us(admitted_at);
-        self.hold_time.observe(hold_time_us);
-        if let Some(hold_time) = self.hold_time_by_class.entry(class) {
-            hold_time.observe(hold_time_us);
+        if completed {
+            self.hold_times.observe(class, now.since_us(admitted_at));
         }
     }
 
@@ -320,7 +289,7 @@
 
     /// Admits a call that was queued, unless it is too late for it.
     pub fn admit_queued(&mut self, now: Instant, deadline: Instant, is_bulk: bool) -> bool {
-        let is_servable = now.plus_us(self.hold_time.mean_us()) <= deadline && now < deadline;
+        let is_servable = now.plus_us(self.hold_times.mean_us()) <= deadline && now < deadline;
         if is_servable {
             self.take_slot(is_bulk, now);
         }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -1,12 +1,11 @@
-//! Attempts of a call: admission at the target, dispatch or forwarding, the response, and the
+//! Attempts of a call: the choice of the next one, dispatch or forwarding, and the
 //! release of the slot.
 
-use super::admission::{AdmissionRequest, AdmissionResult};
-use super::call::{CallClass, ForwardHead, TargetLoad, TargetNotice};
+use super::call::{CallClass, ForwardHead};
 use super::chain::Chain;
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::state::{Attempt, Call, ServerError, Stage};
+use super::state::{Attempt, Call, Stage};
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
 use crate::event::Effect;
@@ -76,72 +75,7 @@
         counts.retries += u64::from(is_retry);
     }
 
-    /// Returns false if admission control sheds the call.
-    fn request_admission(&mut self, cx: &mut Context<'_>, id: CallId, target: TargetKey) -> bool {
-        let call = &self.calls[&id];
-        let deadline = call.deadline;
-        let request = AdmissionRequest {
-            call: id,
-            priority: call.priority,
-            useful_until: call.useful_until,
-            deadline,
-            max_queued: call.max_queued,
-            class: call.class,
-            is_bulk: call.is_bulk,
-        };
-        let Some(admission) = &mut self.targets[target].admission else { return false };
-        match admission.admit(request, cx.now) {
-            AdmissionResult::Admitted => self.dispatch(cx, id, target),
-            AdmissionResult::Queued => {
-                self.call_mut(id).stage = Stage::Queued(target);
-                self.set_due(id, deadline);
-                let target_state = &self.targets[target];
-                let step = Step::Queued {
-                    target: target_state.record.target.clone(),
-                    queued: target_state
-                        .admission
-                        .as_ref()
-                        .map_or(0, |admission| admission.queued()),
-                    remaining_ms: deadline.since_ms(cx.now),
-                };
-                cx.log_decision(id, step);
-                self.refuse_unservable(cx, target);
-                self.schedule_admission(cx, target);
-            }
-            AdmissionResult::Shed => return false,
-        }
-        true
-    }
-
-    /// Gives free slots of a target to queued calls. A call that can no longer be completed by
-    /// its deadline is refused instead.
-    pub(super) fn admit_queued(&mut self, cx: &mut Context<'_>, target: TargetKey) {
-        while let Some(admission) = &mut self.targets[target].admission
-            && let Some(id) = admission.pop_next(cx.now)
-        {
-            let call = &self.calls[&id];
-            if admission.admit_queued(cx.now, call.deadline, call.is_bulk) {
-                self.dispatch(cx, id, target);
-            } else {
-                let code = RefusalCode::DeadlineExceeded;
-                self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
-            }
-        }
-        self.schedule_admission(cx, target);
-    }
-
-    /// Refuses queued calls as soon as they are not expected to be served in time.
-    fn refuse_unservable(&mut self, cx: &mut Context<'_>, target: TargetKey) {
-        let admission = self.targets[target].admission.as_mut();
-        let unservable =
-            admission.map(|admission| admission.remove_unservable(cx.now)).unwrap_or_default();
-        for call in unservable {
-            let code = RefusalCode::Overloaded;
-            self.attempt_failed(cx, call, Refusal { code, outcome: Outcome::NotRun });
-        }
-    }
-
-    fn dispatch(&mut self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
+    pub(super) fn dispatch(&mut self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
         self.begin_running(cx, id, key, true);
         let call = &self.calls[&id];
         let connections = self.connections_of(key);
@@ -224,116 +158,6 @@
         Some((of_service.max(of_target) * OVERDUE_FACTOR).max(MIN_OVERDUE_AFTER_US))
     }
 
-    /// Handles the head of a response.
-    pub(super) fn answered(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        attempt: u8,
-        status: u16,
-        notice: TargetNotice,
-    ) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        let Stage::Running(running) = call.stage else { return };
-        if call.attempt != attempt {
-            return;
-        }
-        let is_ingress = call.is_ingress();
-        if running.holds_slot {
-            self.apply_rate_limit(cx, running.target, notice.rate_limit);
-            self.note_leaving(running.target, notice.is_leaving);
-        }
-        if is_ingress {
-            self.observe_answer(cx, id, running, status, notice.load);
-            if self.retries_server_error(cx, id, running, status) {
-                return;
-            }
-        }
-        if status >= FIRST_SERVER_ERROR {
-            let target = self.targets[running.target].record.target.clone();
-            self.log_server_error(cx, id, ServerError { attempt, target, status });
-        }
-        let call = self.call_mut(id);
-        call.stage = Stage::Relaying(running);
-        call.status = status;
-        call.answered_at = cx.now;
-        self.set_due(id, Instant::NEVER);
-        let load = self.load_for_ingress(cx, id, running.target);
-        cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
-    }
-
-    /// Notes that a target of this host states that it is leaving.
-    pub(super) fn note_leaving(&mut self, key: TargetKey, is_leaving: bool) {
-        let target = &self.targets[key];
-        if is_leaving && target.is_ready() {
-            self.leaving_targets.push(target.record.target.clone());
-        }
-    }
-
-    /// Logs that a server error is relayed.
-    pub(super) fn log_server_error(&self, cx: &mut Context<'_>, id: CallId, error: ServerError) {
-        let ServerError { attempt, target, status } = error;
-        let after_ms = cx.now.since_ms(self.calls[&id].arrived_at);
-        cx.log_decision(id, Step::ServerError { attempt, target, status, after_ms });
-    }
-
-    /// Retries a call at another target after a server error, if its policy allows that.
-    /// Returns false if the response is to be relayed.
-    fn retries_server_error(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        running: Attempt,
-        status: u16,
-    ) -> bool {
-        let call = &self.calls[&id];
-        let is_allowed = status >= FIRST_SERVER_ERROR
-            && call.rule.as_ref().is_some_and(|rule| rule.policy.retry_server_errors)
-            && call.is_repeatable
-            && call.is_replayable
-            && call.may_try_again_after(call.attempts_reached + 1)
-            && cx.now < call.useful_until
-            && self.has_free_slot_elsewhere(cx, id);
-        if !is_allowed || !self.take_retry_token(id) {
-            return false;
-        }
-        let target = self.targets[running.target].record.target.clone();
-        let call = self.call_mut(id);
-        call.has_retry_token = true;
-        call.earlier_error = Some(ServerError { attempt: call.attempt, target, status });
-        self.release(cx, id, running, true);
-        let code = RefusalCode::TargetFailed;
-        self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::Unknown });
-        true
-    }
-
-    fn observe_answer(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        attempt: Attempt,
-        status: u16,
-        load: Option<TargetLoad>,
-    ) {
-        let took_us = cx.now.since_us(attempt.began_at);
-        let class = self.calls[&id].class;
-        self.observe_round_trip(cx, attempt, load);
-        let target = &mut self.targets[attempt.target];
-        target.observe(class, took_us, cx.now);
-        if let Some(load) = load {
-            target.record_owner_load(load, cx.now);
-        }
-        let service = &mut self.services[target.service];
-        service.latency.observe(took_us);
-        service.latency_by_class.entry(class).or_default().observe(took_us);
-        service.note_answer(attempt.target, cx.now);
-        if status >= FIRST_SERVER_ERROR {
-            self.note_failure(cx, attempt.target);
-        } else {
-            self.note_success(cx, attempt.target);
-        }
-    }
-
     /// Cancels an attempt; [`super::CallEvent::Failed`] follows.
     pub(super) fn cancel_attempt(&mut self, cx: &mut Context<'_>, id: CallId) {
         let call = self.call_mut(id);
@@ -375,9 +199,6 @@
     }
 }
 
-/// Lowest HTTP status that counts as a failure of the target.
-pub(super) const FIRST_SERVER_ERROR: u16 = 500;
-
 /// When an attempt times out: at the deadline, or [`OWNER_GRACE_US`] later if the owner can
 /// still report the outcome of the call.
 pub(super) fn attempt_timeout_at(call: &Call, is_local: bool) -> Instant {
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -5,7 +5,8 @@
 
 use rand::Rng;
 
-use super::attempt::{FIRST_SERVER_ERROR, attempt_timeout_at};
+use super::answer::FIRST_SERVER_ERROR;
+use super::attempt::attempt_timeout_at;
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, ServerError, Stage};
--- /dev/null
+++ b/crates/core/src/routing/hold_times.rs
@@ -0,0 +1,54 @@
+//! Times for which calls hold a slot of one target, as observed by its owner.
+
+use super::call::CallClass;
+use super::estimate::{ByClass, Estimate};
+
+/// A class of calls is short if its mean hold time is at most the longest mean of a class
+/// divided by this number.
+const SHORT_HOLD_DIVISOR: u64 = 2;
+
+/// Hold times over all calls and by class.
+#[derive(Debug, Default)]
+pub(super) struct HoldTimes {
+    all: Estimate,
+    by_class: ByClass<Estimate>,
+}
+
+impl HoldTimes {
+    /// Records the hold time of a call, in microseconds.
+    pub fn observe(&mut self, class: CallClass, us: u64) {
+        self.all.observe(us);
+        if let Some(estimate) = self.by_class.entry(class) {
+            estimate.observe(us);
+        }
+    }
+
+    /// Mean over all calls, in microseconds.
+    pub fn mean_us(&self) -> u64 {
+        self.all.mean_us()
+    }
+
+    /// Mean of a class, in microseconds.
+    pub fn mean_us_of(&self, class: CallClass) -> u64 {
+        self.of(class).mean_us()
+    }
+
+    /// Time that few calls of a class exceed, in microseconds.
+    pub fn high_us(&self, class: CallClass) -> u64 {
+        let estimate = self.of(class);
+        estimate.mean_us() + estimate.deviation_us()
+    }
+
+    /// Whether calls of a class hold their slot for a short time, compared with the class that
+    /// holds it longest.
+    pub fn is_short(&self, class: CallClass) -> bool {
+        let Some(estimate) = self.by_class.get(class) else { return false };
+        let longest_us = self.by_class.values().map(Estimate::mean_us).max().unwrap_or(0);
+        estimate.mean_us() * SHORT_HOLD_DIVISOR <= longest_us
+    }
+
+    /// The estimate of a class; that of all calls if the class was not observed.
+    fn of(&self, class: CallClass) -> &Estimate {
+        self.by_class.get(class).unwrap_or(&self.all)
+    }
+}
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -10,6 +10,8 @@
 //! further events.
 
 mod admission;
+mod admit;
+mod answer;
 mod arrive;
 mod attempt;
 mod budget;
@@ -22,6 +24,7 @@
 mod failure;
 mod finish;
 mod health;
+mod hold_times;
 mod link_share;
 mod metrics;
 mod network_path;
--- a/crates/core/src/routing/rate_limit.rs
+++ b/crates/core/src/routing/rate_limit.rs
@@ -6,9 +6,6 @@
 
 use std::fmt;
 
-use super::{Routing, TargetKey};
-use crate::context::Context;
-use crate::event::{LogLevel, LogPart};
 use crate::time::Instant;
 
 /// Microseconds per second.
@@ -93,51 +90,3 @@
         format!("{} calls in {} ms", self.admitted, now.since_ms(self.stated_at))
     }
 }
-
-impl Routing {
-    /// Applies the rate limit that a response of a target of this host states, or that it
-    /// states none.
-    pub(super) fn apply_rate_limit(
-        &mut self,
-        cx: &mut Context<'_>,
-        key: TargetKey,
-        stated: Option<RateLimit>,
-    ) {
-        let target = &mut self.targets[key];
-        let Some(admission) = &mut target.admission else { return };
-        let previous = admission.rate_gate();
-        admission.set_rate_limit(stated, cx.now);
-        let id = &target.record.target;
-        let text = match (previous, stated) {
-            (None, None) => return,
-            (Some(_), Some(_)) => return self.admit_queued(cx, key),
-            (None, Some(limit)) => format!("Target {id} accepts at most {limit}."),
-            (Some(gate), None) => {
-                let summary = gate.summary(cx.now);
-                format!("Target {id} accepts any rate again, after {summary}.")
-            }
-        };
-        cx.log(LogLevel::Info, LogPart::Calls, text);
-        self.admit_queued(cx, key);
-    }
-
-    /// Schedules the admission of the next queued call for when the gate of its target opens.
-    pub(super) fn schedule_admission(&mut self, cx: &Context<'_>, key: TargetKey) {
-        let admission = self.targets[key].admission.as_ref();
-        if let Some(at) = admission.and_then(|admission| admission.gate_opens_at(cx.now)) {
-            self.admissions_due.insert((at, key));
-        }
-    }
-
-    /// Admits queued calls of the targets whose gates have opened.
-    pub(super) fn admit_due(&mut self, cx: &mut Context<'_>) {
-        while let Some((due_at, key)) = self.admissions_due.first().copied()
-            && due_at <= cx.now
-        {
-            self.admissions_due.pop_first();
-            if self.targets.contains_key(key) {
-                self.admit_queued(cx, key);
-            }
-        }
-    }
-}
