--- a/crates/core/tests/distribution/splits.rs
+++ b/crates/core/tests/distribution/splits.rs
@@ -26,11 +26,10 @@
     Silent,
 }
 
-fn cut(mesh: &mut Mesh, one: &[usize], kind: Cut) {
-    let others = mesh.hosts_except(one);
+fn cut(mesh: &mut Mesh, one: &[usize], other: &[usize], kind: Cut) {
     match kind {
-        Cut::Resets => mesh.cut_with_resets(one, &others),
-        Cut::Silent => mesh.set_cut(one, &others, true),
+        Cut::Resets => mesh.cut_with_resets(one, other),
+        Cut::Silent => mesh.set_cut(one, other, true),
     }
 }
 
@@ -55,7 +54,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let proxies = some_proxies(&mesh, rng.random_range(0.3..0.7), seed);
     let others = mesh.hosts_except(&proxies);
-    cut(&mut mesh, &proxies, kind);
+    cut(&mut mesh, &proxies, &others, kind);
     mesh.run_ms(rng.random_range(5_000..15_000));
     mesh.publish(&versions[1]);
     mesh.set_cut(&proxies, &others, false);
@@ -67,6 +66,29 @@
     }
 }
 
+// Guards against a split that lasts, where there are more than two sides.
+#[rstest]
+fn hosts_on_three_sides_of_a_cut_get_new_versions_after_it(
+    #[values(Cut::Resets, Cut::Silent)] kind: Cut,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(6), seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let proxies = some_proxies(&mesh, 0.7, seed);
+    let (one, two) = proxies.split_at(rng.random_range(1..proxies.len()));
+    let others = mesh.hosts_except(&proxies);
+    cut(&mut mesh, &proxies, &others, kind);
+    cut(&mut mesh, one, two, kind);
+    mesh.run_ms(rng.random_range(5_000..15_000));
+    mesh.publish(&versions[1]);
+    mesh.set_cut(&proxies, &others, false);
+    mesh.set_cut(one, two, false);
+
+    mesh.run_until("all hold the version of the cut", IN_FORCE_WITHIN_S, |mesh| all_hold(mesh, 2));
+    mesh.publish(&versions[2]);
+    mesh.run_until("all hold the next version", 2, |mesh| all_hold(mesh, 3));
+}
+
 // Guards against a split that lasts: hosts that were apart until they forgot each other.
 #[rstest]
 fn hosts_that_forgot_each_other_in_a_cut_meet_again(
@@ -76,7 +98,7 @@
     let (mut mesh, versions) = mesh_with_first(&two_regions(4), seed);
     let proxies = some_proxies(&mesh, 0.4, seed);
     let others = mesh.hosts_except(&proxies);
-    cut(&mut mesh, &proxies, kind);
+    cut(&mut mesh, &proxies, &others, kind);
     mesh.run_ms(FORGET_DEAD_AFTER_MS + 10_000);
     mesh.publish(&versions[1]);
     mesh.set_cut(&proxies, &others, false);
