--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -35,7 +35,7 @@
         match message {
             MembershipMessage::Hello { records, is_new } => {
                 self.merge_records(cx, from, records);
-                self.greet_if_dead(cx, from);
+                self.notify_if_dead(cx, from);
                 let reachability = self.reachability.reports();
                 if is_new {
                     let records = self.view.records();
@@ -89,7 +89,7 @@
             return;
         }
         if old_status == Some(MemberStatus::Dead) {
-            self.record_return(cx, id);
+            self.log_return(cx, id);
         }
         if id != cx.me.id {
             cx.emit(Effect::StorePeerAddress { peer: id, address });
@@ -169,7 +169,7 @@
     }
 
     fn handle_heartbeat(&mut self, cx: &mut Context<'_>, from: NodeId, heartbeat: Heartbeat) {
-        self.greet_if_dead(cx, from);
+        self.notify_if_dead(cx, from);
         self.reachability.record_heartbeats(cx.now, heartbeat.zone_heartbeats);
         if heartbeat
             .reachability_digest
--- a/crates/core/src/membership/rejoin.rs
+++ b/crates/core/src/membership/rejoin.rs
@@ -1,6 +1,6 @@
-//! Rejoins the two sides of an availability zone that was split.
+//! Rejoins the sides of an availability zone that was split.
 //!
-//! In a split, the members on each side declare those on the other dead and remove their links.
+//! In a split, the members on each side declare the others dead and remove their links to them.
 //! Each member therefore goes on probing the dead members next to it in the ring. A member that
 //! receives a message from one that it holds as dead sends it that record, so that it refutes,
 //! and compares all records.
@@ -23,7 +23,7 @@
 
     /// Handles a message from a process that is recorded as dead: sends it that record, which it
     /// refutes, and the digests, so that the records are compared at once.
-    pub(super) fn greet_if_dead(&mut self, cx: &mut Context<'_>, from: NodeId) {
+    pub(super) fn notify_if_dead(&mut self, cx: &mut Context<'_>, from: NodeId) {
         let Some(record) = self.view.outgoing_member(from) else { return };
         if record.status != MemberStatus::Dead {
             return;
@@ -34,8 +34,8 @@
         cx.send(from, MembershipMessage::Digests(digests));
     }
 
-    /// Records that a member that was dead is a member again.
-    pub(super) fn record_return(&self, cx: &mut Context<'_>, id: NodeId) {
+    /// Logs that a member of the own availability zone that was dead is alive again.
+    pub(super) fn log_return(&self, cx: &mut Context<'_>, id: NodeId) {
         let Some(member) = self.view.member(id).filter(|m| !m.status.is_dead_or_left()) else {
             return;
         };
@@ -47,7 +47,7 @@
 }
 
 /// The dead members that follow this process in the ring of its availability zone, up to the next
-/// one that is not over.
+/// live one.
 fn dead_successors(view: &View, me: &Identity) -> Vec<NodeId> {
     let zone = &me.locality.availability_zone;
     let ring: Vec<_> = view
@@ -57,8 +57,9 @@
         .collect();
     let (before, after) = ring.split_at(ring.partition_point(|(id, _)| *id <= me.id));
     let others = after.iter().chain(before).filter(|(id, _)| *id != me.id);
-    let over = others.take_while(|(_, recorded_status)| recorded_status.is_dead_or_left());
-    over.filter(|(_, recorded_status)| *recorded_status == MemberStatus::Dead)
+    let departed = others.take_while(|(_, recorded_status)| recorded_status.is_dead_or_left());
+    departed
+        .filter(|(_, recorded_status)| *recorded_status == MemberStatus::Dead)
         .map(|(id, _)| *id)
         .collect()
 }
