--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -34,11 +34,11 @@
         }
         call.is_replayable &= is_replayable;
         let (is_ingress, is_bulk) = (call.is_ingress(), call.is_bulk);
-        // Many failures come without a response, so a missing limit says nothing here.
-        if running.holds_slot && notice.rate_limit.is_some() {
-            self.apply_rate_limit(cx, running.target, notice.rate_limit);
-        }
         if running.holds_slot {
+            // Many failures come without a response, so a missing limit says nothing here.
+            if notice.rate_limit.is_some() {
+                self.apply_rate_limit(cx, running.target, notice.rate_limit);
+            }
             self.note_leaving(running.target, notice.is_leaving);
         }
         if is_ingress {
--- a/crates/core/src/routing/rate_limit.rs
+++ b/crates/core/src/routing/rate_limit.rs
@@ -29,8 +29,8 @@
     /// A limit in calls per second. None if the number is negative or not finite.
     pub fn per_second(calls: f64) -> Option<Self> {
         let is_valid = calls.is_finite() && calls >= 0.0;
-        // The cast saturates.
-        let interval_us = (US_PER_S / calls) as u64;
+        // The cast saturates. Without the sign, -0 is 0.
+        let interval_us = (US_PER_S / calls.abs()) as u64;
         is_valid.then(|| Self { interval_us: interval_us.clamp(1, MAX_INTERVAL_US) })
     }
 }
--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -6,7 +6,9 @@
 use fireflylug_core::ids::CallId;
 use fireflylug_core::membership::{MemberStatus, TargetRecord, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
-use fireflylug_core::routing::{Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice};
+use fireflylug_core::routing::{
+    CallEvent, Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -207,3 +209,17 @@
     assert_eq!(attempts.len(), calls.len());
     assert!(attempts.iter().all(|attempt| attempt.target == "two"), "{attempts:?}");
 }
+
+// Guards against a malformed limit that stops all calls, or that lifts a limit of 0.
+#[rstest]
+#[case(f64::NAN, None)]
+#[case(f64::INFINITY, None)]
+#[case(-1.0, None)]
+#[case(-0.0, RateLimit::per_second(0.0))]
+#[case(1e-300, RateLimit::per_second(0.0))]
+fn a_limit_that_is_no_rate_is_ignored(
+    #[case] calls_per_s: f64,
+    #[case] expected: Option<RateLimit>,
+) {
+    assert_eq!(RateLimit::per_second(calls_per_s), expected);
+}
