Calls: load reports with large numbers, and load reports of targets

A load header with numbers near the end of their range overflowed three sums and products of routing: a panic in a build with overflow checks, a wrong choice or Retry-After without. And such a header was believed from a target, which any target can send, not only from an owner.

Change: what is believed of a report is bounded; a target's response states rate limit and leaving, an owner's the load. Test: a_load_report_with_large_numbers_is_accepted failed before at each of the three places.

--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -13,6 +13,10 @@
 const OWNER_LOAD_LIFETIME_US: u64 = 3_000_000;
 /// Age at which the load reported by the target itself expires, in microseconds.
 const SELF_REPORT_LIFETIME_US: u64 = 2_000_000;
+/// Maximum number of calls of other proxies at a target that is believed.
+const MAX_OTHER_CALLS: u64 = 100_000;
+/// Maximum wait at a target that is believed, in milliseconds.
+const MAX_WAIT_MS: u32 = 60_000;
 /// Share of calls for a target that has just become ready, in thousandths.
 const COLD_WEIGHT: u64 = 100;
 /// Share of calls for a target after its slow start, in thousandths.
@@ -139,7 +143,9 @@
 
     fn set_load_hint(&mut self, load: TargetLoad, now: Instant, lifetime_us: u64) {
         let TargetLoad { in_flight, queued, wait_ms, usable_slots, .. } = load;
-        let other_calls = u64::from(in_flight + queued).saturating_sub(u64::from(self.in_flight));
+        let all_calls = u64::from(in_flight) + u64::from(queued);
+        let other_calls = all_calls.saturating_sub(u64::from(self.in_flight)).min(MAX_OTHER_CALLS);
+        let wait_ms = wait_ms.min(MAX_WAIT_MS);
         let hint = LoadHint { other_calls, wait_ms, usable_slots, received_at: now, lifetime_us };
         self.hint = Some(hint);
     }
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -1,14 +1,16 @@
 //! Slots, queue, deadlines, refusals and the graceful stop.
 
 use fireflylug_core::ids::CallId;
-use fireflylug_core::membership::TargetState;
+use fireflylug_core::membership::{MemberStatus, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
-use fireflylug_core::routing::{CallEffect, CallEvent, Outcome, RefusalCode, RoutingSettings};
+use fireflylug_core::routing::{
+    CallEffect, CallEvent, Outcome, RefusalCode, RoutingSettings, TargetLoad,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::harness::{Harness, name, record, refusal};
+use crate::harness::{Harness, locality, name, record, refusal};
 
 fn resources() -> Vec<Resource> {
     let policy = Policy::new(name("quick")).with_deadline_ms(2_000);
@@ -343,3 +345,34 @@
     assert_eq!(begun, fares);
     assert!(refused.iter().all(|(call, _)| *call == seats[4]), "{refused:?}");
 }
+
+// Guards against a load report with large numbers that ends the process.
+#[test]
+fn a_load_report_with_large_numbers_is_accepted() {
+    let mut ingress = Harness::new("host-a", resources());
+    ingress.set_member("host-b", locality("z1", "r1"), MemberStatus::Alive);
+    ingress.set_target(record("seatdesk", "one", "host-b"));
+    let largest = TargetLoad {
+        in_flight: u32::MAX,
+        queued: u32::MAX,
+        wait_ms: u32::MAX,
+        usable_slots: Some(0),
+        held_ms: u32::MAX,
+    };
+
+    let calls = [ingress.arrive("/seats", true), ingress.arrive("/seats", true)];
+    ingress.complete_with(calls[0], 1, largest.into());
+    ingress.pass_ms(500);
+    ingress.arrive("/seats", true);
+    assert_eq!(ingress.take_attempts().len(), 3);
+    ingress.step(CallEvent::Failed {
+        call: calls[1],
+        attempt: 1,
+        refusal: refusal(RefusalCode::Overloaded, Outcome::NotRun),
+        is_replayable: true,
+        notice: largest.into(),
+    });
+
+    let expected = refusal(RefusalCode::Overloaded, Outcome::NotRun);
+    assert_eq!(ingress.take_refusals(), [(calls[1], expected)]);
+}
--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use fireflylug_core::Event;
 use fireflylug_core::ids::CallId;
-use fireflylug_core::routing::{CallEvent, Outcome, Refusal, TargetLoad};
+use fireflylug_core::routing::{CallEvent, Outcome, Refusal, TargetLoad, TargetNotice};
 use http::header::{self, HeaderValue};
 use http::{Response, StatusCode, Version};
 use http_body::{Body, Frame, SizeHint};
@@ -57,6 +57,8 @@
     pub response: Response<Incoming>,
     pub connection: Connection,
     pub request_body: BodyProgress,
+    /// What the response says about the target besides the result of the call.
+    pub notice: TargetNotice,
 }
 
 /// Body of a response to a caller.
@@ -211,7 +213,7 @@
     answer: Answer,
     load: Option<TargetLoad>,
 ) -> Response<AnswerBody> {
-    let Answer { response, connection, request_body } = answer;
+    let Answer { response, connection, request_body, .. } = answer;
     let (mut parts, body) = response.into_parts();
     headers::strip(&mut parts.headers);
     if open.proxy.settings.dialect.has_mesh_headers {
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -244,12 +244,11 @@
 }
 
 fn report_answer(open: &OpenCall, attempt: u8, answer: &Answer) {
-    let dialect = &open.proxy.settings.dialect;
     open.submit(CallEvent::Answered {
         call: open.call,
         attempt,
         status: answer.response.status().as_u16(),
-        notice: headers::notice(answer.response.headers(), dialect),
+        notice: answer.notice,
     });
 }
 
@@ -308,7 +307,7 @@
             let connection_request = connection_request(address, usize::MAX, forward.is_repeatable);
             let sent =
                 send(&proxy.owners, connection_request, head, &outgoing.body, max_body_bytes).await;
-            classify_owner_response(&proxy.settings.dialect, sent?).await
+            classify_owner_response(sent?).await
         }
         _ => unreachable!("only dispatch and forward start an attempt"),
     }
@@ -328,9 +327,10 @@
 async fn classify_target_response(
     dialect: &CallDialect,
     id: Option<&HeaderValue>,
-    answer: Answer,
+    mut answer: Answer,
 ) -> Result<Answer, Failure> {
     let header_map = answer.response.headers();
+    let notice = headers::target_notice(header_map, dialect);
     let status = answer.response.status();
     let echoed = header_map.get(&dialect.request_id);
     if echoed.is_some() && id.is_some() && echoed != id {
@@ -342,7 +342,6 @@
             StatusCode::MISDIRECTED_REQUEST => RefusalCode::TargetGone,
             _ => RefusalCode::TargetRefused,
         };
-        let notice = headers::notice(header_map, dialect);
         // The connection is not reused: a faulty target may send the refusal again, and a later
         // call would take it for its own.
         return Err(Failure { refusal: Refusal { code, outcome: Outcome::NotRun }, notice });
@@ -351,12 +350,13 @@
     if status.is_success() && lacks_stamp {
         return Err(Failure::new(RefusalCode::WrongAnswer, Outcome::Unknown));
     }
+    answer.notice = notice;
     Ok(answer)
 }
 
 /// Reads a short response of an owner to its end so that its connection can be reused.
 async fn drain(answer: Answer) {
-    let Answer { response, connection, request_body } = answer;
+    let Answer { response, connection, request_body, .. } = answer;
     let is_closing = response.headers().contains_key(header::CONNECTION);
     let rest = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect().await;
     if rest.is_ok() && request_body.is_done() && !is_closing {
@@ -365,10 +365,13 @@
 }
 
 /// Distinguishes an owner's refusal from a relayed response of a target.
-async fn classify_owner_response(dialect: &CallDialect, answer: Answer) -> Result<Answer, Failure> {
+async fn classify_owner_response(mut answer: Answer) -> Result<Answer, Failure> {
     let header_map = answer.response.headers();
-    let Some((code, outcome)) = headers::refusal(header_map) else { return Ok(answer) };
-    let notice = headers::notice(header_map, dialect);
+    let notice = headers::owner_notice(header_map);
+    let Some((code, outcome)) = headers::refusal(header_map) else {
+        answer.notice = notice;
+        return Ok(answer);
+    };
     drain(answer).await;
     Err(Failure { refusal: Refusal { code, outcome }, notice })
 }
@@ -388,7 +391,10 @@
     let mut request = Request::from_parts(head, body);
     for _ in 0..MAX_UNSENT_RETRIES {
         let mut failed = match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok(Answer { response, connection, request_body }),
+            Ok(response) => {
+                let notice = TargetNotice::default();
+                return Ok(Answer { response, connection, request_body, notice });
+            }
             Err(failed) => failed,
         };
         // The connection returns the request only if it has not started to write it.
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -212,15 +212,21 @@
     })
 }
 
-/// Parses what a response says about its target.
-pub(super) fn notice(headers: &HeaderMap, dialect: &CallDialect) -> TargetNotice {
+/// Parses what a response of a target says about it. The load is measured by its owner, so a
+/// target cannot state it.
+pub(super) fn target_notice(headers: &HeaderMap, dialect: &CallDialect) -> TargetNotice {
     TargetNotice {
-        load: load(headers),
+        load: None,
         rate_limit: rate_limit(headers, dialect),
         is_leaving: dialect.is_leaving(headers),
     }
 }
 
+/// Parses what a response of an owner says about the target.
+pub(super) fn owner_notice(headers: &HeaderMap) -> TargetNotice {
+    TargetNotice { load: load(headers), ..TargetNotice::default() }
+}
+
 /// Parses the rate limit that a target states; `None` if absent or malformed.
 fn rate_limit(headers: &HeaderMap, dialect: &CallDialect) -> Option<RateLimit> {
     let text = headers.get(&dialect.rate_limit)?.to_str().ok()?;
