--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -6,9 +6,7 @@
 use fireflylug_core::ids::CallId;
 use fireflylug_core::membership::{MemberStatus, TargetRecord, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
-use fireflylug_core::routing::{
-    CallEvent, Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice,
-};
+use fireflylug_core::routing::{Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
