--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -4,22 +4,24 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use fireflylug_core::api::{ApiRequest, ApiResponse, ErrorCode, Freshness, WatchEvent};
+use fireflylug_core::api::{ApiRequest, Freshness};
 use fireflylug_core::config::Configuration;
-use fireflylug_core::consensus::{ControlRole, ControlSettings, DiskEvent};
+use fireflylug_core::consensus::{ControlSettings, DiskEvent};
 use fireflylug_core::context::{Addresses, Identity};
 use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, Version};
 use fireflylug_core::membership::MembershipSettings;
-use fireflylug_core::message::PeerMessage;
 use fireflylug_core::state::CoreSettings;
-use fireflylug_core::{Effect, Event, Instant, State, reduce};
+use fireflylug_core::{Event, Instant, State, reduce};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::calls::{CallItem, Calls};
 use crate::disk::FakeDisk;
-use crate::network::{Delivery, Network};
-use crate::oracle::{Oracle, ReportedOutcome};
+use crate::network::Network;
+use crate::oracle::Oracle;
+
+mod delivery;
+mod inspect;
 
 /// Availability zone of each host of the fuzz test. The first three hosts have a disk.
 pub const ZONES: [usize; 8] = [0, 1, 2, 0, 1, 2, 0, 1];
@@ -373,184 +375,6 @@
         }
         host.reported = Some(held);
     }
-
-    fn apply_effect(&mut self, host: usize, effect: Effect) {
-        match effect {
-            Effect::Send { to, message } => self.send(host, to, message),
-            Effect::StorePeerAddress { peer, .. } => {
-                self.hosts[host].known_peers.insert(peer);
-            }
-            Effect::ForgetPeer { peer } => {
-                self.hosts[host].known_peers.remove(&peer);
-            }
-            Effect::Dial { address } => self.dial(host, address),
-            Effect::Disk(command) => {
-                let epoch = self.hosts[host].epoch;
-                let sequence = command.sequence;
-                if let Some(disk) = &mut self.hosts[host].disk {
-                    disk.enqueue(command);
-                }
-                let delay_us = self.rng.random_range(500..5_000);
-                self.push(delay_us, Item::Synced { host, epoch, sequence });
-            }
-            Effect::Answer { request, response } => self.handle_response(host, request, response),
-            Effect::Call(effect) => self.call_effect(host, effect),
-            Effect::LogDecision(_) => {}
-            Effect::Log { level, part, text } => {
-                if self.is_traced {
-                    println!("{} {host} {level:?} {part}: {text}", self.now_us);
-                }
-            }
-            Effect::Exit => {
-                self.calls.check_stopped(host);
-                self.end_process(host);
-            }
-        }
-    }
-
-    fn dial(&mut self, host: usize, address: SocketAddr) {
-        let peer = (0..self.hosts.len()).find(|peer| addresses(*peer).peers == address);
-        let Some(peer) = peer.filter(|peer| *peer != host) else { return };
-        if self.is_up(peer) && self.network.reaches(host, peer) {
-            self.connect(host, peer);
-        }
-    }
-
-    /// Connects two processes unless they are connected. Returns the time until the connection is
-    /// ready at both, in microseconds.
-    fn connect(&mut self, host: usize, peer: usize) -> u64 {
-        let Some(delay_us) = self.network.connect(host, peer, self.now_us, &mut self.rng) else {
-            return self.network.until_ready_us(host, peer, self.now_us);
-        };
-        let (host_id, peer_id) = (self.hosts[host].id, self.hosts[peer].id);
-        self.push_event(delay_us, host, Event::PeerConnected { peer: peer_id });
-        self.push_event(delay_us, peer, Event::PeerConnected { peer: host_id });
-        delay_us + 1
-    }
-
-    fn send(&mut self, from: usize, to: NodeId, message: PeerMessage) {
-        let Some(peer) = self.hosts.iter().position(|host| host.id == to) else { return };
-        let is_connected = self.network.is_connected(from, peer);
-        let may_dial = is_connected || self.hosts[from].known_peers.contains(&to);
-        if !may_dial || !self.is_up(peer) {
-            return self.drop_message(from, peer);
-        }
-        // A process has at most one dial to a peer in progress. Its messages wait for it.
-        let is_dialing = self.network.until_ready_us(from, peer, self.now_us) > 0;
-        let copies = match self.network.decide_delivery(from, peer, &mut self.rng) {
-            Delivery::Lost if is_dialing && self.network.reaches(from, peer) => 1,
-            Delivery::Lost => return self.drop_message(from, peer),
-            Delivery::Arrives { copies } => copies,
-        };
-        let connect_us = self.connect(from, peer);
-        let id = self.hosts[from].id;
-        for _ in 0..copies {
-            let delay_us = connect_us + self.network.delay_us(&mut self.rng);
-            let event = Event::PeerMessage { from: id, message: message.clone() };
-            self.push_event(delay_us, peer, event);
-        }
-    }
-
-    /// Loses a message. Both ends receive the close of the connection after a random delay.
-    fn drop_message(&mut self, from: usize, to: usize) {
-        let was_connected = self.network.disconnect(from, to);
-        let delay_us = self.rng.random_range(100_000..2_000_000);
-        self.push_disconnected(from, to, delay_us);
-        if was_connected {
-            self.push_disconnected(to, from, delay_us);
-        }
-    }
-
-    fn push_disconnected(&mut self, host: usize, peer: usize, delay_us: u64) {
-        let peer = self.hosts[peer].id;
-        self.push_event(delay_us, host, Event::PeerDisconnected { peer });
-    }
-
-    fn handle_response(&mut self, host: usize, request: RequestId, response: ApiResponse) {
-        let key = (host, self.hosts[host].epoch, request);
-        match (self.pending_requests.get_mut(&key), response) {
-            (Some(PendingRequest::Change(marker)), response) => {
-                let marker = *marker;
-                self.oracle.record_answer(marker, reported_outcome(&response));
-                self.pending_requests.remove(&key);
-            }
-            (Some(PendingRequest::Read(newest)), ApiResponse::List { version, .. }) => {
-                self.oracle.check_read(*newest, version);
-                self.pending_requests.remove(&key);
-            }
-            (
-                Some(PendingRequest::Watch(_)),
-                ApiResponse::Watch(WatchEvent::InForce { version, .. }),
-            ) => {
-                self.oracle.check_in_force(version, &self.serving());
-            }
-            (
-                Some(PendingRequest::Watch(reported)),
-                ApiResponse::Watch(WatchEvent::Accepted { version, .. }),
-            ) => *reported = version,
-            (Some(PendingRequest::Watch(_)), ApiResponse::Error(_)) => {
-                self.pending_requests.remove(&key);
-            }
-            _ => {}
-        }
-    }
-
-    /// Role of the control replica of a host; none at a host without one.
-    pub fn control_role(&self, host: usize) -> Option<ControlRole> {
-        let host = &self.hosts[host];
-        let now = Instant::from_us(self.now_us - host.started_us);
-        Some(host.state.as_ref()?.control()?.status(host.id, now).role)
-    }
-
-    /// The hosts that vote, by the replica of the first host; the leader that it follows comes first.
-    pub fn voters(&self) -> Vec<usize> {
-        let host = &self.hosts[0];
-        let control = host.state.as_ref().and_then(State::control).expect("a control host");
-        let status = control.status(host.id, Instant::from_us(self.now_us - host.started_us));
-        let is_voter = |index: &usize| status.voters.disk_of(self.hosts[*index].id).is_some();
-        let mut voters: Vec<usize> = (0..self.hosts.len()).filter(is_voter).collect();
-        voters.sort_by_key(|index| status.leader != Some(self.hosts[*index].id));
-        voters
-    }
-
-    /// Whether a host counts as cut off from the control plane.
-    pub fn is_cut_off_from_control(&self, host: usize) -> bool {
-        let host = &self.hosts[host];
-        let now = Instant::from_us(self.now_us - host.started_us);
-        let distribution = host.state.as_ref().map(State::distribution);
-        distribution.is_some_and(|distribution| distribution.cut_off_since(now, false).is_some())
-    }
-
-    /// Changes and reads sent to a host that have no outcome or answer.
-    pub fn open_requests(&self, host: usize) -> usize {
-        let of_host =
-            self.pending_requests.range((host, 0, RequestId(0))..(host + 1, 0, RequestId(0)));
-        let counts = |pending: &PendingRequest| {
-            matches!(pending, PendingRequest::Change(_) | PendingRequest::Read(_))
-        };
-        of_host.filter(|(_, pending)| counts(pending)).count()
-    }
-
-    /// The hosts with an open watch, and the newest version that each reported as accepted.
-    pub fn watched_versions(&self) -> Vec<(usize, Version)> {
-        let watches =
-            self.pending_requests.iter().filter_map(|((host, ..), pending)| match pending {
-                PendingRequest::Watch(version) => Some((*host, *version)),
-                _ => None,
-            });
-        watches.collect()
-    }
-
-    /// Hosts that may serve calls, with the version by which they serve.
-    pub fn serving(&self) -> Vec<(usize, Version)> {
-        let hosts = self.hosts.iter().enumerate();
-        hosts
-            .filter_map(|(index, host)| {
-                let held = host.state.as_ref()?.distribution();
-                held.is_ready().then(|| (index, held.current().version()))
-            })
-            .collect()
-    }
 }
 
 impl Host {
@@ -560,16 +384,6 @@
     }
 }
 
-fn reported_outcome(response: &ApiResponse) -> ReportedOutcome {
-    match response {
-        ApiResponse::Accepted { version } => ReportedOutcome::Accepted(*version),
-        ApiResponse::Error(error) if error.code == ErrorCode::OutcomeUnknown => {
-            ReportedOutcome::Open
-        }
-        _ => ReportedOutcome::Refused,
-    }
-}
-
 /// Addresses of a host, shared by all its processes.
 pub fn addresses(host: usize) -> Addresses {
     let at = |port| SocketAddr::from((Ipv4Addr::new(10, 0, 0, host as u8), port));
