--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -10,7 +10,7 @@
 use fireflylug_core::membership::{
     Member, MemberStatus, MembershipChange, TargetRecord, TargetState,
 };
-use fireflylug_core::resource::Resource;
+use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
     CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
     RefusalCode, Routing, RoutingSettings, TargetNotice, Transit,
@@ -46,6 +46,16 @@
     Refusal { code, outcome }
 }
 
+/// Route `/seats` to service `seatdesk`, whose policy has a deadline of 2 s.
+pub fn quick_resources() -> Vec<Resource> {
+    let policy = Policy::new(name("quick")).with_deadline_ms(2_000);
+    vec![
+        Resource::Policy(policy),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
+    ]
+}
+
 /// Record of a ready target with 4 slots.
 pub fn record(service: &str, id: &str, owner: &str) -> TargetRecord {
     TargetRecord {
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -10,20 +10,11 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::harness::{Harness, locality, name, record, refusal};
-
-fn resources() -> Vec<Resource> {
-    let policy = Policy::new(name("quick")).with_deadline_ms(2_000);
-    vec![
-        Resource::Policy(policy),
-        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
-        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
-    ]
-}
+use crate::harness::{Harness, locality, name, quick_resources, record, refusal};
 
 /// A proxy that owns one target with 4 slots.
 fn owner() -> Harness {
-    let mut harness = Harness::new("host-a", resources());
+    let mut harness = Harness::new("host-a", quick_resources());
     harness.set_target(record("seatdesk", "one", "host-a"));
     harness
 }
@@ -190,7 +181,7 @@
 fn one_service_cannot_use_up_the_limit_of_calls_in_flight() {
     let settings = RoutingSettings { max_calls: 8, ..RoutingSettings::default() };
     let mut harness = Harness::without_configuration("host-a", settings);
-    let mut all = resources();
+    let mut all = quick_resources();
     all.push(Resource::Service(Service::new(name("bookbook"))));
     all.push(Resource::Route(Route::new(name("book"), "/book", name("bookbook"))));
     harness.configure(all);
@@ -228,7 +219,7 @@
     let settings = RoutingSettings { is_link_slow: true, ..RoutingSettings::default() };
     let mut harness = Harness::without_configuration("host-a", settings);
     let pull = Policy { bulk: true, ..Policy::new(name("pull")) };
-    let mut all = resources();
+    let mut all = quick_resources();
     all.push(Resource::Policy(pull));
     all.push(Resource::Route(
         Route::new(name("sheets"), "/sheets", name("seatdesk")).with_policy(name("pull")),
@@ -349,7 +340,7 @@
 // Guards against a load report with large numbers that ends the process.
 #[test]
 fn a_load_report_with_large_numbers_is_accepted() {
-    let mut ingress = Harness::new("host-a", resources());
+    let mut ingress = Harness::new("host-a", quick_resources());
     ingress.set_member("host-b", locality("z1", "r1"), MemberStatus::Alive);
     ingress.set_target(record("seatdesk", "one", "host-b"));
     let largest = TargetLoad {
--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -5,13 +5,12 @@
 use fireflylug_core::Instant;
 use fireflylug_core::ids::CallId;
 use fireflylug_core::membership::{MemberStatus, TargetRecord, TargetState};
-use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::harness::{Harness, locality, name, record, refusal};
+use crate::harness::{Harness, locality, quick_resources, record, refusal};
 
 /// Time for which the target works on each call, in milliseconds.
 const WORK_MS: u64 = 200;
@@ -20,15 +19,6 @@
 /// Window in which calls are counted, in milliseconds.
 const WINDOW_MS: u64 = 4_000;
 
-fn resources() -> Vec<Resource> {
-    let policy = Policy::new(name("quick")).with_deadline_ms(2_000);
-    vec![
-        Resource::Policy(policy),
-        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
-        Resource::Route(Route::new(name("seats"), "/seats", name("seatdesk"))),
-    ]
-}
-
 fn states(calls_per_s: f64) -> TargetNotice {
     TargetNotice { rate_limit: RateLimit::per_second(calls_per_s), ..TargetNotice::default() }
 }
@@ -44,7 +34,7 @@
 impl Owner {
     /// The owner of one target with 12 slots.
     fn new(seed: u64) -> Self {
-        let mut harness = Harness::new("host-a", resources());
+        let mut harness = Harness::new("host-a", quick_resources());
         let mut target = record("seatdesk", "one", "host-a");
         (target.slots, target.connections) = (12, 120);
         harness.set_target(target);
@@ -177,7 +167,7 @@
 // Guards against calls that are sent to a target at its limit while another one has room.
 #[test]
 fn calls_go_to_a_target_with_room_while_another_one_is_at_its_limit() {
-    let mut ingress = Harness::new("host-a", resources());
+    let mut ingress = Harness::new("host-a", quick_resources());
     for (id, host) in [("one", "host-b"), ("two", "host-c")] {
         ingress.set_member(host, locality("z1", "r1"), MemberStatus::Alive);
         ingress.set_target(TargetRecord {
