--- a/crates/core/src/routing/admit.rs
+++ b/crates/core/src/routing/admit.rs
@@ -118,7 +118,8 @@
         match (previous, stated) {
             (None, None) => return,
             (None, Some(limit)) => {
-                let text = format!("Target {id} accepts at most {limit}.");
+                let in_flight = admission.in_flight();
+                let text = format!("Target {id} accepts at most {limit}; {in_flight} in flight.");
                 cx.log(LogLevel::Info, LogPart::Calls, text);
             }
             (Some(_), Some(_)) => {}
