Calls: the other proxies tell a restarted owner the rate limit of its target

Cause: the owner alone holds the limit and loses it with a restart.

An owner that has had no response adopts it. The ingresses that know a limit are those that passed on an answer with it.

--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -12,7 +12,7 @@
 //! this target, may wait in its priority until its deadline. Its refusal would free little
 //! capacity, and the call it was made for usually holds a slot elsewhere for longer.
 
-use super::call::{CallClass, TargetLoad};
+use super::call::{CallClass, RateReport, TargetLoad};
 use super::hold_times::HoldTimes;
 use super::rate_limit::{RateGate, RateLimit};
 use crate::ids::CallId;
@@ -80,6 +80,8 @@
     bulk_in_flight: u32,
     /// Present while the target states a rate limit.
     rate_gate: Option<RateGate>,
+    /// Whether a response of the target stated its rate limit, or that it has none.
+    is_rate_known: bool,
     /// Queued calls, next one first.
     queue: Vec<QueuedCall>,
     hold_times: HoldTimes,
@@ -96,14 +98,31 @@
         self.rate_gate
     }
 
-    /// Sets the rate limit that the target states, or removes it.
+    /// Sets the rate limit that the target states in a response, or removes it.
     pub fn set_rate_limit(&mut self, stated: Option<RateLimit>, now: Instant) {
+        self.is_rate_known = true;
         match (&mut self.rate_gate, stated) {
             (Some(gate), Some(limit)) => gate.set_limit(limit, now),
             (gate, stated) => *gate = stated.map(|limit| RateGate::new(limit, now)),
         }
     }
 
+    /// Sets a rate limit that another proxy reports, until a response of the target tells.
+    /// Returns false if this process knows better.
+    pub fn adopt_rate_limit(&mut self, reported: RateLimit, now: Instant) -> bool {
+        let is_adopted = !self.is_rate_known && self.rate_gate.is_none();
+        if is_adopted {
+            self.rate_gate = Some(RateGate::new(reported, now));
+        }
+        is_adopted
+    }
+
+    /// Removes the rate limit, because the target has started again.
+    pub fn forget_rate_limit(&mut self) {
+        self.is_rate_known = false;
+        self.rate_gate = None;
+    }
+
     /// Whether the call has a large response and the link has no capacity for another one.
     fn is_link_busy(&self, is_bulk: bool) -> bool {
         is_bulk && self.bulk_limit.is_some_and(|limit| self.bulk_in_flight >= limit)
@@ -148,7 +167,9 @@
             in_flight: self.in_flight,
             queued: self.queued(),
             wait_ms: (wait_us / 1_000) as u32,
-            usable_slots: self.rate_gate.map(|_| self.usable_slots()),
+            rate: self
+                .rate_gate
+                .map(|gate| RateReport { limit: gate.limit(), usable_slots: self.usable_slots() }),
             held_ms: 0,
         }
     }
--- a/crates/core/src/routing/admit.rs
+++ b/crates/core/src/routing/admit.rs
@@ -102,6 +102,23 @@
         }
     }
 
+    /// Applies the rate limit of a target of this host that another proxy reports with a call,
+    /// if this process has not learnt it from a response.
+    pub(super) fn adopt_rate_limit(
+        &mut self,
+        cx: &mut Context<'_>,
+        key: TargetKey,
+        reported: Option<RateLimit>,
+    ) {
+        let target = &mut self.targets[key];
+        let (Some(admission), Some(limit)) = (&mut target.admission, reported) else { return };
+        if admission.adopt_rate_limit(limit, cx.now) {
+            let id = &target.record.target;
+            let text = format!("Another proxy reports that target {id} accepts at most {limit}.");
+            cx.log(LogLevel::Info, LogPart::Calls, text);
+        }
+    }
+
     /// Applies the rate limit that a response of a target of this host states, or that it
     /// states none.
     pub(super) fn apply_rate_limit(
--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -109,11 +109,11 @@
         let took_us = cx.now.since_us(attempt.began_at);
         let class = self.calls[&id].class;
         self.observe_round_trip(cx, attempt, load);
-        let target = &mut self.targets[attempt.target];
-        target.observe(class, took_us, cx.now);
         if let Some(load) = load {
-            target.record_owner_load(load, cx.now);
+            self.record_owner_load(cx, attempt.target, load);
         }
+        let target = &mut self.targets[attempt.target];
+        target.observe(class, took_us, cx.now);
         let service = &mut self.services[target.service];
         service.latency.observe(took_us);
         service.latency_by_class.entry(class).or_default().observe(took_us);
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -28,7 +28,12 @@
             CallOrigin::Proxy(forward) => self.check_forwarded(cx, &head, forward),
         };
         match checked {
-            Ok((call, target)) => self.begin(cx, id, call, target),
+            Ok((call, target)) => {
+                if let (CallOrigin::Proxy(forward), Some(target)) = (&head.origin, target) {
+                    self.adopt_rate_limit(cx, target, forward.rate_limit);
+                }
+                self.begin(cx, id, call, target);
+            }
             Err(code) => {
                 self.refusals.count(code);
                 self.count_refused(&head);
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -104,6 +104,7 @@
         let call = &self.calls[&id];
         let useful_us = call.useful_until.since_us(cx.now).saturating_sub(round_trip_us);
         let chain = outgoing_chain(call, cx.now);
+        let rate_limit = self.reported_limits.get(&target, cx.now);
         let head = ForwardHead {
             target,
             remaining_ms: remaining_ms(call, cx.now),
@@ -113,6 +114,7 @@
             useful_ms: u32::try_from(useful_us / 1_000).unwrap_or(u32::MAX),
             class: call.class,
             is_bulk: call.is_bulk,
+            rate_limit,
         };
         cx.emit(Effect::Call(CallEffect::Forward {
             call: id,
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -20,13 +20,22 @@
     pub queued: u32,
     /// Expected wait of one more call for a slot, in milliseconds.
     pub wait_ms: u32,
-    /// Number of slots that the target can use within its rate limit. None without a limit.
-    pub usable_slots: Option<u32>,
+    /// What the rate limit leaves of the target. None without a limit.
+    pub rate: Option<RateReport>,
     /// Time from the arrival of the call at the owner to this report, in milliseconds. The
     /// remainder of the time that the ingress measures is the network round trip.
     pub held_ms: u32,
 }
 
+/// The rate limit of a target, as its owner reports it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RateReport {
+    /// Limit that the target states.
+    pub limit: RateLimit,
+    /// Number of slots that the target can use within the limit.
+    pub usable_slots: u32,
+}
+
 /// What a response says about its target besides the result of the call.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct TargetNotice {
@@ -64,6 +73,8 @@
     pub class: CallClass,
     /// Whether the response is large.
     pub is_bulk: bool,
+    /// Rate limit of the target that its owner reported last. The owner may have restarted since.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// Class of calls with similar duration: the calls of one policy.
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -58,8 +58,8 @@
     ) {
         self.observe_round_trip(cx, attempt, load);
         if let Some(load) = load {
+            self.record_owner_load(cx, attempt.target, load);
             let target = &mut self.targets[attempt.target];
-            target.record_owner_load(load, cx.now);
             if is_bulk && refusal.code == RefusalCode::Overloaded {
                 target.record_bulk_refusal(load.wait_ms, cx.now);
             }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -32,6 +32,7 @@
 mod recent_minimum;
 mod refusal;
 mod region_link;
+mod reported_limits;
 mod split;
 mod state;
 mod table;
@@ -45,7 +46,8 @@
 use slotmap::SlotMap;
 
 pub use call::{
-    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, TargetLoad, TargetNotice,
+    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, RateReport, TargetLoad,
+    TargetNotice,
 };
 pub use chain::{Chain, ChainError};
 pub use decision::{Decision, Step};
@@ -116,6 +118,8 @@
     calls: HashMap<CallId, state::Call>,
     /// The time at which each call is checked next.
     deadlines: BTreeSet<(Instant, CallId)>,
+    /// Rate limits of the targets of other hosts.
+    reported_limits: reported_limits::ReportedLimits,
     /// When the admission control of a target may admit the next call under its rate limit.
     admissions_due: BTreeSet<(Instant, TargetKey)>,
     /// Targets of this host that stated during the current event that they are leaving.
@@ -153,6 +157,7 @@
             transits: transit::Transits::default(),
             calls: HashMap::default(),
             deadlines: BTreeSet::new(),
+            reported_limits: reported_limits::ReportedLimits::default(),
             admissions_due: BTreeSet::new(),
             leaving_targets: Vec::new(),
             busy_services: 0,
--- a/crates/core/src/routing/rate_limit.rs
+++ b/crates/core/src/routing/rate_limit.rs
@@ -2,7 +2,8 @@
 //!
 //! The owner of a target admits every call to it, so it alone applies the limit: a gate in the
 //! admission control opens once per interval. To the ingresses the owner reports how many slots
-//! the target can use at that rate, by which they choose other targets.
+//! the target can use at that rate, by which they choose other targets, and the limit, which they
+//! tell the owner in case it has restarted.
 
 use std::fmt;
 
@@ -31,7 +32,17 @@
         let is_valid = calls.is_finite() && calls >= 0.0;
         // The cast saturates. Without the sign, -0 is 0.
         let interval_us = (US_PER_S / calls.abs()) as u64;
-        is_valid.then(|| Self { interval_us: interval_us.clamp(1, MAX_INTERVAL_US) })
+        is_valid.then(|| Self::from_interval_us(interval_us))
+    }
+
+    /// A limit of one call in each interval, in microseconds.
+    pub fn from_interval_us(interval_us: u64) -> Self {
+        Self { interval_us: interval_us.clamp(1, MAX_INTERVAL_US) }
+    }
+
+    /// Mean interval between two calls, in microseconds.
+    pub fn interval_us(self) -> u64 {
+        self.interval_us
     }
 }
 
@@ -56,6 +67,10 @@
         Self { limit, stated_at: now, admitted: 0, next_due_at: now }
     }
 
+    pub fn limit(&self) -> RateLimit {
+        self.limit
+    }
+
     /// Replaces the limit by one that a later response stated.
     pub fn set_limit(&mut self, limit: RateLimit, now: Instant) {
         self.limit = limit;
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -2,7 +2,7 @@
 //! time until its response, by which targets are compared.
 
 use super::admission::AdmissionControl;
-use super::call::{CallClass, TargetLoad};
+use super::call::{CallClass, RateReport, TargetLoad};
 use super::estimate::{ByClass, Estimate};
 use super::health::Health;
 use crate::membership::{TargetRecord, TargetState};
@@ -37,7 +37,7 @@
 struct LoadHint {
     other_calls: u64,
     wait_ms: u32,
-    usable_slots: Option<u32>,
+    rate: Option<RateReport>,
     received_at: Instant,
     lifetime_us: u64,
 }
@@ -101,7 +101,7 @@
         let moved = record.address != self.record.address || record.owner != self.record.owner;
         self.record = record;
         if !was_ready || moved {
-            self.admission.iter_mut().for_each(|admission| admission.set_rate_limit(None, now));
+            self.admission.iter_mut().for_each(AdmissionControl::forget_rate_limit);
             self.begin_slow_start(now);
             self.health = Health::default();
             self.latency = Estimate::default();
@@ -119,8 +119,8 @@
     fn record_self_report(&mut self, now: Instant) {
         let Some(percent) = self.record.load_percent else { return };
         let load = u64::from(self.record.slots) * u64::from(percent) / 100;
-        let usable_slots = self.fresh_hint(now).and_then(|hint| hint.usable_slots);
-        let load = TargetLoad { in_flight: load as u32, usable_slots, ..TargetLoad::default() };
+        let rate = self.fresh_hint(now).and_then(|hint| hint.rate);
+        let load = TargetLoad { in_flight: load as u32, rate, ..TargetLoad::default() };
         self.set_load_hint(load, now, SELF_REPORT_LIFETIME_US);
     }
 
@@ -142,11 +142,11 @@
     }
 
     fn set_load_hint(&mut self, load: TargetLoad, now: Instant, lifetime_us: u64) {
-        let TargetLoad { in_flight, queued, wait_ms, usable_slots, .. } = load;
+        let TargetLoad { in_flight, queued, wait_ms, rate, .. } = load;
         let all_calls = u64::from(in_flight) + u64::from(queued);
         let other_calls = all_calls.saturating_sub(u64::from(self.in_flight)).min(MAX_OTHER_CALLS);
         let wait_ms = wait_ms.min(MAX_WAIT_MS);
-        let hint = LoadHint { other_calls, wait_ms, usable_slots, received_at: now, lifetime_us };
+        let hint = LoadHint { other_calls, wait_ms, rate, received_at: now, lifetime_us };
         self.hint = Some(hint);
     }
 
@@ -189,7 +189,7 @@
         let slots = self.record.slots.min(self.record.connections);
         let usable = match &self.admission {
             Some(admission) => Some(admission.usable_slots()),
-            None => self.fresh_hint(now).and_then(|hint| hint.usable_slots),
+            None => self.fresh_hint(now).and_then(|hint| hint.rate).map(|rate| rate.usable_slots),
         };
         u64::from(usable.map_or(slots, |usable| usable.min(slots)))
     }
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -186,17 +186,11 @@
         remaining_ms: u32,
         transit: Option<Transit>,
     ) -> CallId {
-        let target = TargetId { service: name(service), id: name(id) };
-        let head = ForwardHead {
-            target,
-            remaining_ms,
-            max_queued: 16,
-            is_repeatable: false,
-            priority: 0,
-            useful_ms: remaining_ms,
-            class: CallClass::default(),
-            is_bulk: false,
-        };
+        self.arrive_from_proxy(forward_head(service, id, remaining_ms), transit)
+    }
+
+    /// Lets a call arrive that another proxy forwarded with this head.
+    pub fn arrive_from_proxy(&mut self, head: ForwardHead, transit: Option<Transit>) -> CallId {
         self.arrive_with("/", |call| {
             call.origin = CallOrigin::Proxy(head);
             call.transit = transit;
@@ -254,6 +248,21 @@
     }
 }
 
+/// Head of a call that another proxy forwards to the owner of a target.
+pub fn forward_head(service: &str, id: &str, remaining_ms: u32) -> ForwardHead {
+    ForwardHead {
+        target: TargetId { service: name(service), id: name(id) },
+        remaining_ms,
+        max_queued: 16,
+        is_repeatable: false,
+        priority: 0,
+        useful_ms: remaining_ms,
+        class: CallClass::default(),
+        is_bulk: false,
+        rate_limit: None,
+    }
+}
+
 /// An attempt that routing started.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartedAttempt {
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -4,7 +4,7 @@
 use fireflylug_core::membership::{MemberStatus, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
-    CallEffect, CallEvent, Outcome, RefusalCode, RoutingSettings, TargetLoad,
+    CallEffect, CallEvent, Outcome, RateLimit, RateReport, RefusalCode, RoutingSettings, TargetLoad,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -347,7 +347,7 @@
         in_flight: u32::MAX,
         queued: u32::MAX,
         wait_ms: u32::MAX,
-        usable_slots: Some(0),
+        rate: RateLimit::per_second(0.0).map(|limit| RateReport { limit, usable_slots: 0 }),
         held_ms: u32::MAX,
     };
 
--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -5,12 +5,14 @@
 use fireflylug_core::Instant;
 use fireflylug_core::ids::CallId;
 use fireflylug_core::membership::{MemberStatus, TargetRecord, TargetState};
-use fireflylug_core::routing::{Outcome, RateLimit, RefusalCode, TargetLoad, TargetNotice};
+use fireflylug_core::routing::{
+    CallEffect, ForwardHead, Outcome, RateLimit, RateReport, RefusalCode, TargetLoad, TargetNotice,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use crate::harness::{Harness, locality, quick_resources, record, refusal};
+use crate::harness::{Harness, forward_head, locality, quick_resources, record, refusal};
 
 /// Time for which the target works on each call, in milliseconds.
 const WORK_MS: u64 = 200;
@@ -27,6 +29,8 @@
 struct Owner {
     harness: Harness,
     rng: SmallRng,
+    /// Limit that the other proxies report with the calls that they forward.
+    reported: Option<RateLimit>,
     running: VecDeque<(Instant, CallId)>,
     sent_at: Vec<Instant>,
 }
@@ -39,7 +43,8 @@
         (target.slots, target.connections) = (12, 120);
         harness.set_target(target);
         let rng = SmallRng::seed_from_u64(seed);
-        Self { harness, rng, running: VecDeque::new(), sent_at: Vec::new() }
+        let (running, sent_at) = (VecDeque::new(), Vec::new());
+        Self { harness, rng, reported: None, running, sent_at }
     }
 
     /// Lets calls arrive for a time, half of them from other proxies. The target states a limit
@@ -51,7 +56,7 @@
             if self.rng.random_bool(calls_per_s / 1_000.0) {
                 match self.rng.random() {
                     true => self.harness.arrive("/seats", false),
-                    false => self.harness.arrive_forwarded("seatdesk", "one", 1_500),
+                    false => self.arrive_forwarded(),
                 };
             }
             self.begin_attempts();
@@ -59,6 +64,12 @@
         }
     }
 
+    fn arrive_forwarded(&mut self) -> CallId {
+        let head = forward_head("seatdesk", "one", 1_500);
+        let head = ForwardHead { rate_limit: self.reported, ..head };
+        self.harness.arrive_from_proxy(head, None)
+    }
+
     fn begin_attempts(&mut self) {
         let now = self.harness.now;
         for attempt in self.harness.take_attempts() {
@@ -105,6 +116,77 @@
     assert!(most as f64 <= allowed, "{most} calls in {WINDOW_MS} ms, {allowed} allowed");
 }
 
+// Guards against a restarted owner that sends as many calls as its target has slots before it
+// learns the limit from a response.
+#[rstest]
+fn a_restarted_owner_keeps_the_limit_that_the_other_proxies_report(
+    #[values(0.0, 0.5, 3.0, 15.3)] calls_per_s: f64,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut owner = Owner::new(seed);
+    owner.reported = RateLimit::per_second(calls_per_s);
+    let restarted_at = owner.harness.now;
+    owner.arrive_forwarded();
+
+    owner.run_ms(WINDOW_MS, 55.0, states(calls_per_s));
+
+    let allowed = 1.5 * calls_per_s * WINDOW_MS as f64 / 1_000.0 + 5.0;
+    let most = owner.most_in_a_window(restarted_at);
+    assert!(most as f64 <= allowed, "{most} calls in {WINDOW_MS} ms, {allowed} allowed");
+}
+
+// Guards against a limit that is over, but that other proxies still report.
+#[test]
+fn a_response_without_a_limit_ends_the_one_that_other_proxies_report() {
+    let mut owner = Owner::new(1);
+    owner.reported = RateLimit::per_second(0.0);
+    owner.arrive_forwarded();
+    owner.run_ms(WORK_MS + 1, 0.0, TargetNotice::default());
+    owner.sent_at.clear();
+
+    owner.run_ms(4_000, 40.0, TargetNotice::default());
+
+    let sent = owner.sent_at.len();
+    assert!(sent > 120, "{sent} calls in 4 s");
+}
+
+/// Lets a call arrive at an ingress and returns the limit that it reports to the owner.
+fn limit_reported_by(ingress: &mut Harness) -> (CallId, Option<RateLimit>) {
+    ingress.take_effects();
+    let call = ingress.arrive("/seats", true);
+    let reported = ingress.take_effects().into_iter().find_map(|effect| match effect {
+        CallEffect::Forward { head, .. } => Some(head.rate_limit),
+        _ => None,
+    });
+    (call, reported.expect("the call is forwarded"))
+}
+
+// Guards against a limit that is lost with the restart of the owner, since all others forget it.
+#[test]
+fn an_ingress_reports_the_limit_to_the_restarted_owner() {
+    let limit = RateLimit::per_second(2.0);
+    let load = TargetLoad {
+        rate: limit.map(|limit| RateReport { limit, usable_slots: 1 }),
+        ..TargetLoad::default()
+    };
+    let mut ingress = Harness::new("host-a", quick_resources());
+    ingress.set_member("host-b", locality("z1", "r1"), MemberStatus::Alive);
+    ingress.set_target(record("seatdesk", "one", "host-b"));
+    let (first, before) = limit_reported_by(&mut ingress);
+    ingress.complete_with(first, 1, load.into());
+
+    let mut gone = record("seatdesk", "one", "host-b");
+    (gone.sequence, gone.state) = (2, TargetState::Gone);
+    ingress.set_target(gone);
+    ingress.pass_ms(3_000);
+    ingress.set_target(TargetRecord { sequence: 3, ..record("seatdesk", "one", "host-b") });
+    let (second, after) = limit_reported_by(&mut ingress);
+    ingress.complete_with(second, 1, TargetLoad::default().into());
+    let (_, after_its_end) = limit_reported_by(&mut ingress);
+
+    assert_eq!((before, after, after_its_end), (None, limit, None));
+}
+
 // Guards against a limit that costs more than the target asked for.
 #[rstest]
 fn a_target_gets_the_calls_that_its_limit_allows(
@@ -180,10 +262,10 @@
         in_flight: 2,
         queued: 0,
         wait_ms: 0,
-        usable_slots: Some(1),
+        rate: RateLimit::per_second(1.0).map(|limit| RateReport { limit, usable_slots: 1 }),
         held_ms: WORK_MS as u32,
     };
-    let with_room = TargetLoad { in_flight: 6, usable_slots: None, ..at_limit };
+    let with_room = TargetLoad { in_flight: 6, rate: None, ..at_limit };
     (0..20).for_each(|_| _ = ingress.arrive("/seats", true));
     ingress.pass_ms(WORK_MS);
     for attempt in ingress.take_attempts() {
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -14,12 +14,12 @@
 //! | `fireflylug-forward` | ingress to owner | parameters of the forwarded call |
 //! | `fireflylug-sent` | ingress to owner | `clock.time`: id of the ingress's clock and its time in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
-//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; then `.usable_slots` under a rate limit |
+//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; under a rate limit then `.usable_slots.interval_us` |
 
 use fireflylug_core::ids::{Name, TargetId};
 use fireflylug_core::routing::{
-    CallClass, Chain, ClockId, ForwardHead, Outcome, RateLimit, RefusalCode, TargetLoad,
-    TargetNotice,
+    CallClass, Chain, ClockId, ForwardHead, Outcome, RateLimit, RateReport, RefusalCode,
+    TargetLoad, TargetNotice,
 };
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
@@ -121,12 +121,17 @@
         useful_ms,
         class,
         is_bulk,
+        rate_limit,
     } = head;
     let (repeatable, bulk) = (u8::from(*is_repeatable), u8::from(*is_bulk));
-    let text = format_args!(
+    let text = format!(
         "{target} {remaining_ms} {max_queued} {repeatable} {priority} {useful_ms} {} {bulk}",
         class.0
     );
+    let text = match rate_limit {
+        Some(limit) => format!("{text} {}", limit.interval_us()),
+        None => text,
+    };
     headers.insert(FORWARD, value(text));
     headers.insert(SENT, value(format_args!("{:x}.{}", sent.clock.0, sent.sent_us)));
     if let Some(key) = key {
@@ -170,9 +175,15 @@
         useful_ms: fields.next()?.parse().ok()?,
         class: CallClass(fields.next()?.parse().ok()?),
         is_bulk: fields.next()? == "1",
+        rate_limit: fields.next().and_then(interval),
     })
 }
 
+/// Parses a rate limit, given as the interval between two calls in microseconds.
+fn interval(text: &str) -> Option<RateLimit> {
+    text.parse().ok().map(RateLimit::from_interval_us)
+}
+
 /// Parses the time at which the ingress sent a forwarded call; `None` if absent or malformed.
 pub(super) fn sent_stamp(headers: &HeaderMap) -> Option<SentStamp> {
     let (clock, sent_us) = headers.get(SENT)?.to_str().ok()?.split_once('.')?;
@@ -191,10 +202,12 @@
 
 /// Adds the load of a target to an owner's response.
 pub(super) fn add_load(headers: &mut HeaderMap, load: TargetLoad) {
-    let TargetLoad { in_flight, queued, wait_ms, usable_slots, held_ms } = load;
+    let TargetLoad { in_flight, queued, wait_ms, rate, held_ms } = load;
     let text = format!("{in_flight}.{queued}.{wait_ms}.{held_ms}");
-    let text = match usable_slots {
-        Some(slots) => format!("{text}.{slots}"),
+    let text = match rate {
+        Some(RateReport { limit, usable_slots }) => {
+            format!("{text}.{usable_slots}.{}", limit.interval_us())
+        }
         None => text,
     };
     headers.insert(LOAD, value(text));
@@ -208,10 +221,15 @@
         queued: fields.next()?.parse().ok()?,
         wait_ms: fields.next()?.parse().ok()?,
         held_ms: fields.next()?.parse().ok()?,
-        usable_slots: fields.next().and_then(|slots| slots.parse().ok()),
+        rate: rate_report(fields),
     })
 }
 
+fn rate_report<'a>(mut fields: impl Iterator<Item = &'a str>) -> Option<RateReport> {
+    let usable_slots = fields.next()?.parse().ok()?;
+    Some(RateReport { limit: interval(fields.next()?)?, usable_slots })
+}
+
 /// Parses what a response of a target says about it. The load is measured by its owner, so a
 /// target cannot state it.
 pub(super) fn target_notice(headers: &HeaderMap, dialect: &CallDialect) -> TargetNotice {
--- a/crates/daemon/tests/calls/stops.rs
+++ b/crates/daemon/tests/calls/stops.rs
@@ -100,3 +100,29 @@
     }
     assert_eq!(target.total_runs(), 1);
 }
+
+// Guards against a restarted owner that sends as many calls as its target has slots, although
+// other proxies know the rate limit that the target stated.
+#[tokio::test]
+async fn a_restarted_owner_learns_the_limit_of_its_target_from_the_other_proxies() {
+    let no_calls = ("fireflylug-rate-limit", "0");
+    let options = TargetOptions::new().with_response_header(no_calls.0, no_calls.1);
+    let target = target(options.with_service_time_us(500_000)).await;
+    let mut mesh = mesh(&[target.address()]).await;
+    let client = HttpClient::new();
+    let before = client.send(mesh.calls(0), "POST /pay", &[], "fee").await.unwrap();
+
+    mesh.stop(1).await;
+    mesh.add_daemon().await.unwrap();
+    mesh.wait_for_members().await.unwrap();
+    mesh.announce(1, TargetSpec::new("seatdesk", "t0", target.address()));
+    mesh.wait_for_targets(1).await.unwrap();
+    let send =
+        || client.send(mesh.calls(0), "POST /pay", &[("fireflylug-deadline-ms", "1000")], "fee");
+    let answers = tokio::join!(send(), send(), send(), send());
+
+    let answers = [answers.0, answers.1, answers.2, answers.3].map(|answer| answer.unwrap().status);
+    assert_eq!(before.status, 200);
+    assert_eq!(answers.iter().filter(|status| **status == 200).count(), 1, "{answers:?}");
+    assert_eq!(target.total_runs(), 2);
+}
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -50,8 +50,7 @@
         let head = head(&paths[index as usize % SERVICES]);
         routing.step(&mut cx, &mut slo, CallEvent::Arrived { call: CallId(index), head });
         if let Some(call) = index.checked_sub(IN_FLIGHT).map(CallId) {
-            let load =
-                TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, usable_slots: None, held_ms: 0 };
+            let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, rate: None, held_ms: 0 };
             let answered =
                 CallEvent::Answered { call, attempt: 1, status: 200, notice: load.into() };
             routing.step(&mut cx, &mut slo, answered);
