Fuzz: rate limits of targets over several owners and ingresses, while hosts restart

No simulated test had targets that state a limit beyond one owner. Eight hosts, four owners that crash; the oracle is the users' rule: calls of hosts that have passed on an answer with the limit for half a second, without those of hosts that restarted since.

--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -9,11 +9,12 @@
 use fireflylug_core::membership::TargetAnnouncement;
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal, RefusalCode,
-    TargetNotice,
+    TargetLoad, TargetNotice,
 };
 use rand::Rng;
 
 use crate::oracle::unit_name;
+use crate::rate_limits::RateLimits;
 use crate::world::{Item, World};
 
 /// Number of targets, each an instance of unit 0's service at one host.
@@ -35,7 +36,7 @@
     /// A call arrives at a target.
     Run { leg: CallId, attempt: u8, target: usize },
     /// The answer to an attempt arrives.
-    Answer { leg: CallId, attempt: u8 },
+    Answer { leg: CallId, attempt: u8, notice: TargetNotice },
     /// An event for the process of a leg arrives.
     Deliver { leg: CallId, event: CallEvent },
 }
@@ -51,12 +52,18 @@
 struct Target {
     status: TargetStatus,
     generation: u32,
+    /// Concurrent calls that it announces.
+    slots: u32,
 }
 
 /// A call of a caller.
 struct Call {
     repeatable: bool,
+    /// Host at which it began.
+    host: usize,
     runs: u32,
+    /// Target that ran it last.
+    ran_at: Option<usize>,
     reported_outcome: Option<Outcome>,
 }
 
@@ -79,6 +86,7 @@
 /// All calls and targets of the simulation.
 pub struct Calls {
     targets: Vec<Target>,
+    pub rate_limits: RateLimits,
     calls: Vec<Call>,
     legs: BTreeMap<CallId, Leg>,
     next_leg: u64,
@@ -87,9 +95,15 @@
 impl Calls {
     /// Makes a state without calls, whose targets are all absent.
     pub fn new() -> Self {
-        let absent = || Target { status: TargetStatus::Absent, generation: 0 };
+        let absent = || Target { status: TargetStatus::Absent, generation: 0, slots: 2 };
         let targets = std::iter::repeat_with(absent).take(TARGETS).collect();
-        Self { targets, calls: Vec::new(), legs: BTreeMap::new(), next_leg: 0 }
+        let rate_limits = RateLimits::default();
+        Self { targets, rate_limits, calls: Vec::new(), legs: BTreeMap::new(), next_leg: 0 }
+    }
+
+    /// Sets the number of concurrent calls that each target announces.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.targets.iter_mut().for_each(|target| target.slots = slots);
     }
 
     fn add_leg(
@@ -128,6 +142,8 @@
     fn record_run(&mut self, call: usize, target: usize, now_us: u64) {
         let call = &mut self.calls[call];
         call.runs += 1;
+        call.ran_at = Some(target);
+        self.rate_limits.record_run(target, call.host, now_us);
         let is_reported_not_run = call.reported_outcome == Some(Outcome::NotRun);
         assert!(!is_reported_not_run, "promise 5: ran after it was reported as not run");
         assert!(call.repeatable || call.runs == 1, "promise 6: a call ran {} times", call.runs);
@@ -140,6 +156,7 @@
     /// Drops the legs of a process that ended.
     pub fn host_ended(&mut self, host: usize) {
         self.legs.retain(|_, leg| leg.host != host);
+        self.rate_limits.excuse(host);
     }
 
     /// Checks that a graceful stop cut off no call.
@@ -162,7 +179,8 @@
         if !self.is_up(host) {
             return;
         }
-        self.calls.calls.push(Call { repeatable, runs: 0, reported_outcome: None });
+        let call = Call { repeatable, host, runs: 0, ran_at: None, reported_outcome: None };
+        self.calls.calls.push(call);
         let call = self.calls.calls.len() - 1;
         let leg = self.calls.add_leg(call, host, self.hosts[host].epoch, None);
         let head = head(CallOrigin::Caller, repeatable, Chain::default());
@@ -210,16 +228,11 @@
                 self.deliver_forwarded(leg, attempt, owner, head, chain);
             }
             CallItem::Run { leg, attempt, target } => self.run_at_target(leg, attempt, target),
-            CallItem::Answer { leg, attempt } => {
+            CallItem::Answer { leg, attempt, notice } => {
                 if let Some(state) = self.calls.legs.get_mut(&leg) {
                     state.answered_attempt = Some(attempt);
                 }
-                let answered = CallEvent::Answered {
-                    call: leg,
-                    attempt,
-                    status: 200,
-                    notice: TargetNotice::default(),
-                };
+                let answered = CallEvent::Answered { call: leg, attempt, status: 200, notice };
                 self.deliver_to_leg(leg, answered);
             }
             CallItem::Deliver { leg, event } => self.deliver_to_leg(leg, event),
@@ -234,8 +247,8 @@
         let announcement = TargetAnnouncement {
             target: target_id(target),
             address: target_address(target),
-            slots: 2,
-            connections: 10,
+            slots: state.slots,
+            connections: state.slots * 5,
             lease_ms: LEASE_MS,
             load_percent: None,
             draining: state.status != TargetStatus::Ready,
@@ -271,13 +284,15 @@
                 assert_eq!(owner_of(target), host, "promise 2: a call bypassed its owner");
                 self.push_call(CallItem::Run { leg: call, attempt, target });
             }
-            CallEffect::Relay { call, .. } => self.relay(call),
+            CallEffect::Relay { call, load } => self.relay(call, notice_of(load)),
             CallEffect::Cancel { call } => self.cancel(call),
-            CallEffect::Refuse { call, refusal, .. } => self.refuse(call, refusal),
+            CallEffect::Refuse { call, refusal, load, .. } => {
+                self.refuse(call, refusal, notice_of(load));
+            }
             CallEffect::RelayEarlier { .. } => {
                 panic!("no policy in this test retries server errors")
             }
-            CallEffect::Abort { call } => self.refuse(call, LOST),
+            CallEffect::Abort { call } => self.refuse(call, LOST, TargetNotice::default()),
             CallEffect::CloseKeepAlive | CallEffect::CloseListeners | CallEffect::CloseIdle => {}
         }
     }
@@ -337,29 +352,41 @@
         let is_slow = self.rng.random_ratio(1, 4);
         let service_us = if is_slow { 100_000..2_500_000 } else { 1_000..100_000 };
         let service_us = self.rng.random_range(service_us);
-        self.push(service_us, Item::Call(CallItem::Answer { leg, attempt }));
+        let rate_limit = self.calls.rate_limits.stated_by(target);
+        let notice = TargetNotice { rate_limit, ..TargetNotice::default() };
+        self.push(service_us, Item::Call(CallItem::Answer { leg, attempt, notice }));
     }
 
     fn push_failed(&mut self, leg: CallId, attempt: u8, refusal: Refusal) {
-        let event = CallEvent::Failed {
-            call: leg,
-            attempt,
-            refusal,
-            is_replayable: true,
-            notice: TargetNotice::default(),
-        };
+        self.push_failed_with(leg, attempt, refusal, TargetNotice::default());
+    }
+
+    fn push_failed_with(
+        &mut self,
+        leg: CallId,
+        attempt: u8,
+        refusal: Refusal,
+        notice: TargetNotice,
+    ) {
+        let event = CallEvent::Failed { call: leg, attempt, refusal, is_replayable: true, notice };
         self.push_call(CallItem::Deliver { leg, event });
     }
 
     /// Passes the answer on: the leg ends, and the answer goes to its upstream leg.
-    fn relay(&mut self, id: CallId) {
+    fn relay(&mut self, id: CallId, notice: TargetNotice) {
         let Some(leg) = self.calls.legs.get(&id) else { return };
         let is_current_attempt = leg.answered_attempt == Some(leg.attempt) && !leg.is_cancelled;
         assert!(is_current_attempt, "promise 4: the answer of another attempt was passed on");
         let ended = CallEvent::Ended { call: id, attempt: leg.attempt, is_complete: true };
         match leg.upstream {
-            Some((leg, attempt)) => self.push_call(CallItem::Answer { leg, attempt }),
-            None => self.calls.report_outcome(leg.call, Outcome::Ran),
+            Some((leg, attempt)) => self.push_call(CallItem::Answer { leg, attempt, notice }),
+            None => {
+                let call = &self.calls.calls[leg.call];
+                if let Some(target) = call.ran_at {
+                    self.calls.rate_limits.record_answer(target, call.host, self.now_us);
+                }
+                self.calls.report_outcome(leg.call, Outcome::Ran);
+            }
         }
         // The leg is removed once its process has received the end.
         self.submit_last(id, ended);
@@ -385,10 +412,12 @@
         self.push_failed(id, attempt, LOST);
     }
 
-    fn refuse(&mut self, id: CallId, refusal: Refusal) {
+    fn refuse(&mut self, id: CallId, refusal: Refusal, notice: TargetNotice) {
         let Some(leg) = self.calls.legs.remove(&id) else { return };
         match leg.upstream {
-            Some((upstream_leg, attempt)) => self.push_failed(upstream_leg, attempt, refusal),
+            Some((upstream_leg, attempt)) => {
+                self.push_failed_with(upstream_leg, attempt, refusal, notice);
+            }
             None => self.calls.report_outcome(leg.call, refusal.outcome),
         }
     }
@@ -398,6 +427,11 @@
 
 const LOST: Refusal = Refusal { code: RefusalCode::ConnectionLost, outcome: Outcome::Unknown };
 
+/// What an owner's response says about its target.
+fn notice_of(load: Option<TargetLoad>) -> TargetNotice {
+    load.map_or_else(TargetNotice::default, TargetNotice::from)
+}
+
 fn head(origin: CallOrigin, repeatable: bool, chain: Chain) -> CallHead {
     CallHead {
         origin,
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -11,6 +11,7 @@
 mod machine;
 mod network;
 mod oracle;
+mod rate_limits;
 mod regressions;
 mod world;
 
