--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -14,13 +14,13 @@
 
 use super::message::ReadAnswer;
 use super::nearest::nearest_replica;
+use super::pending_request::{PendingRequest, attempt_key, request_of_attempt};
 use super::replica_request::ReplicaRequest;
 use super::request::ApiResponse;
 use super::{ApiError, ErrorCode};
 use crate::Effect;
 use crate::consensus::{ChangeOutcome, Participation};
 use crate::context::Context;
-use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, RequestId};
 use crate::membership::Membership;
 use crate::time::Instant;
@@ -33,37 +33,6 @@
 /// Maximum number of pending requests at one process.
 const MAX_PENDING_REQUESTS: usize = 1_024;
 
-/// Bits of an attempt key that hold the number of the attempt within its request.
-const ATTEMPT_BITS: u32 = 8;
-
-/// Creates the key of one attempt. Responses from other processes carry it.
-///
-/// Every attempt has its own key, so that a duplicate response to one attempt is
-/// not taken for the response to a later attempt.
-fn attempt_key(request: RequestId, attempts: usize) -> RequestId {
-    let number = attempts as u64 & ((1 << ATTEMPT_BITS) - 1);
-    RequestId(request.0 << ATTEMPT_BITS | number)
-}
-
-/// Returns the request that an attempt key belongs to.
-fn request_of_attempt(attempt: RequestId) -> RequestId {
-    RequestId(attempt.0 >> ATTEMPT_BITS)
-}
-
-struct PendingRequest {
-    replica_request: ReplicaRequest,
-    arrived_at: Instant,
-    deadline: Instant,
-    attempt_at: Instant,
-    attempts: usize,
-    /// Replica that the latest attempt was sent to, while its response is outstanding.
-    awaited_replica: Option<NodeId>,
-    /// Attempts that were sent and whose outcome is unknown, with their replicas.
-    unresolved_attempts: Vec<(NodeId, RequestId)>,
-    /// Error of the latest attempt that failed.
-    last_error: Option<ApiError>,
-}
-
 /// Requests that are forwarded and wait for a response.
 #[derive(Default)]
 pub(super) struct PendingRequests {
@@ -308,54 +277,6 @@
     }
 }
 
-impl PendingRequest {
-    /// Marks one attempt at `replica` as resolved: it can no longer be committed.
-    /// Returns false if it was resolved before.
-    fn resolve_attempt(&mut self, replica: NodeId, attempt: RequestId) -> bool {
-        let index = self.unresolved_attempts.iter().position(|entry| *entry == (replica, attempt));
-        index.map(|index| self.unresolved_attempts.swap_remove(index)).is_some()
-    }
-
-    /// Logs the end of the request with the time and the attempts that it took.
-    fn log_end(&self, cx: &mut Context<'_>, end: &str) {
-        let request = &self.replica_request;
-        let elapsed_ms = cx.now.since_ms(self.arrived_at);
-        let last_replica = self.awaited_replica.map_or("none".to_owned(), |node| node.to_string());
-        let attempts = self.attempts;
-        let text = format!(
-            "{request}: {end} after {elapsed_ms} ms; attempts: {attempts}, waiting for replica: \
-             {last_replica}."
-        );
-        cx.log(LogLevel::Info, LogPart::Api, text);
-    }
-
-    fn timeout_error(&self) -> ApiError {
-        match self.replica_request {
-            ReplicaRequest::Change(_) | ReplicaRequest::ReplaceVoter { .. }
-                if !self.unresolved_attempts.is_empty() =>
-            {
-                ApiError::new(
-                    ErrorCode::OutcomeUnknown,
-                    "no control replica reported the outcome of the change within 6 s; it may have \
-                     been accepted; resend it with the same Idempotency-Key to get the outcome",
-                )
-            }
-            ReplicaRequest::Change(_) | ReplicaRequest::ReplaceVoter { .. } => ApiError::new(
-                ErrorCode::Unavailable,
-                "refused: no leader of the control replicas could be reached within 6 s, and \
-                 nothing was proposed; send it again later",
-            ),
-            ReplicaRequest::Read(_) => self.last_error.clone().unwrap_or_else(|| {
-                ApiError::new(
-                    ErrorCode::Unavailable,
-                    "no control replica confirmed the read with a quorum within 3 s; \
-                     add ?stale=true to read the version that this process holds",
-                )
-            }),
-        }
-    }
-}
-
 fn retry_delay_ms(cx: &mut Context<'_>) -> u64 {
     RETRY_DELAY_MS + cx.rng.random_range(0..=RETRY_DELAY_MS)
 }
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -9,6 +9,7 @@
 mod forward;
 mod message;
 mod nearest;
+mod pending_request;
 mod proposals;
 mod replica_request;
 mod request;
