--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -6,6 +6,7 @@
 //! that disconnects cancels its call at every hop up to the target.
 
 mod answer;
+mod attempt;
 mod body;
 mod boot_clock;
 mod bulk_limiter;
