--- a/crates/core/tests/fuzz/machine.rs
+++ b/crates/core/tests/fuzz/machine.rs
@@ -9,9 +9,9 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 
-use crate::calls::TARGETS;
 use crate::network::FaultRates;
 use crate::oracle::{Change, DEADLINE_MS, ReportedOutcome, UNITS, unit_name};
+use crate::targets::TARGETS;
 use crate::world::{CONTROL_HOSTS, World, ZONES};
 
 /// Time for the recovery after the last fault, in milliseconds.
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -13,6 +13,7 @@
 mod oracle;
 mod rate_limits;
 mod regressions;
+mod targets;
 mod world;
 
 use std::cell::{Cell, RefCell};
--- a/crates/core/tests/fuzz/rate_limits.rs
+++ b/crates/core/tests/fuzz/rate_limits.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rstest::rstest;
 
-use crate::calls::{TARGETS, owner_of};
+use crate::targets::{TARGETS, owner_of};
 use crate::world::{World, ZONES};
 
 /// Window in which calls are counted, and time from the first statement of a limit from which on
