--- a/crates/core/tests/distribution/main.rs
+++ b/crates/core/tests/distribution/main.rs
@@ -2,8 +2,10 @@
 
 #[path = "../mesh/mod.rs"]
 mod mesh;
+mod random_failures;
 mod restarts;
 mod splits;
+mod updates;
 
 use std::sync::Arc;
 
@@ -12,11 +14,8 @@
     DistributionMessage, HeldVersion, Holders, Update, ZoneReport,
 };
 use fireflylug_core::ids::Version;
-use mesh::fixtures::{Zone, configuration, name, two_regions, versions, zone};
+use mesh::fixtures::{Zone, name, two_regions, versions, zone};
 use mesh::{Faults, Mesh};
-use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 fn all_hold(mesh: &Mesh, version: u64) -> bool {
@@ -165,64 +164,6 @@
     mesh.run_until("all hold the last version", 10, |mesh| all_hold(mesh, 40));
 }
 
-#[rstest]
-fn delta_whose_base_is_missing_is_not_applied_and_a_fitting_one_is_fetched() {
-    let (mut mesh, versions) = mesh_with_first(&two_regions(4), 6);
-    mesh.publish(&versions[1]);
-    mesh.run_until("all hold the version", 5, |mesh| all_hold(mesh, 2));
-    let (sender, receiver) = (mesh.identity(1).id, 2);
-    let last = &versions[9];
-    let update = Update {
-        base: Some(Version(9)),
-        version: last.version(),
-        hash: last.hash(),
-        body: vec![0],
-    };
-
-    mesh.with_process(receiver, |process, cx| {
-        let message = DistributionMessage::Update(update);
-        process.distribution.step(cx, &process.membership, sender, message);
-    });
-
-    assert_eq!(version_of(&mesh, receiver), 2);
-    mesh.publish(last);
-    mesh.run_until("all hold the last version", 5, |mesh| all_hold(mesh, 10));
-}
-
-#[rstest]
-#[case::garbage(vec![1, 2, 3])]
-#[case::empty_delta(vec![0x4b, 0x4c, 0x03, 0x00])]
-fn update_with_another_hash_is_not_applied(#[case] body: Vec<u8>) {
-    let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
-    let sender = mesh.identity(1).id;
-    let last = &versions[9];
-    let update =
-        Update { base: Some(Version(1)), version: last.version(), hash: last.hash(), body };
-
-    mesh.with_process(2, |process, cx| {
-        let message = DistributionMessage::Update(update);
-        process.distribution.step(cx, &process.membership, sender, message);
-    });
-    mesh.run_ms(500);
-
-    assert_eq!(version_of(&mesh, 2), 1);
-}
-
-#[rstest]
-fn update_in_form_whose_hash_is_of_other_content_is_not_applied() {
-    let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
-    let sender = mesh.identity(1).id;
-    let update = Update { hash: versions[8].hash(), ..Update::snapshot(&versions[9]) };
-
-    mesh.with_process(2, |process, cx| {
-        let message = DistributionMessage::Update(update);
-        process.distribution.step(cx, &process.membership, sender, message);
-    });
-    mesh.run_ms(500);
-
-    assert_eq!(version_of(&mesh, 2), 1);
-}
-
 /// The set of processes that a forged report names as holders of a version.
 #[derive(Clone, Copy, Debug)]
 enum Forged {
@@ -390,100 +331,3 @@
     let elapsed_ms = mesh.run_until("all hold the version", 5, |mesh| all_hold(mesh, 2));
     println!("all hold the version {elapsed_ms} ms after one replica did");
 }
-
-#[rstest]
-fn versions_with_one_number_and_two_contents_are_not_mixed() {
-    let (mut mesh, _) = mesh_with_first(&two_regions(2), 14);
-    let first = configuration(2, &[("one".into(), 2)]);
-    let second = configuration(2, &[("two".into(), 2)]);
-
-    mesh.publish_at(0, &first);
-    mesh.run_until("all hold the first content", 5, |mesh| all_hold(mesh, 2));
-    mesh.publish_at(mesh.controls()[1], &second);
-    mesh.run_ms(2_000);
-
-    assert!(mesh.running().all(|(_, p)| p.distribution.current().hash() == first.hash()));
-}
-
-/// Applies random failures to a mesh and checks at every millisecond that no guarantee is broken.
-#[rstest]
-fn random_failures_break_no_promise(#[values(1, 2, 5, 28, 48, 67)] seed: u64) {
-    let (mut mesh, versions) = mesh_with_first(&two_regions(4), seed);
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
-    let mut newest = 1;
-    let mut cut: Option<Vec<usize>> = None;
-
-    for _ in 0..60 {
-        match rng.random_range(0..7) {
-            0 | 1 => {
-                newest += 1;
-                mesh.publish(&versions[newest as usize - 1]);
-            }
-            2 => {
-                newest += 1;
-                let lagging = *mesh.controls().choose(&mut rng).unwrap();
-                for control in mesh.controls().into_iter().filter(|c| *c != lagging) {
-                    publish_if_running(&mut mesh, control, &versions[newest as usize - 1]);
-                }
-            }
-            3 => {
-                let host = rng.random_range(0..mesh.len());
-                mesh.crash(host);
-                run_and_check(&mut mesh, rng.random_range(0..3_000));
-                mesh.start(host);
-                publish_if_control(&mut mesh, host, &versions[newest as usize - 1]);
-            }
-            4 => {
-                let hosts: Vec<usize> =
-                    (0..mesh.len()).filter(|_| rng.random_range(0..3) == 0).collect();
-                hosts.iter().for_each(|host| mesh.crash(*host));
-                run_and_check(&mut mesh, rng.random_range(0..500));
-                for host in hosts {
-                    mesh.start(host);
-                    publish_if_control(&mut mesh, host, &versions[newest as usize - 1]);
-                }
-            }
-            5 => {
-                heal(&mut mesh, &mut cut);
-                let zone = mesh.zone_hosts(zones.choose(&mut rng).unwrap());
-                let some = if rng.random() { zone } else { zone[..1].to_vec() };
-                let others = mesh.hosts_except(&some);
-                mesh.set_cut(&some, &others, true);
-                cut = Some(some);
-            }
-            _ => {
-                heal(&mut mesh, &mut cut);
-                let lossy = Faults { drop_percent: 20, duplicate_percent: 20, delay_us: 100_000 };
-                mesh.faults = if rng.random() { lossy } else { Faults::default() };
-            }
-        }
-        run_and_check(&mut mesh, rng.random_range(0..2_000));
-    }
-    heal(&mut mesh, &mut cut);
-    mesh.faults = Faults::default();
-    mesh.publish(&versions[newest as usize - 1]);
-
-    mesh.run_until("all hold the newest version", 30, |mesh| all_hold(mesh, newest));
-    mesh.run_until("all are ready", 10, all_ready);
-    mesh.run_until("reported in force", 60, |mesh| all_report_in_force(mesh, newest));
-}
-
-fn publish_if_running(mesh: &mut Mesh, host: usize, version: &Arc<Configuration>) {
-    if mesh.running().any(|(running, _)| running == host) {
-        mesh.publish_at(host, version);
-    }
-}
-
-fn publish_if_control(mesh: &mut Mesh, host: usize, version: &Arc<Configuration>) {
-    if mesh.identity(host).control {
-        mesh.publish_at(host, version);
-    }
-}
-
-fn heal(mesh: &mut Mesh, cut: &mut Option<Vec<usize>>) {
-    if let Some(hosts) = cut.take() {
-        let others = mesh.hosts_except(&hosts);
-        mesh.set_cut(&hosts, &others, false);
-    }
-}
