Test, known red: a restart of all others forgets the hosts that are cut off

The named test is the same without chance. Not mended here: the members would have to be kept on disk.

--- a/crates/core/tests/distribution/random_failures.rs
+++ b/crates/core/tests/distribution/random_failures.rs
@@ -12,12 +12,23 @@
 use crate::mesh::{Faults, Mesh};
 use crate::{all_hold, all_ready, all_report_in_force, mesh_with_first, run_and_check};
 
+/// Which hosts a cut separates from all others.
+#[derive(Clone, Copy, Debug)]
+enum CutHosts {
+    /// An availability zone, or one host.
+    ZoneOrHost,
+    /// Hosts of any zones, in half of the cases with resets.
+    Any,
+}
+
 /// Applies random failures to a mesh and checks at every millisecond that no guarantee is broken.
 #[rstest]
-fn random_failures_break_no_promise(#[values(1, 2, 5, 28, 48, 67)] seed: u64) {
+fn random_failures_break_no_promise(
+    #[values(CutHosts::ZoneOrHost, CutHosts::Any)] cut_hosts: CutHosts,
+    #[values(1, 2, 5, 28, 48, 67)] seed: u64,
+) {
     let (mut mesh, versions) = mesh_with_first(&two_regions(4), seed);
     let mut rng = SmallRng::seed_from_u64(seed);
-    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
     let mut newest = 1;
     let mut cut: Option<Vec<usize>> = None;
 
@@ -53,11 +64,7 @@
             }
             5 => {
                 heal(&mut mesh, &mut cut);
-                let zone = mesh.zone_hosts(zones.choose(&mut rng).unwrap());
-                let some = if rng.random() { zone } else { zone[..1].to_vec() };
-                let others = mesh.hosts_except(&some);
-                mesh.set_cut(&some, &others, true);
-                cut = Some(some);
+                cut = Some(cut_some(&mut mesh, &mut rng, cut_hosts));
             }
             _ => {
                 heal(&mut mesh, &mut cut);
@@ -88,6 +95,24 @@
     }
 }
 
+/// Cuts some hosts off from all others and returns them.
+fn cut_some(mesh: &mut Mesh, rng: &mut SmallRng, cut_hosts: CutHosts) -> Vec<usize> {
+    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
+    let some = match cut_hosts {
+        CutHosts::ZoneOrHost => {
+            let zone = mesh.zone_hosts(zones.choose(rng).unwrap());
+            if rng.random() { zone } else { zone[..1].to_vec() }
+        }
+        CutHosts::Any => (0..mesh.len()).filter(|_| rng.random_ratio(2, 5)).collect(),
+    };
+    let others = mesh.hosts_except(&some);
+    match cut_hosts {
+        CutHosts::Any if rng.random() => mesh.cut_with_resets(&some, &others),
+        _ => mesh.set_cut(&some, &others, true),
+    }
+    some
+}
+
 fn heal(mesh: &mut Mesh, cut: &mut Option<Vec<usize>>) {
     if let Some(hosts) = cut.take() {
         let others = mesh.hosts_except(&hosts);
--- a/crates/core/tests/distribution/restarts.rs
+++ b/crates/core/tests/distribution/restarts.rs
@@ -9,7 +9,10 @@
 
 use crate::mesh::Mesh;
 use crate::mesh::fixtures::{Zone, configuration, two_regions, zone};
-use crate::{all_hold, all_ready, all_report_in_force, mesh_with_first, ready_version, version_of};
+use crate::{
+    all_hold, all_ready, all_report_in_force, mesh_with_first, ready_version, run_and_check,
+    version_of,
+};
 
 #[rstest]
 fn half_of_the_hosts_restarted_at_once_are_current_and_never_serve_less() {
@@ -282,3 +285,20 @@
     println!("joined {elapsed_ms} ms after the seeds");
     assert!(elapsed_ms <= JOINED_MS, "{elapsed_ms} ms");
 }
+
+// Guards against a version that is reported as in force while hosts that are cut off serve an older
+// one: all others restarted meanwhile, and know only each other.
+#[test]
+fn a_restart_of_all_others_does_not_forget_the_hosts_that_are_cut_off() {
+    let (mut mesh, versions) = mesh_with_first(&two_regions(4), 1);
+    let zones = ["kochi-aluva", "kochi-ernakulam", "kzd-feroke", "kzd-mavoor"];
+    let cut = zones.map(|zone| *mesh.zone_hosts(zone).last().expect("a zone has hosts"));
+    let others = mesh.hosts_except(&cut);
+    mesh.set_cut(&cut, &others, true);
+
+    others.iter().for_each(|host| mesh.crash(*host));
+    others.iter().for_each(|host| mesh.start(*host));
+    mesh.publish(&versions[1]);
+
+    run_and_check(&mut mesh, 10_000);
+}
