Daemon: a health response that ends its connection is no longer lost

Cause: the request asks for the end of the connection. hyper ends it in the same poll in which it delivers a response that is complete, and `select!` then takes the end of the connection first.

Change: after the end of the connection the response is still awaited; without one that fails at once.

--- a/crates/daemon/src/local_target.rs
+++ b/crates/daemon/src/local_target.rs
@@ -5,6 +5,7 @@
 //! endpoint and announces the target on its behalf.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -113,14 +114,15 @@
         .header(header::HOST, address.to_string())
         .header(header::CONNECTION, "close")
         .body(Empty::<bytes::Bytes>::new())?;
-    let exchange = async {
+    let mut exchange = pin!(async {
         let response = sender.send_request(request).await?;
         ensure!(response.status() == StatusCode::OK, "the target is not healthy");
         Ok(response.headers().clone())
-    };
+    });
     tokio::select! {
-        headers = exchange => headers,
-        _ = connection => Err(eyre!("the connection was closed before the response")),
+        headers = &mut exchange => headers,
+        // A short response arrives together with the end of the connection.
+        _ = connection => exchange.await,
     }
 }
 
--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -4,4 +4,5 @@
 mod endless;
 mod fixture;
 mod resets;
+mod restarts;
 mod stops;
