--- a/crates/core/tests/fuzz/rate_limits.rs
+++ b/crates/core/tests/fuzz/rate_limits.rs
@@ -17,9 +17,22 @@
 /// Time after a host passed on a limit from which on its calls are counted, in microseconds.
 const TOLD_FOR_US: u64 = 500_000;
 
-/// Calls of all hosts together, in one millisecond out of this many.
+/// What the users' rule tolerates beyond the limit: a factor, and a number of calls in a window.
+const TOLERATED_FACTOR: f64 = 1.5;
+const TOLERATED_CALLS: f64 = 5.0;
+
+/// Mean time between two calls of all hosts together, in milliseconds.
 const CALL_EVERY_MS: u32 = 4;
 
+/// Mean time between two crashes of owners, in milliseconds.
+const CRASH_EVERY_MS: u32 = 3_000;
+
+/// Time after which a crashed host is started again, in milliseconds.
+const DOWN_MS: u64 = 300;
+
+/// Time for which the targets state no limits before they do, in milliseconds.
+const UNLIMITED_MS: u32 = 2_000;
+
 /// Time for which the targets state limits, in milliseconds.
 const LIMITED_MS: u32 = 25_000;
 
@@ -76,7 +89,8 @@
         while limited.runs_us.front().is_some_and(|run_us| run_us + WINDOW_US < now_us) {
             limited.runs_us.pop_front();
         }
-        let allowed = 1.5 * limited.calls_per_s * WINDOW_US as f64 / 1e6 + 5.0;
+        let stated = limited.calls_per_s * WINDOW_US as f64 / 1e6;
+        let allowed = TOLERATED_FACTOR * stated + TOLERATED_CALLS;
         let runs = limited.runs_us.len();
         assert!(runs as f64 <= allowed, "target {target} got {runs} calls, {allowed} allowed");
     }
@@ -102,6 +116,20 @@
     world.run_ms(1);
 }
 
+/// Crashes an owner at times, and starts those again that have been down long enough.
+fn crash_and_restart(world: &mut World, starts_at_us: &mut BTreeMap<usize, u64>) {
+    if world.rng.random_ratio(1, CRASH_EVERY_MS) {
+        let host = owner_of(world.rng.random_range(0..TARGETS));
+        if world.is_up(host) {
+            world.crash(host);
+            starts_at_us.insert(host, world.now_us + DOWN_MS * 1_000);
+        }
+    }
+    let is_due = |_: &usize, starts_at_us: &mut u64| *starts_at_us <= world.now_us;
+    let due: Vec<usize> = starts_at_us.extract_if(.., is_due).map(|(host, _)| host).collect();
+    due.into_iter().for_each(|host| world.start(host));
+}
+
 // Guards against an owner that forgets the limit of its target with a restart, and against calls
 // that pass the owner by.
 #[rstest]
@@ -110,27 +138,13 @@
     #[values(1, 2, 3, 4)] seed: u64,
 ) {
     let mut world = started_world(seed);
-    (0..2_000).for_each(|_| run_one_ms(&mut world));
-    for target in 0..TARGETS {
-        let now_us = world.now_us;
-        world.calls.rate_limits.state(target, calls_per_s, now_us);
-    }
+    (0..UNLIMITED_MS).for_each(|_| run_one_ms(&mut world));
+    let now_us = world.now_us;
+    (0..TARGETS).for_each(|target| world.calls.rate_limits.state(target, calls_per_s, now_us));
 
-    let mut starts_at_ms = BTreeMap::new();
-    for at_ms in 0..LIMITED_MS {
+    let mut starts_at_us = BTreeMap::new();
+    for _ in 0..LIMITED_MS {
         run_one_ms(&mut world);
-        if world.rng.random_ratio(1, 3_000) {
-            let host = owner_of(world.rng.random_range(0..TARGETS));
-            if world.is_up(host) {
-                world.crash(host);
-                starts_at_ms.insert(host, at_ms + 300);
-            }
-        }
-        for host in 0..ZONES.len() {
-            if starts_at_ms.get(&host).is_some_and(|starts_at_ms| *starts_at_ms <= at_ms) {
-                starts_at_ms.remove(&host);
-                world.start(host);
-            }
-        }
+        crash_and_restart(&mut world, &mut starts_at_us);
     }
 }
--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -25,6 +25,11 @@
     TargetNotice { rate_limit: RateLimit::per_second(calls_per_s), ..TargetNotice::default() }
 }
 
+/// Calls that the users' rule allows in one window at a stated limit.
+fn allowed_in_a_window(calls_per_s: f64) -> f64 {
+    1.5 * calls_per_s * WINDOW_MS as f64 / 1_000.0 + 5.0
+}
+
 /// The owner of a target, and the calls that the target works on.
 struct Owner {
     harness: Harness,
@@ -111,7 +116,7 @@
 
     owner.run_ms(20_000, 55.0, states(calls_per_s));
 
-    let allowed = 1.5 * calls_per_s * WINDOW_MS as f64 / 1_000.0 + 5.0;
+    let allowed = allowed_in_a_window(calls_per_s);
     let most = owner.most_in_a_window(stated_at.plus_ms(CONNECTIVITY_WINDOW_MS));
     assert!(most as f64 <= allowed, "{most} calls in {WINDOW_MS} ms, {allowed} allowed");
 }
@@ -130,7 +135,7 @@
 
     owner.run_ms(WINDOW_MS, 55.0, states(calls_per_s));
 
-    let allowed = 1.5 * calls_per_s * WINDOW_MS as f64 / 1_000.0 + 5.0;
+    let allowed = allowed_in_a_window(calls_per_s);
     let most = owner.most_in_a_window(restarted_at);
     assert!(most as f64 <= allowed, "{most} calls in {WINDOW_MS} ms, {allowed} allowed");
 }
