--- a/crates/core/tests/distribution/updates.rs
+++ b/crates/core/tests/distribution/updates.rs
@@ -4,15 +4,27 @@
 use fireflylug_core::ids::Version;
 use rstest::rstest;
 
+use crate::mesh::Mesh;
 use crate::mesh::fixtures::{configuration, two_regions};
 use crate::{all_hold, mesh_with_first, version_of};
 
+/// Host that receives the updates.
+const RECEIVER: usize = 2;
+
+/// Delivers an update to the receiver, as if another host had sent it.
+fn deliver(mesh: &mut Mesh, update: Update) {
+    let sender = mesh.identity(1).id;
+    mesh.with_process(RECEIVER, |process, cx| {
+        let message = DistributionMessage::Update(update);
+        process.distribution.step(cx, &process.membership, sender, message);
+    });
+}
+
 #[rstest]
 fn delta_whose_base_is_missing_is_not_applied_and_a_fitting_one_is_fetched() {
     let (mut mesh, versions) = mesh_with_first(&two_regions(4), 6);
     mesh.publish(&versions[1]);
     mesh.run_until("all hold the version", 5, |mesh| all_hold(mesh, 2));
-    let (sender, receiver) = (mesh.identity(1).id, 2);
     let last = &versions[9];
     let update = Update {
         base: Some(Version(9)),
@@ -21,12 +33,9 @@
         body: vec![0],
     };
 
-    mesh.with_process(receiver, |process, cx| {
-        let message = DistributionMessage::Update(update);
-        process.distribution.step(cx, &process.membership, sender, message);
-    });
+    deliver(&mut mesh, update);
 
-    assert_eq!(version_of(&mesh, receiver), 2);
+    assert_eq!(version_of(&mesh, RECEIVER), 2);
     mesh.publish(last);
     mesh.run_until("all hold the last version", 5, |mesh| all_hold(mesh, 10));
 }
@@ -36,33 +45,25 @@
 #[case::empty_delta(vec![0x4b, 0x4c, 0x03, 0x00])]
 fn update_with_another_hash_is_not_applied(#[case] body: Vec<u8>) {
     let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
-    let sender = mesh.identity(1).id;
     let last = &versions[9];
     let update =
         Update { base: Some(Version(1)), version: last.version(), hash: last.hash(), body };
 
-    mesh.with_process(2, |process, cx| {
-        let message = DistributionMessage::Update(update);
-        process.distribution.step(cx, &process.membership, sender, message);
-    });
+    deliver(&mut mesh, update);
     mesh.run_ms(500);
 
-    assert_eq!(version_of(&mesh, 2), 1);
+    assert_eq!(version_of(&mesh, RECEIVER), 1);
 }
 
 #[rstest]
 fn update_in_form_whose_hash_is_of_other_content_is_not_applied() {
     let (mut mesh, versions) = mesh_with_first(&two_regions(2), 7);
-    let sender = mesh.identity(1).id;
     let update = Update { hash: versions[8].hash(), ..Update::snapshot(&versions[9]) };
 
-    mesh.with_process(2, |process, cx| {
-        let message = DistributionMessage::Update(update);
-        process.distribution.step(cx, &process.membership, sender, message);
-    });
+    deliver(&mut mesh, update);
     mesh.run_ms(500);
 
-    assert_eq!(version_of(&mesh, 2), 1);
+    assert_eq!(version_of(&mesh, RECEIVER), 1);
 }
 
 #[rstest]
