--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -21,7 +21,10 @@
 impl ControlReplica {
     /// Starts a pre-vote after an election timeout without contact from a leader.
     pub(super) fn campaign(&mut self, cx: &mut Context<'_>) {
-        self.leader = None;
+        if let Some(leader) = self.leader.take() {
+            let text = format!("Lost contact with the leader, {leader}.");
+            cx.log(LogLevel::Warn, LogPart::Consensus, text);
+        }
         let me = self.me(cx);
         if !self.is_voter(me) || !self.floors.is_confirmed() {
             self.role = Role::Follower;
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -122,8 +122,7 @@
             return;
         }
         self.upstream.generation = Some(generation);
-        let own = &cx.me.locality.availability_zone;
-        self.upstream.is_relay = membership.relay(own) == Some(cx.me.id);
+        self.update_relay_role(cx, membership);
         let receives_log = cx.me.control && !self.is_standby;
         let candidates = candidates(cx, membership, receives_log);
         let has_preferred_changed = candidates.first() != self.upstream.candidates.first();
@@ -136,6 +135,17 @@
         }
     }
 
+    /// Records, and logs, whether this process is the relay of its availability zone.
+    fn update_relay_role(&mut self, cx: &mut Context<'_>, membership: &Membership) {
+        let is_relay = membership.relay(&cx.me.locality.availability_zone) == Some(cx.me.id);
+        if self.upstream.is_relay != is_relay {
+            let role = if is_relay { "Is the relay" } else { "Is no longer the relay" };
+            let text = format!("{role} of its availability zone.");
+            cx.log(LogLevel::Info, LogPart::Distribution, text);
+        }
+        self.upstream.is_relay = is_relay;
+    }
+
     /// Switches to the candidate of the current attempt.
     fn switch_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         let count = self.upstream.candidates.len();
