--- /dev/null
+++ b/crates/core/tests/fuzz/control_cuts.rs
@@ -0,0 +1,99 @@
+//! Control hosts that are cut off from each other, while all other hosts reach them and each other.
+
+use fireflylug_core::ids::{Name, Version};
+use rstest::rstest;
+
+use crate::world::{Layout, World};
+
+/// Proxies in each availability zone.
+const PROXIES_PER_ZONE: usize = 4;
+
+/// Time for the hosts to join and for the leader to promote the voters, in milliseconds.
+const JOIN_MS: u64 = 10_000;
+
+/// The users' bound for a host to be in touch again after the beginning of a cut, in milliseconds.
+const IN_TOUCH_WITHIN_MS: u64 = 4_000;
+
+/// The users' bound for a configuration to be in force at hosts that are in touch, in milliseconds.
+const CONFIG_WITHIN_MS: u64 = 2_500;
+
+/// Interval at which an operator's client sends a change again, in milliseconds.
+const RESEND_EVERY_MS: u64 = 500;
+
+/// A mesh with the same number of control hosts in each availability zone.
+#[derive(Clone, Copy, Debug)]
+struct Shape {
+    zones: usize,
+    control_hosts: usize,
+    voters: usize,
+    has_slow_proxies: bool,
+}
+
+fn started_world(shape: Shape, seed: u64) -> World {
+    let hosts = shape.control_hosts + shape.zones * PROXIES_PER_ZONE;
+    let layout = Layout {
+        zones: (0..hosts).map(|host| host % shape.zones).collect(),
+        control_hosts: shape.control_hosts,
+        desired_voter_count: Some(shape.voters),
+        has_slow_proxies: shape.has_slow_proxies,
+    };
+    let mut world = World::with_layout(seed, &layout);
+    world.run_ms(JOIN_MS);
+    change(&mut world, 0);
+    world.run_ms(CONFIG_WITHIN_MS);
+    world
+}
+
+/// Sends changes to a host until one is accepted. Returns its version.
+fn change(world: &mut World, host: usize) -> Version {
+    let before = world.oracle.newest_accepted();
+    while world.oracle.newest_accepted() == before {
+        world.put(host, 0, None);
+        world.run_ms(RESEND_EVERY_MS);
+    }
+    world.oracle.newest_accepted()
+}
+
+/// The control host that is the relay of an availability zone, or the zone's first control host.
+fn control_host_of(world: &World, shape: Shape, zone: usize) -> usize {
+    let name = Name::new(format!("zone-{zone}")).expect("a valid name");
+    let membership = world.hosts[zone].state.as_ref().expect("up").membership();
+    let relay = membership.relay(&name).expect("a relay");
+    let relay = world.hosts.iter().position(|host| host.id == relay).expect("a host");
+    if relay < shape.control_hosts { relay } else { zone }
+}
+
+fn proxies_behind(world: &World, shape: Shape, version: Version) -> Vec<usize> {
+    let serving = world.serving().into_iter();
+    let behind = serving.filter(|(host, held)| *host >= shape.control_hosts && *held < version);
+    behind.map(|(host, _)| host).collect()
+}
+
+// Guards against an availability zone that stays on an old version while its control host is cut
+// off from the other control hosts, although its proxies reach them.
+#[rstest]
+#[case::one_control_host_a_zone(Shape { zones: 4, control_hosts: 4, voters: 3, has_slow_proxies: true })]
+#[case::control_hosts_are_no_relays(Shape { zones: 4, control_hosts: 4, voters: 3, has_slow_proxies: false })]
+#[case::three_control_hosts_a_zone(Shape { zones: 8, control_hosts: 24, voters: 5, has_slow_proxies: true })]
+fn zone_gets_new_versions_while_its_control_host_is_cut_off_from_the_others(
+    #[case] shape: Shape,
+    #[values(0, 1, 2, 3)] zone: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut world = started_world(shape, seed);
+    let cut_host = control_host_of(&world, shape, zone);
+    let others: Vec<usize> = (0..shape.control_hosts).filter(|host| *host != cut_host).collect();
+    let operator = others[0];
+    let began_us = world.now_us;
+    world.network.cut_between(&[cut_host], &others);
+
+    let version = change(&mut world, operator);
+    world.run_ms(IN_TOUCH_WITHIN_MS.saturating_sub((world.now_us - began_us) / 1_000));
+    let behind_the_first = proxies_behind(&world, shape, version);
+    let version = change(&mut world, operator);
+    world.run_ms(CONFIG_WITHIN_MS);
+    let behind_the_second = proxies_behind(&world, shape, version);
+
+    assert!(behind_the_first.is_empty(), "behind once in touch: {behind_the_first:?}");
+    assert!(behind_the_second.is_empty(), "behind the next version: {behind_the_second:?}");
+}
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -6,6 +6,7 @@
 //! shrunk case.
 
 mod calls;
+mod control_cuts;
 mod control_hosts;
 mod disk;
 mod machine;
--- a/crates/core/tests/fuzz/network.rs
+++ b/crates/core/tests/fuzz/network.rs
@@ -34,6 +34,8 @@
     isolated: BTreeSet<usize>,
     /// Hosts on one side of a split; all others are on the other side.
     split_side: BTreeSet<usize>,
+    /// Pairs of hosts that are cut off from each other alone.
+    cut_pairs: BTreeSet<(usize, usize)>,
     connections: BTreeSet<(usize, usize)>,
     /// When the latest connection of two processes becomes ready, in microseconds.
     ready_us: BTreeMap<(usize, usize), u64>,
@@ -49,6 +51,7 @@
             cut_zones: BTreeSet::new(),
             isolated: BTreeSet::new(),
             split_side: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
             connections: BTreeSet::new(),
             ready_us: BTreeMap::new(),
             zones,
@@ -70,6 +73,12 @@
         self.split_side = hosts.iter().copied().collect();
     }
 
+    /// Cuts two groups of hosts off from each other. Both still reach all other hosts.
+    pub fn cut_between(&mut self, one: &[usize], other: &[usize]) {
+        let pairs = one.iter().flat_map(|a| other.iter().map(|b| pair(*a, *b)));
+        self.cut_pairs.extend(pairs);
+    }
+
     /// Sets the rates of random faults.
     pub fn set_fault_rates(&mut self, fault_rates: FaultRates) {
         self.fault_rates = fault_rates;
@@ -81,6 +90,7 @@
         self.cut_zones.clear();
         self.isolated.clear();
         self.split_side.clear();
+        self.cut_pairs.clear();
     }
 
     /// Whether messages can pass from one host to the other.
@@ -90,7 +100,8 @@
             && (self.cut_zones.contains(&from_zone) || self.cut_zones.contains(&to_zone));
         let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
         let is_split = self.split_side.contains(&from) != self.split_side.contains(&to);
-        from == to || !(is_cut || is_isolated || is_split)
+        let is_pair_cut = self.cut_pairs.contains(&pair(from, to));
+        from == to || !(is_cut || is_isolated || is_split || is_pair_cut)
     }
 
     /// Decides what happens to a message.
