Logs: which contents a target ran when it ended

Each call now has a fingerprint of its content, and an owner that loses a connection to its target sees whether the target still accepts connections. Nothing is decided by it.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -214,6 +214,7 @@
         class: CallClass::default(),
         is_bulk: false,
         is_upload: false,
+        fingerprint: head.fingerprint,
         chain: head.chain,
         attempt: 0,
         attempts_reached: 0,
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 
 use super::chain::Chain;
+use super::message::Fingerprint;
 use super::rate_limit::RateLimit;
 use super::refusal::{Refusal, RefusalCode};
 use super::transit::Transit;
@@ -45,6 +46,8 @@
     pub rate_limit: Option<RateLimit>,
     /// Whether the target states that it is leaving.
     pub is_leaving: bool,
+    /// Whether the target ended while it ran the call.
+    pub has_ended: bool,
 }
 
 impl From<TargetLoad> for TargetNotice {
@@ -105,6 +108,8 @@
     pub body_bytes: Option<u64>,
     /// Whether the proxy has buffered the complete body and can send it again.
     pub is_replayable: bool,
+    /// Content of the call.
+    pub fingerprint: Fingerprint,
     /// Calls that led to this one.
     pub chain: Chain,
     /// Send and receive times of a forwarded call, if the ingress reported when it sent the
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -1,12 +1,13 @@
 //! Failed attempts: what they imply for the health of the target, and whether the call is
 //! retried.
 
-use super::Routing;
 use super::call::{TargetLoad, TargetNotice};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Stage};
+use super::{Routing, TargetKey};
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::CallId;
 
 /// Whether the refusal means a lack of capacity rather than a fault. Unless another target is
@@ -40,6 +41,9 @@
                 self.apply_rate_limit(cx, running.target, notice.rate_limit);
             }
             self.note_leaving(running.target, notice.is_leaving);
+            if notice.has_ended {
+                self.log_target_end(cx, id, running.target);
+            }
         }
         if is_ingress {
             self.observe_failure(cx, running, refusal, notice.load, is_bulk);
@@ -48,6 +52,14 @@
         self.attempt_failed(cx, id, refusal);
     }
 
+    /// Logs that a target of this host ended while it ran a call.
+    fn log_target_end(&self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
+        let target = &self.targets[key].record.target;
+        let fingerprint = self.calls[&id].fingerprint;
+        let text = format!("Target {target} ended while it ran content {fingerprint}.");
+        cx.log(LogLevel::Info, LogPart::Calls, text);
+    }
+
     fn observe_failure(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -26,6 +26,7 @@
 mod health;
 mod hold_times;
 mod link_share;
+mod message;
 mod metrics;
 mod network_path;
 mod rate_limit;
@@ -52,6 +53,7 @@
 pub use chain::{Chain, ChainError};
 pub use decision::{Decision, Step};
 pub use link_share::LinkShare;
+pub use message::Fingerprint;
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
 pub use rate_limit::RateLimit;
 pub use refusal::{Outcome, Refusal, RefusalCode};
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -6,6 +6,7 @@
 use super::call::CallClass;
 use super::chain::Chain;
 use super::estimate::Estimate;
+use super::message::Fingerprint;
 use super::metrics::ServiceCounts;
 use super::refusal::Refusal;
 use super::table::RouteRule;
@@ -78,6 +79,7 @@
     pub is_bulk: bool,
     /// Whether the request is large. Set only at the ingress.
     pub is_upload: bool,
+    pub fingerprint: Fingerprint,
     pub chain: Chain,
     /// Number of the current attempt.
     pub attempt: u8,
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -5,8 +5,8 @@
 use fireflylug_core::Event;
 use fireflylug_core::ids::{CallId, NodeId};
 use fireflylug_core::routing::{
-    CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal, RefusalCode,
-    TargetLoad, TargetNotice,
+    CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, ForwardHead, Outcome, Refusal,
+    RefusalCode, TargetLoad, TargetNotice,
 };
 use rand::Rng;
 
@@ -362,6 +362,7 @@
         is_safe_method: repeatable,
         body_bytes: Some(0),
         is_replayable: true,
+        fingerprint: Fingerprint::default(),
         chain,
         transit: None,
     }
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -14,7 +14,9 @@
 use fireflylug_core::membership::{Membership, MembershipSettings};
 use fireflylug_core::message::PeerMessage;
 use fireflylug_core::resource::{Resource, Route, Service};
-use fireflylug_core::routing::{CallEffect, CallEvent, CallHead, CallOrigin, Chain, RefusalCode};
+use fireflylug_core::routing::{
+    CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, RefusalCode,
+};
 use fireflylug_core::state::{CoreSettings, State};
 use fireflylug_core::{Effect, Event, Instant, reduce};
 use rand::SeedableRng;
@@ -101,6 +103,7 @@
         is_safe_method: true,
         body_bytes: Some(0),
         is_replayable: true,
+        fingerprint: Fingerprint::default(),
         chain: Chain::default(),
         transit: None,
     };
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -12,8 +12,8 @@
 };
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
-    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
-    RefusalCode, Routing, RoutingSettings, TargetNotice, Transit,
+    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, ForwardHead,
+    Outcome, Refusal, RefusalCode, Routing, RoutingSettings, TargetNotice, Transit,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -163,6 +163,7 @@
             is_safe_method: true,
             body_bytes: Some(0),
             is_replayable: true,
+            fingerprint: Fingerprint::default(),
             chain: Chain::default(),
             transit: None,
         };
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -1,5 +1,7 @@
 //! One attempt of a call: sends the request to a target or to its owner, and classifies the response.
 
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fireflylug_core::routing::{CallEffect, Outcome, Refusal, RefusalCode, TargetNotice};
@@ -7,7 +9,9 @@
 use http::request::Parts;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::timeout;
 
 use super::CallDialect;
 use super::answer::Answer;
@@ -22,6 +26,10 @@
 const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(500);
 /// Maximum size of a refusal body that is read to reuse its connection, in bytes.
 const MAX_REFUSAL_BYTES: usize = 4 * 1024;
+/// Time after the loss of a connection by which a target that has ended refuses new ones.
+const LISTENER_CLOSES_WITHIN: Duration = Duration::from_millis(10);
+/// Timeout of the connection that shows whether a target has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of new connections for a request that was provably not sent.
 const MAX_UNSENT_RETRIES: usize = 3;
 
@@ -51,6 +59,14 @@
     pub fn new(code: RefusalCode, outcome: Outcome) -> Self {
         Self { refusal: Refusal { code, outcome }, notice: TargetNotice::default() }
     }
+
+    /// Adds whether the target has ended, if the connection to it was lost.
+    async fn with_target_state(mut self, address: SocketAddr) -> Self {
+        if self.refusal.code == RefusalCode::ConnectionLost {
+            self.notice.has_ended = refuses_connections(address).await;
+        }
+        self
+    }
 }
 
 /// Runs one attempt.
@@ -78,7 +94,10 @@
             let sent =
                 send(&proxy.targets, connection_request, head, &outgoing.body, max_body_bytes)
                     .await;
-            classify_target_response(dialect, id.as_ref(), sent?).await
+            match sent {
+                Ok(answer) => classify_target_response(dialect, id.as_ref(), answer).await,
+                Err(failure) => Err(failure.with_target_state(address).await),
+            }
         }
         CallEffect::Forward { address, head: forward, chain, max_body_bytes, .. } => {
             let key = proxy.key_value.as_ref();
@@ -95,7 +114,7 @@
 }
 
 fn connection_request(
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     max_open: usize,
     is_repeatable: bool,
 ) -> ConnectionRequest {
@@ -135,6 +154,14 @@
     Ok(answer)
 }
 
+/// Whether nobody accepts connections at an address.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    // A process that ends may close its listener after its connections.
+    tokio::time::sleep(LISTENER_CLOSES_WITHIN).await;
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Reads a short response of an owner to its end so that its connection can be reused.
 async fn drain(answer: Answer) {
     let Answer { response, connection, request_body, .. } = answer;
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -73,6 +73,17 @@
         Self { buffered, buffered_bytes: buffered_bytes as u64, unread, unread_bytes, progress }
     }
 
+    /// The buffered start of the body, of at most [`MAX_BUFFERED_BYTES`]. It is the same at every
+    /// proxy, however the body was divided on its way.
+    pub fn buffered_start(&self) -> impl Iterator<Item = &[u8]> {
+        let mut remaining_bytes = MAX_BUFFERED_BYTES;
+        self.buffered.iter().map(move |chunk| {
+            let taken = &chunk[..chunk.len().min(remaining_bytes)];
+            remaining_bytes -= taken.len();
+            taken
+        })
+    }
+
     /// Length in bytes, if known.
     pub fn length(&self) -> Option<u64> {
         Some(self.buffered_bytes + self.unread_bytes?)
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -17,6 +17,7 @@
 use super::attempt::{Failure, OutgoingRequest, run_attempt};
 use super::body::BodySource;
 use super::boot_clock::SentStamp;
+use super::fingerprint::fingerprint;
 use super::headers;
 use super::proxy::{Client, Proxy};
 
@@ -45,13 +46,15 @@
         Ok(body) => body,
         Err(code) => return refuse_not_run(&proxy, client, code),
     };
+    let host = host(&parts);
     let head = CallHead {
         origin,
-        host: host(&parts),
+        host: host.clone(),
         path: parts.uri.path().into(),
         is_safe_method: matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS),
         body_bytes: body.length(),
         is_replayable: body.is_replayable(),
+        fingerprint: fingerprint(&host, &parts, &body),
         chain,
         transit,
     };
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -237,6 +237,7 @@
         load: None,
         rate_limit: rate_limit(headers, dialect),
         is_leaving: dialect.is_leaving(headers),
+        has_ended: false,
     }
 }
 
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -12,6 +12,7 @@
 mod bulk_limiter;
 mod call;
 mod dialect;
+mod fingerprint;
 mod handle;
 mod headers;
 mod pool;
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -15,7 +15,7 @@
 };
 use fireflylug_core::resource::{Resource, Route, Service};
 use fireflylug_core::routing::{
-    CallEvent, CallHead, CallOrigin, Chain, Routing, RoutingSettings, TargetLoad,
+    CallEvent, CallHead, CallOrigin, Chain, Fingerprint, Routing, RoutingSettings, TargetLoad,
 };
 use fireflylug_core::slo::Slo;
 use rand::SeedableRng;
@@ -70,6 +70,7 @@
         is_safe_method: true,
         body_bytes: Some(0),
         is_replayable: true,
+        fingerprint: Fingerprint::default(),
         chain: Chain::default(),
         transit: None,
     }
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -14,8 +14,8 @@
 use fireflylug_core::membership::{Member, MembershipChange, TargetRecord, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
-    CallEffect, CallEvent, CallHead, CallOrigin, Chain, Outcome, Refusal, RefusalCode, Routing,
-    RoutingSettings, TargetNotice,
+    CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, Outcome, Refusal, RefusalCode,
+    Routing, RoutingSettings, TargetNotice,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -306,6 +306,7 @@
                 is_safe_method: true,
                 body_bytes: Some(0),
                 is_replayable: true,
+                fingerprint: Fingerprint::default(),
                 chain: Chain::default(),
                 transit: None,
             };
