--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -10,6 +10,7 @@
 };
 use rand::Rng;
 
+use crate::crashing_calls::Crashes;
 use crate::rate_limits::RateLimits;
 use crate::targets::{TARGETS, Target, TargetStatus, owner_of, target_id};
 use crate::world::{Item, World};
@@ -20,6 +21,8 @@
 /// A due event of a call or a target.
 #[derive(Clone)]
 pub enum CallItem {
+    /// A target that ended starts again.
+    Restart { target: usize },
     /// A target renews its lease.
     Renew { target: usize, generation: u32 },
     /// A forwarded call arrives at its owner.
@@ -35,6 +38,8 @@
 /// A call of a caller.
 struct Call {
     repeatable: bool,
+    /// Its content.
+    fingerprint: Fingerprint,
     /// Host at which it began.
     host: usize,
     runs: u32,
@@ -63,6 +68,7 @@
 pub struct Calls {
     pub targets: Vec<Target>,
     pub rate_limits: RateLimits,
+    pub crashes: Crashes,
     calls: Vec<Call>,
     legs: BTreeMap<CallId, Leg>,
     next_leg: u64,
@@ -74,7 +80,8 @@
         let absent = || Target { status: TargetStatus::Absent, generation: 0, slots: 2 };
         let targets = std::iter::repeat_with(absent).take(TARGETS).collect();
         let rate_limits = RateLimits::default();
-        Self { targets, rate_limits, calls: Vec::new(), legs: BTreeMap::new(), next_leg: 0 }
+        let (calls, legs) = (Vec::new(), BTreeMap::new());
+        Self { targets, rate_limits, crashes: Crashes::default(), calls, legs, next_leg: 0 }
     }
 
     /// Sets the number of concurrent calls that each target announces.
@@ -152,14 +159,20 @@
 impl World {
     /// Makes a call at a host. Does nothing if the host is down.
     pub fn call(&mut self, host: usize, repeatable: bool) {
+        self.call_with(host, repeatable, Fingerprint::default());
+    }
+
+    /// Makes a call with a content at a host. Does nothing if the host is down.
+    pub fn call_with(&mut self, host: usize, repeatable: bool, fingerprint: Fingerprint) {
         if !self.is_up(host) {
             return;
         }
-        let call = Call { repeatable, host, runs: 0, ran_at: None, reported_outcome: None };
+        let (ran_at, reported_outcome) = (None, None);
+        let call = Call { repeatable, fingerprint, host, runs: 0, ran_at, reported_outcome };
         self.calls.calls.push(call);
         let call = self.calls.calls.len() - 1;
         let leg = self.calls.add_leg(call, host, self.hosts[host].epoch, None);
-        let head = head(CallOrigin::Caller, repeatable, Chain::default());
+        let head = head(CallOrigin::Caller, repeatable, fingerprint, Chain::default());
         self.submit(host, Event::Call(CallEvent::Arrived { call: leg, head }));
     }
 
@@ -167,11 +180,13 @@
     pub fn run_call_item(&mut self, item: CallItem) {
         match item {
             CallItem::Renew { target, generation } => self.renew(target, generation),
+            CallItem::Restart { target } => self.restart_target(target),
             CallItem::Forwarded { leg, attempt, owner, head, chain } => {
                 self.deliver_forwarded(leg, attempt, owner, head, chain);
             }
             CallItem::Run { leg, attempt, target } => self.run_at_target(leg, attempt, target),
             CallItem::Answer { leg, attempt, notice } => {
+                self.calls.crashes.record_answer(leg, attempt);
                 if let Some(state) = self.calls.legs.get_mut(&leg) {
                     state.answered_attempt = Some(attempt);
                 }
@@ -252,7 +267,8 @@
             self.calls.add_leg(call, owner, self.hosts[owner].epoch, Some((upstream_leg, attempt)));
         self.calls.legs.get_mut(&upstream_leg).expect("found above").downstream =
             Some(downstream_leg);
-        let head = self::head(CallOrigin::Proxy(head), repeatable, chain);
+        let fingerprint = self.calls.calls[call].fingerprint;
+        let head = self::head(CallOrigin::Proxy(head), repeatable, fingerprint, chain);
         self.submit(owner, Event::Call(CallEvent::Arrived { call: downstream_leg, head }));
     }
 
@@ -268,6 +284,10 @@
             return self.push_failed(leg, attempt, UNREACHABLE);
         }
         self.calls.record_run(call, target, self.now_us);
+        self.calls.crashes.record_run(target, leg, attempt);
+        if self.crash_target_if_due(target, self.calls.calls[call].fingerprint) {
+            return;
+        }
         if self.rng.random_ratio(1, 20) {
             return self.push_failed(leg, attempt, LOST);
         }
@@ -283,7 +303,7 @@
         self.push_failed_with(leg, attempt, refusal, TargetNotice::default());
     }
 
-    fn push_failed_with(
+    pub fn push_failed_with(
         &mut self,
         leg: CallId,
         attempt: u8,
@@ -347,14 +367,14 @@
 
 const UNREACHABLE: Refusal = Refusal { code: RefusalCode::Unreachable, outcome: Outcome::NotRun };
 
-const LOST: Refusal = Refusal { code: RefusalCode::ConnectionLost, outcome: Outcome::Unknown };
+pub const LOST: Refusal = Refusal { code: RefusalCode::ConnectionLost, outcome: Outcome::Unknown };
 
 /// What an owner's response says about its target.
 fn notice_of(load: Option<TargetLoad>) -> TargetNotice {
     load.map_or_else(TargetNotice::default, TargetNotice::from)
 }
 
-fn head(origin: CallOrigin, repeatable: bool, chain: Chain) -> CallHead {
+fn head(origin: CallOrigin, repeatable: bool, fingerprint: Fingerprint, chain: Chain) -> CallHead {
     CallHead {
         origin,
         host: "caller".into(),
@@ -362,7 +382,7 @@
         is_safe_method: repeatable,
         body_bytes: Some(0),
         is_replayable: true,
-        fingerprint: Fingerprint::default(),
+        fingerprint,
         chain,
         transit: None,
     }
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod control_cuts;
 mod control_hosts;
+mod crashing_calls;
 mod disk;
 mod machine;
 mod network;
--- a/crates/core/tests/fuzz/rate_limits.rs
+++ b/crates/core/tests/fuzz/rate_limits.rs
@@ -97,7 +97,7 @@
 }
 
 /// A mesh in which each target has 12 slots and is called.
-fn started_world(seed: u64) -> World {
+pub fn started_world(seed: u64) -> World {
     let mut world = World::new(seed);
     world.run_ms(5_000);
     world.put(0, 0, None);
@@ -117,7 +117,7 @@
 }
 
 /// Crashes an owner at times, and starts those again that have been down long enough.
-fn crash_and_restart(world: &mut World, starts_at_us: &mut BTreeMap<usize, u64>) {
+pub fn crash_and_restart(world: &mut World, starts_at_us: &mut BTreeMap<usize, u64>) {
     if world.rng.random_ratio(1, CRASH_EVERY_MS) {
         let host = owner_of(world.rng.random_range(0..TARGETS));
         if world.is_up(host) {
