--- a/crates/core/tests/fuzz/control_cuts.rs
+++ b/crates/core/tests/fuzz/control_cuts.rs
@@ -128,7 +128,7 @@
     let mut world = started_world(shape, seed);
     let is_cut = |host: &usize| match cut {
         CutControlHosts::One => *host == seed as usize % shape.control_hosts,
-        CutControlHosts::Half => host % 2 == 0,
+        CutControlHosts::Half => host.is_multiple_of(2),
     };
     let (one, other): (Vec<usize>, Vec<usize>) = (0..shape.control_hosts).partition(is_cut);
     world.network.cut_between(&one, &other);
