Routing: refuse calls whose content ended three targets

Cause: nothing remembered what a target ran when it ended. Such a request comes again under another id, at any ingress, so it was new to everybody each time.

Change: proxies share, for each content, the ends of targets at which it was in flight, and of which ends a complete answer acquits it; from three on it is refused as not run. The records are sets that only grow, merged by union, and travel along the links of membership.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -180,6 +180,12 @@
         self.topology.neighbours()
     }
 
+    /// Processes with which this one exchanges heartbeats and changed records: those of the own
+    /// availability zone and, at a relay, relays of others.
+    pub fn linked_peers(&self) -> impl Iterator<Item = NodeId> {
+        self.links.peers()
+    }
+
     pub(crate) fn topology(&self) -> &Topology {
         &self.topology
     }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 use crate::consensus::ConsensusMessage;
 use crate::distribution::DistributionMessage;
 use crate::membership::MembershipMessage;
+use crate::routing::RoutingMessage;
 use crate::slo::SloMessage;
 
 /// A message between processes.
@@ -22,6 +23,8 @@
     Api(ApiMessage),
     /// Counts for the service-level burn report.
     Slo(SloMessage),
+    /// Contents of calls that end their targets.
+    Routing(RoutingMessage),
 }
 
 macro_rules! into_peer_message {
@@ -40,6 +43,7 @@
     Membership(MembershipMessage),
     Api(ApiMessage),
     Slo(SloMessage),
+    Routing(RoutingMessage),
 }
 
 /// Whether a field has its default value and is left out of a message.
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -85,12 +85,14 @@
             state.membership.tick(&mut cx);
             state.distribution.tick(&mut cx, &state.membership);
             state.routing.tick(&mut cx, &mut state.slo);
+            state.routing.send_suspects(&mut cx, state.membership.linked_peers());
             state.slo.tick(&mut cx, &state.membership);
             state.api.tick(&mut cx, api_parts!(state));
         }
         Event::PeerConnected { peer } => {
             state.membership.peer_connected(&mut cx, peer);
             state.distribution.peer_connected(&mut cx, &state.membership, peer);
+            state.routing.peer_connected(&mut cx, peer);
         }
         Event::PeerDisconnected { peer } => {
             state.membership.peer_disconnected(&mut cx, peer);
@@ -158,6 +160,7 @@
         PeerMessage::Membership(message) => state.membership.step(&mut cx, from, message),
         PeerMessage::Api(message) => state.api.step(&mut cx, api_parts!(state), from, message),
         PeerMessage::Slo(message) => state.slo.step(&mut cx, from, message),
+        PeerMessage::Routing(message) => state.routing.handle_message(&mut cx, from, message),
     }
 }
 
--- a/crates/core/src/routing/admit.rs
+++ b/crates/core/src/routing/admit.rs
@@ -61,7 +61,10 @@
             && let Some(id) = admission.pop_next(cx.now)
         {
             let call = &self.calls[&id];
-            if admission.admit_queued(cx.now, call.deadline, call.is_bulk) {
+            if self.quarantine.contains(call.fingerprint, cx.now) {
+                let code = RefusalCode::Quarantined;
+                self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
+            } else if admission.admit_queued(cx.now, call.deadline, call.is_bulk) {
                 self.dispatch(cx, id, target);
             } else {
                 let code = RefusalCode::DeadlineExceeded;
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -74,6 +74,9 @@
         let table = self.table.as_ref().ok_or(RefusalCode::NoConfiguration)?;
         let rule = table.find(&head.host, &head.path).ok_or(RefusalCode::NoRoute)?;
         let rule = Arc::clone(rule);
+        if self.quarantine.contains(head.fingerprint, cx.now) {
+            return Err(RefusalCode::Quarantined);
+        }
         if head.chain.hops >= MAX_HOPS {
             return Err(RefusalCode::HopLimit);
         }
@@ -117,6 +120,9 @@
         if self.is_refusing {
             return Err(RefusalCode::Stopping);
         }
+        if self.quarantine.contains(head.fingerprint, cx.now) {
+            return Err(RefusalCode::Quarantined);
+        }
         let key = self.target_keys.get(&forward.target).copied();
         let key = key.ok_or(RefusalCode::TargetGone)?;
         let target = &self.targets[key];
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -1,13 +1,12 @@
 //! Failed attempts: what they imply for the health of the target, and whether the call is
 //! retried.
 
+use super::Routing;
 use super::call::{TargetLoad, TargetNotice};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Stage};
-use super::{Routing, TargetKey};
 use crate::context::Context;
-use crate::event::{LogLevel, LogPart};
 use crate::ids::CallId;
 
 /// Whether the refusal means a lack of capacity rather than a fault. Unless another target is
@@ -42,7 +41,7 @@
             }
             self.note_leaving(running.target, notice.is_leaving);
             if notice.has_ended {
-                self.log_target_end(cx, id, running.target);
+                self.record_target_end(cx, id, running.target);
             }
         }
         if is_ingress {
@@ -52,14 +51,6 @@
         self.attempt_failed(cx, id, refusal);
     }
 
-    /// Logs that a target of this host ended while it ran a call.
-    fn log_target_end(&self, cx: &mut Context<'_>, id: CallId, key: TargetKey) {
-        let target = &self.targets[key].record.target;
-        let fingerprint = self.calls[&id].fingerprint;
-        let text = format!("Target {target} ended while it ran content {fingerprint}.");
-        cx.log(LogLevel::Info, LogPart::Calls, text);
-    }
-
     fn observe_failure(
         &mut self,
         cx: &mut Context<'_>,
@@ -78,7 +69,7 @@
         }
         let is_target_fault = match refusal.code {
             RefusalCode::Overloaded | RefusalCode::ProxyBusy | RefusalCode::Stopping => false,
-            RefusalCode::DeadlineExceeded => false,
+            RefusalCode::DeadlineExceeded | RefusalCode::Quarantined => false,
             _ => !attempt.is_overdue,
         };
         if is_target_fault {
@@ -110,6 +101,8 @@
         id: CallId,
         refusal: Refusal,
     ) -> bool {
+        let is_quarantined =
+            refusal.code == RefusalCode::Quarantined || self.is_quarantined(cx, id);
         let call = self.call_mut(id);
         call.stage = Stage::Choosing;
         call.may_have_run |= refusal.outcome != Outcome::NotRun;
@@ -121,6 +114,7 @@
         let is_safe = refusal.outcome == Outcome::NotRun || call.is_repeatable;
         let is_possible = call.is_ingress()
             && is_safe
+            && !is_quarantined
             && call.is_replayable
             && call.may_try_again()
             && cx.now < call.deadline;
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -8,6 +8,7 @@
 use super::answer::FIRST_SERVER_ERROR;
 use super::attempt::attempt_timeout_at;
 use super::decision::Step;
+use super::quarantine::REMEMBERED_FOR_MS;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, ServerError, Stage};
 use super::table::RouteRule;
@@ -120,6 +121,7 @@
                 let remaining_ms = EXPECTED_STARTUP_MS.saturating_sub(cx.now.as_ms()) as u32;
                 remaining_ms.max(MIN_RETRY_AFTER_MS)
             }
+            (RefusalCode::Quarantined, _) => REMEMBERED_FOR_MS as u32,
             _ => default_ms.map(|default_ms| default_ms * 2 / 3)?,
         };
         Some(min_ms + cx.rng.random_range(0..=min_ms / 2))
@@ -151,6 +153,9 @@
             };
             cx.log_decision(id, step);
         }
+        if is_complete {
+            self.record_answered_content(cx, id);
+        }
         self.release(cx, id, relaying, is_complete);
         if is_ingress && !is_complete && self.targets.contains_key(relaying.target) {
             self.note_failure(cx, relaying.target);
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod admit;
 mod answer;
+mod answered_contents;
 mod arrive;
 mod attempt;
 mod budget;
@@ -29,6 +30,7 @@
 mod message;
 mod metrics;
 mod network_path;
+mod quarantine;
 mod rate_limit;
 mod recent_minimum;
 mod refusal;
@@ -53,8 +55,9 @@
 pub use chain::{Chain, ChainError};
 pub use decision::{Decision, Step};
 pub use link_share::LinkShare;
-pub use message::Fingerprint;
+pub use message::{Fingerprint, RoutingMessage, SuspectRecord, TargetEnd};
 pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
+pub use quarantine::QUARANTINE_AFTER_ENDS;
 pub use rate_limit::RateLimit;
 pub use refusal::{Outcome, Refusal, RefusalCode};
 pub use transit::{ClockId, Transit};
@@ -120,6 +123,8 @@
     calls: HashMap<CallId, state::Call>,
     /// The time at which each call is checked next.
     deadlines: BTreeSet<(Instant, CallId)>,
+    /// Contents of calls that end their targets.
+    quarantine: quarantine::Quarantine,
     /// Rate limits of the targets of other hosts.
     reported_limits: reported_limits::ReportedLimits,
     /// When the admission control of a target may admit the next call under its rate limit.
@@ -159,6 +164,7 @@
             transits: transit::Transits::default(),
             calls: HashMap::default(),
             deadlines: BTreeSet::new(),
+            quarantine: quarantine::Quarantine::default(),
             reported_limits: reported_limits::ReportedLimits::default(),
             admissions_due: BTreeSet::new(),
             leaving_targets: Vec::new(),
@@ -204,7 +210,12 @@
         let stop = self.refuse_at.filter(|_| !self.is_refusing).unwrap_or(Instant::NEVER);
         let leave = self.leave_at.unwrap_or(Instant::NEVER);
         let admission = self.admissions_due.first().map_or(Instant::NEVER, |(due_at, _)| *due_at);
-        call.min(admission).min(stop).min(leave).min(self.close_at.unwrap_or(Instant::NEVER))
+        let quarantine = self.quarantine.flush_at;
+        call.min(admission)
+            .min(quarantine)
+            .min(stop)
+            .min(leave)
+            .min(self.close_at.unwrap_or(Instant::NEVER))
     }
 
     /// Handles every timer that is due.
--- a/crates/core/src/routing/refusal.rs
+++ b/crates/core/src/routing/refusal.rs
@@ -73,6 +73,8 @@
     WrongAnswer,
     /// The request's body is larger than the policy allows.
     BodyTooLarge,
+    /// Calls with this content ended the targets that ran them.
+    Quarantined,
     /// The chain of calls is too long, which usually means a loop.
     HopLimit,
     /// The deadline passed.
@@ -110,6 +112,7 @@
             | Self::Overloaded
             | Self::ProxyBusy
             | Self::Stopping
+            | Self::Quarantined
             | Self::TargetGone
             | Self::TargetRefused => 503,
         }
@@ -129,6 +132,7 @@
             Self::TargetFailed => "the target answered with a server error",
             Self::WrongAnswer => "the target's response does not belong to this call",
             Self::BodyTooLarge => "the request's body is larger than its policy allows",
+            Self::Quarantined => "targets ended while they ran calls like this one",
             Self::HopLimit => "the call went through too many proxies",
             Self::DeadlineExceeded => "the deadline of the call passed",
             Self::Unreachable => "no connection to the target could be established",
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -5,6 +5,7 @@
 use super::call::{CallClass, RateReport, TargetLoad};
 use super::estimate::{ByClass, Estimate};
 use super::health::Health;
+use super::message::TargetEnd;
 use crate::membership::{TargetRecord, TargetState};
 use crate::routing::ServiceKey;
 use crate::time::Instant;
@@ -67,6 +68,8 @@
     /// announced none.
     cold_us: Option<u64>,
     hint: Option<LoadHint>,
+    /// The last end of the target that its owner noticed, and when it did last.
+    pub last_end: Option<(TargetEnd, Instant)>,
     /// Until when the link of the target's host is considered to have no capacity for large
     /// responses.
     link_busy_until: Instant,
@@ -88,6 +91,7 @@
             ready_since: now,
             cold_us: None,
             hint: None,
+            last_end: None,
             link_busy_until: Instant::ZERO,
         };
         target.begin_slow_start(now);
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -356,6 +356,10 @@
 
     fn refuse(&mut self, id: CallId, refusal: Refusal, notice: TargetNotice) {
         let Some(leg) = self.calls.legs.remove(&id) else { return };
+        if refusal.code == RefusalCode::Quarantined {
+            let fingerprint = self.calls.calls[leg.call].fingerprint;
+            self.calls.crashes.record_quarantined(fingerprint);
+        }
         match leg.upstream {
             Some((upstream_leg, attempt)) => {
                 self.push_failed_with(upstream_leg, attempt, refusal, notice);
--- a/crates/core/tests/fuzz/crashing_calls.rs
+++ b/crates/core/tests/fuzz/crashing_calls.rs
@@ -42,6 +42,8 @@
 pub struct Crashes {
     running: BTreeMap<usize, Vec<(CallId, u8)>>,
     ends_us: Vec<u64>,
+    /// Calls of each content that were refused for it.
+    quarantined: BTreeMap<Fingerprint, usize>,
 }
 
 impl Crashes {
@@ -55,6 +57,11 @@
         self.running.values_mut().for_each(|running| running.retain(|run| *run != (leg, attempt)));
     }
 
+    /// Records that a call was refused for its content.
+    pub fn record_quarantined(&mut self, fingerprint: Fingerprint) {
+        *self.quarantined.entry(fingerprint).or_default() += 1;
+    }
+
     /// Runs of the crashing call that the users count.
     fn late_runs(&self) -> usize {
         let Some(third_us) = self.ends_us.get(TOLERATED_ENDS - 1) else { return 0 };
@@ -121,3 +128,21 @@
     assert!(ends >= TOLERATED_ENDS, "only {ends} of {TARGETS} targets ended");
     assert!(late_runs <= TOLERATED_LATE_RUNS, "{late_runs} late runs, {ends} targets ended");
 }
+
+// Guards against an innocent content that stays refused because calls with it were in flight at
+// targets that ended.
+#[rstest]
+fn an_innocent_content_is_served_while_targets_end(#[values(1, 2, 3, 4, 5, 6)] seed: u64) {
+    let mut world = started_world(seed);
+    (0..CALLS_FOR_MS).for_each(|_| run_one_ms(&mut world));
+    world.run_ms(DOWN_US / 1_000);
+    world.calls.crashes.quarantined.clear();
+
+    (0..ZONES.len()).for_each(|host| world.call_with(host, true, POPULAR));
+    (0..ZONES.len()).for_each(|host| world.call_with(host, true, CRASHING));
+    world.run_ms(DOWN_US / 1_000);
+
+    let quarantined = &world.calls.crashes.quarantined;
+    assert_eq!(quarantined.get(&POPULAR), None, "calls with a popular content are refused");
+    assert_eq!(quarantined.get(&CRASHING), Some(&ZONES.len()));
+}
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -13,7 +13,7 @@
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
     CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, ForwardHead,
-    Outcome, Refusal, RefusalCode, Routing, RoutingSettings, TargetNotice, Transit,
+    Outcome, Refusal, RefusalCode, Routing, RoutingMessage, RoutingSettings, TargetNotice, Transit,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -224,6 +224,21 @@
         });
     }
 
+    /// Lets a message of another proxy arrive.
+    pub fn receive(&mut self, from: NodeId, message: RoutingMessage) {
+        self.with_context(|routing, _, cx| routing.handle_message(cx, from, message));
+    }
+
+    /// Connects another process.
+    pub fn connect(&mut self, peer: NodeId) {
+        self.with_context(|routing, _, cx| routing.peer_connected(cx, peer));
+    }
+
+    /// Removes and returns all effects since the last time.
+    pub fn take_all_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
     /// Removes and returns the effects on calls since the last time.
     pub fn take_effects(&mut self) -> Vec<CallEffect> {
         let effects = std::mem::take(&mut self.effects);
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -53,16 +53,30 @@
 pub(super) struct Failure {
     pub refusal: Refusal,
     pub notice: TargetNotice,
+    /// Whether the other end closed or reset the connection.
+    is_closed_by_peer: bool,
 }
 
 impl Failure {
     pub fn new(code: RefusalCode, outcome: Outcome) -> Self {
-        Self { refusal: Refusal { code, outcome }, notice: TargetNotice::default() }
+        let (refusal, notice) = (Refusal { code, outcome }, TargetNotice::default());
+        Self { refusal, notice, is_closed_by_peer: false }
     }
 
-    /// Adds whether the target has ended, if the connection to it was lost.
+    /// The connection was lost after some of the request was written.
+    fn connection_lost(error: &hyper::Error) -> Self {
+        let failure = Self::new(RefusalCode::ConnectionLost, Outcome::Unknown);
+        Self { is_closed_by_peer: !error.is_parse(), ..failure }
+    }
+
+    /// Adds what the other end says about the target.
+    fn with_notice(self, notice: TargetNotice) -> Self {
+        Self { notice, ..self }
+    }
+
+    /// Adds whether the target has ended, if it closed the connection.
     async fn with_target_state(mut self, address: SocketAddr) -> Self {
-        if self.refusal.code == RefusalCode::ConnectionLost {
+        if self.is_closed_by_peer {
             self.notice.has_ended = refuses_connections(address).await;
         }
         self
@@ -144,7 +158,7 @@
         };
         // The connection is not reused: a faulty target may send the refusal again, and a later
         // call would take it for its own.
-        return Err(Failure { refusal: Refusal { code, outcome: Outcome::NotRun }, notice });
+        return Err(Failure::new(code, Outcome::NotRun).with_notice(notice));
     }
     let lacks_stamp = dialect.stamp.as_ref().is_some_and(|stamp| !header_map.contains_key(stamp));
     if status.is_success() && lacks_stamp {
@@ -181,7 +195,7 @@
         return Ok(answer);
     };
     drain(answer).await;
-    Err(Failure { refusal: Refusal { code, outcome }, notice })
+    Err(Failure::new(code, outcome).with_notice(notice))
 }
 
 /// Sends a request on an exclusive connection. The error has the outcome `not-run` only if
@@ -207,7 +221,7 @@
         };
         // The connection returns the request only if it has not started to write it.
         let Some(unsent) = failed.take_message() else {
-            return Err(Failure::new(RefusalCode::ConnectionLost, Outcome::Unknown));
+            return Err(Failure::connection_lost(failed.error()));
         };
         request = unsent;
         connection = pool.acquire(connection_request).await.map_err(unreachable)?;
--- a/crates/daemon/src/peers/stats.rs
+++ b/crates/daemon/src/peers/stats.rs
@@ -33,6 +33,8 @@
     Api,
     /// Counts for the burn report.
     Slo,
+    /// Contents of calls that end their targets.
+    Routing,
     /// Keep-alive frames of the connections themselves.
     Transport,
 }
@@ -45,6 +47,7 @@
             PeerMessage::Membership(_) => Self::Membership,
             PeerMessage::Api(_) => Self::Api,
             PeerMessage::Slo(_) => Self::Slo,
+            PeerMessage::Routing(_) => Self::Routing,
         }
     }
 }
