Announcements: refuse starts and numbers that no target can have

An announcement with the start u64::MAX, or its number, counted as newer than all later ones of its target, which were then ignored until its lease expired: the host ran without a target.

Such an order is refused now, before it is recorded. The bound is absolute: the clock of an owner may have been wrong when it started.

--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -31,7 +31,7 @@
 use crate::context::Context;
 use crate::distribution::{Distribution, Progress};
 use crate::ids::{NodeId, RequestId};
-use crate::membership::Membership;
+use crate::membership::{Membership, TargetAnnouncement};
 use crate::slo::Slo;
 use crate::time::Instant;
 
@@ -143,10 +143,7 @@
             ApiRequest::Burn => {
                 ApiResponse::Error(status::misdirected_error(cx, &parts, "burn reports"))
             }
-            ApiRequest::Announce(announcement) => {
-                parts.membership.announce_target(cx, announcement);
-                ApiResponse::Done
-            }
+            ApiRequest::Announce(announcement) => announce_target(cx, &mut parts, announcement),
             ApiRequest::Leave(target) => leave_target(cx, &mut parts, &target),
             ApiRequest::LeaveId(id) => match parts.membership.own_target(&id) {
                 Some(target) => leave_target(cx, &mut parts, &target),
@@ -333,6 +330,18 @@
     }
 }
 
+fn announce_target(
+    cx: &mut Context<'_>,
+    parts: &mut ApiParts<'_>,
+    announcement: TargetAnnouncement,
+) -> ApiResponse {
+    if let Err(error) = announcement.check_order() {
+        return ApiResponse::Error(ApiError::new(ErrorCode::Invalid, error.to_string()));
+    }
+    parts.membership.announce_target(cx, announcement);
+    ApiResponse::Done
+}
+
 fn leave_target(
     cx: &mut Context<'_>,
     parts: &mut ApiParts<'_>,
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -40,7 +40,8 @@
 };
 pub use reachability::{CUT_OFF_AFTER_MS, FORGET_CUT_OFF_AFTER_MS};
 pub use record::{
-    AnnouncementOrder, Member, MemberStatus, TargetAnnouncement, TargetRecord, TargetState,
+    AnnouncementError, AnnouncementOrder, Member, MemberStatus, TargetAnnouncement, TargetRecord,
+    TargetState,
 };
 pub use view::{FORGET_DEAD_AFTER_MS, FORGET_LEFT_AFTER_MS};
 
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -122,6 +122,47 @@
     pub order: Option<AnnouncementOrder>,
 }
 
+/// Latest start of a target, in Unix milliseconds: the year 2200. The clock of the owner is no
+/// bound, since it may have been wrong when the owner started.
+const MAX_START_UNIX_MS: u64 = 7_258_118_400_000;
+
+/// Highest number of an announcement: the highest integer that every JSON writer can write.
+const MAX_SEQUENCE: u64 = (1 << 53) - 1;
+
+/// Why an announcement is refused. Its target would be taken for newer than every later
+/// announcement, which would then be ignored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum AnnouncementError {
+    /// The start is too late.
+    #[error("the start {started_unix_ms} of the target is above {MAX_START_UNIX_MS}")]
+    StartTooLate {
+        /// The stated start.
+        started_unix_ms: u64,
+    },
+    /// The number is too high.
+    #[error("the number {sequence} of the announcement is above {MAX_SEQUENCE}")]
+    SequenceTooHigh {
+        /// The stated number.
+        sequence: u64,
+    },
+}
+
+impl TargetAnnouncement {
+    /// Checks that the order of the announcement is one that a target can have.
+    pub fn check_order(&self) -> Result<(), AnnouncementError> {
+        let Some(AnnouncementOrder { started_unix_ms, sequence }) = self.order else {
+            return Ok(());
+        };
+        if started_unix_ms > MAX_START_UNIX_MS {
+            return Err(AnnouncementError::StartTooLate { started_unix_ms });
+        }
+        if sequence > MAX_SEQUENCE {
+            return Err(AnnouncementError::SequenceTooHigh { sequence });
+        }
+        Ok(())
+    }
+}
+
 /// Order of an announcement among those at its target's address.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct AnnouncementOrder {
--- a/crates/core/tests/api.rs
+++ b/crates/core/tests/api.rs
@@ -12,8 +12,11 @@
 use fireflylug_core::consensus::ChangeOutcome;
 use fireflylug_core::context::{Addresses, Context, Identity};
 use fireflylug_core::distribution::{Distribution, DistributionSettings, Progress, ZoneProgress};
-use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, Version};
-use fireflylug_core::membership::{Membership, MembershipMessage, MembershipSettings};
+use fireflylug_core::ids::{Locality, Name, NodeId, RequestId, TargetId, Version};
+use fireflylug_core::membership::{
+    AnnouncementOrder, Membership, MembershipMessage, MembershipSettings, TargetAnnouncement,
+    TargetState,
+};
 use fireflylug_core::message::PeerMessage;
 use fireflylug_core::resource::{Resource, Service};
 use fireflylug_core::slo::Slo;
@@ -392,3 +395,43 @@
 
     assert_eq!(error_code(&effects), Some(ErrorCode::Compacted));
 }
+
+/// Lease of the announcements, in milliseconds.
+const LEASE_MS: u32 = 5_000;
+
+fn announcement(order: AnnouncementOrder) -> TargetAnnouncement {
+    TargetAnnouncement {
+        target: TargetId { service: name("seatdesk"), id: name("a") },
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        slots: 12,
+        connections: 120,
+        lease_ms: LEASE_MS,
+        load_percent: None,
+        draining: false,
+        cold_ms: 0,
+        order: Some(order),
+    }
+}
+
+// Guards against one odd announcement, of another writer, after which all later ones of the target
+// count as older: its lease expires although it goes on announcing itself.
+#[rstest]
+#[case::start_far_in_the_future(AnnouncementOrder { started_unix_ms: u64::MAX, sequence: 1 })]
+#[case::start_in_other_units(AnnouncementOrder { started_unix_ms: 1_800_000_000_000_000, sequence: 1 })]
+#[case::number_too_high(AnnouncementOrder { started_unix_ms: 1, sequence: u64::MAX })]
+fn an_odd_announcement_does_not_silence_its_target(#[case] odd: AnnouncementOrder) {
+    let mut process = Process::new(identity("host", false));
+    let announce = |process: &mut Process, order| {
+        process.request(REQUEST, ApiRequest::Announce(announcement(order)))
+    };
+
+    let refused = announce(&mut process, odd);
+    for sequence in 1..=5 {
+        announce(&mut process, AnnouncementOrder { started_unix_ms: 1, sequence });
+        process.run_until_ms(process.now.as_ms() + u64::from(LEASE_MS) / 2);
+    }
+
+    assert_eq!(error_code(&refused), Some(ErrorCode::Invalid));
+    let states: Vec<_> = process.membership.targets().map(|target| target.state).collect();
+    assert_eq!(states, [TargetState::Ready]);
+}
