Test: disks that are full one after another

The cluster of the tests can now open a folder again while its disk is still full; that counts as a restart, since a replica publishes again what it applied without having synced it, which watches and the distribution ignore. The comment of the output said otherwise.

--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -113,8 +113,8 @@
 /// Output of the control replica to the rest of the reducer.
 #[derive(Clone, Debug)]
 pub enum ControlOutput {
-    /// A version was committed at this replica. Versions are output in order,
-    /// each once; versions that an installed snapshot skips are not output.
+    /// A version was committed at this replica. Versions are output in order, each once since the
+    /// disk was last opened; versions that an installed snapshot skips are not output.
     Committed(Arc<Configuration>),
     /// The committed configuration that was on disk at startup. Newer versions may be in
     /// force, so it must not be served from before a leader has made contact; it may be
--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -30,7 +30,7 @@
     cluster.outcomes[&origin].clone()
 }
 
-fn is_accepted(outcome: &ChangeOutcome) -> bool {
+pub fn is_accepted(outcome: &ChangeOutcome) -> bool {
     matches!(outcome, ChangeOutcome::Accepted { .. })
 }
 
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -135,9 +135,17 @@
     /// Repairs the disk of a replica, and passes its recovered content to the replica.
     pub fn reopen_disk(&mut self, node: usize) {
         self.nodes[node].disk_fails = false;
+        self.reopen_folder(node);
+    }
+
+    /// Passes the recovered content of a disk to its replica. The disk may still fail each write.
+    pub fn reopen_folder(&mut self, node: usize) {
         self.nodes[node].disk.crash(0);
         let recovered = self.nodes[node].disk.recover();
         self.nodes[node].is_sync_pending = false;
+        // As after a restart, versions that were published before may be published again.
+        let node_state = &mut self.nodes[node];
+        (node_state.newest_version, node_state.recovered_version) = (Version(0), Version(0));
         self.drive(node, |replica, cx| {
             replica.handle_disk_event(cx, DiskEvent::Reopened(recovered))
         });
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -3,5 +3,6 @@
 mod cases;
 mod cluster;
 mod disk;
+mod full_disks;
 mod random;
 mod starts;
