--- a/crates/core/tests/fuzz/control_cuts.rs
+++ b/crates/core/tests/fuzz/control_cuts.rs
@@ -63,12 +63,17 @@
     zones
 }
 
-/// The control host that is the relay of an availability zone, or the zone's first control host.
-fn control_host_of(world: &World, shape: Shape, zone: usize) -> usize {
+/// The relay of an availability zone, by the records of its first host.
+fn relay_of(world: &World, zone: usize) -> usize {
     let name = Name::new(format!("zone-{zone}")).expect("a valid name");
     let membership = world.hosts[zone].state.as_ref().expect("up").membership();
     let relay = membership.relay(&name).expect("a relay");
-    let relay = world.hosts.iter().position(|host| host.id == relay).expect("a host");
+    world.hosts.iter().position(|host| host.id == relay).expect("a host")
+}
+
+/// The control host that is the relay of an availability zone, or the zone's first control host.
+fn control_host_of(world: &World, shape: Shape, zone: usize) -> usize {
+    let relay = relay_of(world, zone);
     if relay < shape.control_hosts { relay } else { zone }
 }
 
@@ -109,6 +114,32 @@
     assert!(behind_the_second.is_empty(), "behind the next version: {behind_the_second:?}");
 }
 
+// Guards against an availability zone that stays on an old version while the proxy that is its relay
+// is cut off from all control hosts.
+#[rstest]
+fn zone_gets_new_versions_while_its_relay_is_cut_off_from_the_control_hosts(
+    #[values(0, 1, 2, 3)] zone: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let shape = Shape { zones: 4, control_hosts: 4, voters: 3, has_slow_proxies: false };
+    let mut world = started_world(shape, seed);
+    let relay = relay_of(&world, zone);
+    let control_hosts: Vec<usize> = (0..shape.control_hosts).collect();
+    let began_us = world.now_us;
+    world.network.cut_between(&[relay], &control_hosts);
+
+    let version = change(&mut world, 0);
+    world.run_ms(IN_TOUCH_WITHIN_MS.saturating_sub((world.now_us - began_us) / 1_000));
+    let behind_the_first = proxies_behind(&world, shape, version);
+    let version = change(&mut world, 0);
+    world.run_ms(CONFIG_WITHIN_MS);
+    let behind_the_second = proxies_behind(&world, shape, version);
+
+    let in_touch = |behind: Vec<usize>| behind.into_iter().filter(|host| *host != relay).count();
+    assert!(relay >= shape.control_hosts, "the relay is a proxy");
+    assert_eq!((in_touch(behind_the_first), in_touch(behind_the_second)), (0, 0));
+}
+
 /// Which control hosts a cut separates from the other ones.
 #[derive(Clone, Copy, Debug)]
 enum CutControlHosts {
