--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -129,8 +129,8 @@
 /// Highest number of an announcement: the highest integer that every JSON writer can write.
 const MAX_SEQUENCE: u64 = (1 << 53) - 1;
 
-/// Why an announcement is refused. Its target would be taken for newer than every later
-/// announcement, which would then be ignored.
+/// Why an announcement is refused. It would count as newer than all later ones of its target,
+/// which would then be ignored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum AnnouncementError {
     /// The start is too late.
--- a/crates/core/src/membership/topology.rs
+++ b/crates/core/src/membership/topology.rs
@@ -51,8 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Topology {
     zones: BTreeMap<Name, ZoneOrder>,
-    /// Relays of each region by rank, those without contact to a quorum last; the first is the hub. In the own region, zones that
-    /// are cut off are left out.
+    /// Relays of each region by rank, those without contact to a quorum last. The first is the hub.
+    /// In the own region, zones that are cut off are left out.
     relays: BTreeMap<Name, Vec<NodeId>>,
     neighbours: Vec<NodeId>,
 }
