--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    /// Whether this replica has had no contact with a quorum for [`LACKS_QUORUM_AFTER_MS`], or, as a
+    /// Whether this replica has had no contact with a quorum for a while, or, as a
     /// standby, none with a replica that knows the leader.
     pub fn lacks_quorum(&mut self, now: Instant) -> bool {
         self.log_contact_at =
