review: case 2, a deadly request is acquitted by another caller's answers

Cause: the fingerprint by which deadly requests are recognised leaves out the caller, which is part of what makes a request the same. A complete answer to a sound request of another caller acquits the deadly one. Case: review/2, a script. A lookup of one service crashes each endpoint that begins to run it and comes again each second; another service looks up the same path. The earlier cases 2 and 3 are 3 and 4 now.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/harness ] || exit 2
 [ -x target/release/fireflylug-platformd ] || exit 2
-exec target/review/harness late-heartbeat review/2/record.txt
+exec target/review/harness deadly-caller review/2/record.txt
--- a/review/harness/endpoint.rs
+++ b/review/harness/endpoint.rs
@@ -1,8 +1,8 @@
 //! Endpoint stand-in: serves requests, answers health checks and sends heartbeats, as
-//! PROTOCOL.md describes a sound endpoint.
+//! PROTOCOL.md describes a sound endpoint. It can be told to misbehave in the ways that a case needs.
 
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -20,6 +20,9 @@
 /// Time within which a heartbeat must be answered to count as acknowledged.
 const ACK_WITHIN: Duration = Duration::from_secs(1);
 
+/// Time between two looks for a new connection.
+const ACCEPT_EVERY: Duration = Duration::from_millis(1);
+
 /// Pause between two pieces of a body without end.
 const PIECE_PAUSE: Duration = Duration::from_millis(20);
 
@@ -30,6 +33,8 @@
     pub arrived_ms: u64,
     /// Its `Request-Id`.
     pub request_id: String,
+    /// Whether the endpoint crashed when it began to run the request.
+    pub is_deadly: bool,
 }
 
 /// An endpoint with its own threads, which end with the process.
@@ -46,6 +51,11 @@
     endless_every: AtomicU32,
     answers: AtomicU32,
     sends_heartbeats: AtomicBool,
+    /// Service whose requests crash the endpoint, if any.
+    deadly_caller: Option<&'static str>,
+    has_crashed: AtomicBool,
+    /// All connections that were accepted, to close them in a crash.
+    connections: Mutex<Vec<TcpStream>>,
     /// Where heartbeats are sent: the control address of its own machine, or a proxy before it.
     heartbeat_to: SocketAddr,
     runs: Mutex<Vec<Run>>,
@@ -60,6 +70,19 @@
         address: SocketAddr,
         heartbeat_to: SocketAddr,
         record: &Arc<Record>,
+    ) -> Result<Arc<Self>, String> {
+        Self::start_with(id, service, address, heartbeat_to, None, record)
+    }
+
+    /// Starts an endpoint that crashes when it begins to run a request of the service
+    /// `deadly_caller`.
+    pub fn start_with(
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        heartbeat_to: SocketAddr,
+        deadly_caller: Option<&'static str>,
+        record: &Arc<Record>,
     ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind(address).map_err(|error| format!("{address}: {error}"))?;
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -75,26 +98,51 @@
             endless_every: AtomicU32::new(0),
             answers: AtomicU32::new(0),
             sends_heartbeats: AtomicBool::new(true),
+            deadly_caller,
+            has_crashed: AtomicBool::new(false),
+            connections: Mutex::default(),
             heartbeat_to,
             runs: Mutex::default(),
             record: Arc::clone(record),
         });
+        listener.set_nonblocking(true).map_err(|error| error.to_string())?;
         let accepting = Arc::clone(&endpoint);
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let endpoint = Arc::clone(&accepting);
-                // An error means that the caller closed the connection.
-                std::thread::spawn(move || drop(endpoint.serve(stream)));
-            }
-        });
+        std::thread::spawn(move || accepting.accept(listener));
         let beating = Arc::clone(&endpoint);
         std::thread::spawn(move || beating.send_heartbeats());
         Ok(endpoint)
     }
 
+    /// Accepts connections until the endpoint crashes, which closes the listener and then all
+    /// connections.
+    fn accept(self: Arc<Self>, listener: TcpListener) {
+        while !self.has_crashed() {
+            let Ok((stream, _)) = listener.accept() else {
+                std::thread::sleep(ACCEPT_EVERY);
+                continue;
+            };
+            if let Ok(copy) = stream.try_clone() {
+                lock(&self.connections).push(copy);
+            }
+            let endpoint = Arc::clone(&self);
+            // An error means that the caller closed the connection.
+            std::thread::spawn(move || drop(endpoint.serve(stream)));
+        }
+        drop(listener);
+        for connection in lock(&self.connections).drain(..) {
+            // The caller may have closed it already.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Whether the endpoint has crashed. It does not come back; another one may take its address.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.load(Ordering::SeqCst)
+    }
+
     /// All runs so far.
     pub fn runs(&self) -> Vec<Run> {
-        self.lock_runs().clone()
+        lock(&self.runs).clone()
     }
 
     /// From now on, one answer in `every` has a body without end.
@@ -147,6 +195,7 @@
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
@@ -168,8 +217,17 @@
             let header = format!("Instance-Id: {}\r\n", self.id);
             return write_refusal(writer, "421 Misdirected Request", &header);
         }
-        let run = Run { arrived_ms: self.record.now_ms(), request_id: request_id.to_owned() };
-        self.lock_runs().push(run);
+        let caller = head.header("caller-service");
+        let is_deadly = caller.is_some() && caller == self.deadly_caller;
+        let arrived_ms = self.record.now_ms();
+        let run = Run { arrived_ms, request_id: request_id.to_owned(), is_deadly };
+        lock(&self.runs).push(run);
+        if is_deadly {
+            self.record.line(format!("{}: crashes as it begins to run {request_id}", self.id));
+            self.stop_heartbeats();
+            self.has_crashed.store(true, Ordering::SeqCst);
+            return Ok(());
+        }
         self.running.fetch_add(1, Ordering::SeqCst);
         let written = self.run(request_id, writer);
         self.running.fetch_sub(1, Ordering::SeqCst);
@@ -226,10 +284,10 @@
     fn leaving_header(&self) -> &'static str {
         if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" }
     }
+}
 
-    fn lock_runs(&self) -> MutexGuard<'_, Vec<Run>> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Writes an answer without a body.
--- a/review/harness/late_heartbeat.rs
+++ b/review/harness/late_heartbeat.rs
@@ -6,15 +6,16 @@
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::thread::{self, JoinHandle};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::config::{self, SEAT_HOST};
+use crate::clients::Clients;
+use crate::config;
 use crate::deployment::Deployment;
 use crate::endpoint::Endpoint;
 use crate::record::Record;
-use crate::{CaseResult, Verdict, http};
+use crate::{CaseResult, Verdict};
 
 /// `drain` of the deployment, in milliseconds.
 const DRAIN_MS: u64 = 2_500;
@@ -28,9 +29,6 @@
 /// Time after the acknowledged departure for which the endpoint continues to serve.
 const SERVES_FOR: Duration = Duration::from_millis(8_000);
 
-/// Pause between two requests of one client.
-const CLIENT_PAUSE: Duration = Duration::from_millis(25);
-
 pub fn run(record: &Arc<Record>, is_troubled: bool) -> CaseResult {
     let deployment = Deployment::start(&["seatdesk", "seatdesk", "seatdesk", "bookbook"])?;
     let leaving_machine = &deployment.sidecars[0];
@@ -43,7 +41,7 @@
     }
     config::send_first(&deployment, record)?;
     deployment.wait_ready(record)?;
-    let clients = Clients::start(&deployment);
+    let clients = Clients::start(&deployment.sidecars);
     thread::sleep(CALM);
     if leaving.runs().is_empty() {
         return Err("i-a got no request before it left".to_owned());
@@ -160,54 +158,3 @@
         from.write_all(&buffer[..answered])
     }
 }
-
-/// Clients on every machine that look up seats, each request on a new connection.
-struct Clients {
-    is_stopped: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
-    sent: Arc<AtomicU64>,
-    answered: Arc<AtomicU64>,
-}
-
-impl Clients {
-    fn start(deployment: &Deployment) -> Self {
-        let mut clients = Self {
-            is_stopped: Arc::default(),
-            threads: Vec::new(),
-            sent: Arc::default(),
-            answered: Arc::default(),
-        };
-        for machine in &deployment.sidecars {
-            let (address, name) = (machine.outbound(), machine.name.clone());
-            let is_stopped = Arc::clone(&clients.is_stopped);
-            let (sent, answered) = (Arc::clone(&clients.sent), Arc::clone(&clients.answered));
-            clients.threads.push(thread::spawn(move || {
-                while !is_stopped.load(Ordering::SeqCst) {
-                    let number = sent.fetch_add(1, Ordering::SeqCst);
-                    if look_up_seats(address, &format!("{name}-{number}")) {
-                        answered.fetch_add(1, Ordering::SeqCst);
-                    }
-                    thread::sleep(CLIENT_PAUSE);
-                }
-            }));
-        }
-        clients
-    }
-
-    /// Stops the clients. Returns the numbers of sent and of successful requests.
-    fn stop(self) -> (u64, u64) {
-        self.is_stopped.store(true, Ordering::SeqCst);
-        for thread in self.threads {
-            // A client that panicked has sent nothing more.
-            let _ = thread.join();
-        }
-        (self.sent.load(Ordering::SeqCst), self.answered.load(Ordering::SeqCst))
-    }
-}
-
-fn look_up_seats(outbound: SocketAddr, request_id: &str) -> bool {
-    let headers = [("Host", SEAT_HOST), ("Request-Id", request_id), ("Deadline-Ms", "5000")];
-    let request = http::request("GET /seats/7", &headers, "");
-    let answer = http::exchange(outbound, &request, Duration::from_secs(5));
-    answer.is_ok_and(|answer| answer.status == 200 && answer.head.header("server-stamp").is_some())
-}
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,7 +6,9 @@
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. With the
 //! environment variable `TROUBLE=0` the disruption is left out.
 
+mod clients;
 mod config;
+mod deadly_caller;
 mod deployment;
 mod endless_body;
 mod endpoint;
@@ -53,6 +55,7 @@
     deployment::end_all_after(MAX_DURATION);
     let result = match case.as_str() {
         "late-heartbeat" => late_heartbeat::run(&record, is_troubled),
+        "deadly-caller" => deadly_caller::run(&record, is_troubled),
         "endless-body" => endless_body::run(&record, is_troubled),
         "foreign-outcome" => foreign_outcome::run(&record, is_troubled),
         _ => Err(format!("unknown case {case}")),
