--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -27,9 +27,12 @@
     ("kzd-feroke", "kozhikode"),
 ];
 
-/// Number of core machines. The first three are the seeds.
+/// Number of core machines.
 pub const CORES: usize = 4;
 
+/// Number of seeds, which are the first core machines.
+pub const SEEDS: usize = 3;
+
 /// Interval between the heartbeats of an endpoint.
 pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
@@ -212,6 +215,12 @@
         terms.max().map(|(_, index)| index)
     }
 
+    /// Whether a core machine has logged a text. Only used to place a disruption.
+    pub fn has_core_logged(&self, index: usize, text: &str) -> bool {
+        let log = fs::read_to_string(self.log_file(&self.cores[index]));
+        log.is_ok_and(|log| log.contains(text))
+    }
+
     fn log_file(&self, machine: &Machine) -> PathBuf {
         self.folder.join(format!("{}.log", machine.name))
     }
@@ -249,7 +258,7 @@
     fn settings_of(&self, machine: &Machine, bootstrap: bool) -> HashMap<&'static str, String> {
         let (zone, region) = ZONES[machine.zone];
         let seeds: Vec<String> =
-            self.cores.iter().take(3).map(|core| core.control().to_string()).collect();
+            self.cores.iter().take(SEEDS).map(|core| core.control().to_string()).collect();
         let mut values = HashMap::from([
             ("node-name", machine.name.clone()),
             ("region", region.to_owned()),
--- /dev/null
+++ b/review/harness/first_start.rs
@@ -0,0 +1,75 @@
+//! A core machine is killed while the whole system starts for the first time, and starts again.
+//!
+//! The kill comes when another seed has formed the first set of voters and this one has not. At
+//! some starts all seeds form it at the same moment; then the system is started anew.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::config::{self, FIRST};
+use crate::deployment::{Deployment, SEEDS};
+use crate::record::Record;
+use crate::{CaseResult, Verdict};
+
+/// Most first starts that are tried.
+const MAX_STARTS: usize = 8;
+
+/// Longest wait for the first seed to form the set.
+const FORM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Line that a seed logs once it has formed the first set of voters.
+const FORMED: &str = "Formed the initial set of 3 voters";
+
+/// Time for which the killed machine is down.
+const DOWN_FOR: Duration = Duration::from_millis(300);
+
+/// Time for which the operator sends its first configuration: `connectivity-window` and `ack`, 4 s
+/// each, several times over.
+const OPERATOR_PATIENCE: Duration = Duration::from_secs(30);
+
+pub fn run(record: &Record, is_troubled: bool) -> CaseResult {
+    let mut has_killed = false;
+    for start in 1..=MAX_STARTS {
+        record.line(format!("first start of the whole system, number {start}"));
+        let mut deployment = Deployment::start(&["seatdesk", "bookbook"])?;
+        if is_troubled {
+            let Some(victim) = wait_for_a_seed_that_lags(&deployment)? else {
+                record.line("all seeds formed the set of voters at the same moment");
+                continue;
+            };
+            deployment.kill_core(victim);
+            has_killed = true;
+            let name = deployment.cores[victim].name.clone();
+            record.line(format!("{name} is killed"));
+            thread::sleep(DOWN_FOR);
+            deployment.start_core(victim, true)?;
+            record.line(format!("{name} starts again, with bootstrap still true"));
+        }
+        let outcome = config::send_until_clear(&deployment, &FIRST, record, OPERATOR_PATIENCE);
+        if outcome != Ok(200) {
+            let seconds = OPERATOR_PATIENCE.as_secs();
+            record.line(format!("the first configuration got no acknowledgement in {seconds} s"));
+            return Ok(Verdict::Broken);
+        }
+    }
+    match is_troubled && !has_killed {
+        true => Err("at every start all seeds formed the set at the same moment".to_owned()),
+        false => Ok(Verdict::Held),
+    }
+}
+
+/// Waits until a seed has formed the set of voters. Returns a seed that has not; none if all have.
+fn wait_for_a_seed_that_lags(deployment: &Deployment) -> Result<Option<usize>, String> {
+    let give_up_at = Instant::now() + FORM_TIMEOUT;
+    loop {
+        let has_formed = |index: &usize| deployment.has_core_logged(*index, FORMED);
+        let (formed, lagging): (Vec<usize>, Vec<usize>) = (0..SEEDS).partition(has_formed);
+        if !formed.is_empty() {
+            return Ok(lagging.first().copied());
+        }
+        if Instant::now() > give_up_at {
+            return Err("no seed formed the set of voters".to_owned());
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -12,6 +12,7 @@
 mod deployment;
 mod endless_body;
 mod endpoint;
+mod first_start;
 mod foreign_outcome;
 mod http;
 mod late_heartbeat;
@@ -57,6 +58,7 @@
         "late-heartbeat" => late_heartbeat::run(&record, is_troubled),
         "deadly-caller" => deadly_caller::run(&record, is_troubled),
         "endless-body" => endless_body::run(&record, is_troubled),
+        "first-start" => first_start::run(&record, is_troubled),
         "foreign-outcome" => foreign_outcome::run(&record, is_troubled),
         _ => Err(format!("unknown case {case}")),
     };
