--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -1,7 +1,7 @@
 //! A small deployment on loopback addresses: settings files made from the template of the deploy
 //! file, and processes started with its commands.
 //!
-//! Four core machines and four sidecar machines in four zones, like the users' site `mcb-sheets`.
+//! Four core machines and a few sidecar machines in four zones, like the users' site `mcb-sheets`.
 
 use std::collections::HashMap;
 use std::fs::{self, File};
