--- a/review/harness/config.rs
+++ b/review/harness/config.rs
@@ -17,6 +17,11 @@
 /// Time after which an operator without a response moves on to another machine.
 pub const PATIENCE: Duration = Duration::from_secs(1);
 
+/// First pause before an operator without a clear answer tries the next machine, and the longest
+/// one: it doubles each time.
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Time allowed until the first configuration is accepted.
 const FIRST_TIMEOUT: Duration = Duration::from_secs(25);
 
@@ -77,17 +82,19 @@
     timeout: Duration,
 ) -> Result<u16, String> {
     let give_up_at = Instant::now() + timeout;
+    let mut backoff = FIRST_BACKOFF;
     for machine in deployment.cores.iter().cycle() {
         if Instant::now() > give_up_at {
             break;
         }
         let answer = document.send(machine.control()).map(|answer| answer.status);
-        if let Ok(status @ (200 | 400..=499)) = answer {
+        if let Ok(status @ (200 | 400 | 409 | 412 | 413 | 422)) = answer {
             let Document { base, version, .. } = document;
             record.line(format!("order {version} on {base}, sent to {}: {status}", machine.name));
             return Ok(status);
         }
-        std::thread::sleep(Duration::from_millis(100));
+        std::thread::sleep(backoff);
+        backoff = (backoff * 2).min(MAX_BACKOFF);
     }
     Err(format!("version {} got no clear answer", document.version))
 }
--- a/review/harness/deadly_caller.rs
+++ b/review/harness/deadly_caller.rs
@@ -43,11 +43,11 @@
     for (index, machine) in deployment.sidecars.iter().enumerate() {
         let (app, control) = (machine.app(), machine.control());
         if index == 3 {
-            Endpoint::start("i-book", "bookbook", app, control, record)?;
+            Endpoint::start("i-book", "bookbook", machine, control, record)?;
             continue;
         }
         let name = format!("i-seat{index}");
-        seats.push(Supervisor::start(name, app, control, deadly_caller, record));
+        seats.push(Supervisor::start(name, (app, machine.zone()), control, deadly_caller, record));
     }
     config::send_first(&deployment, record)?;
     deployment.wait_ready(record)?;
@@ -103,7 +103,7 @@
 impl Supervisor {
     fn start(
         name: String,
-        app: SocketAddr,
+        place: (SocketAddr, &'static str),
         control: SocketAddr,
         deadly_caller: Option<&'static str>,
         record: &Arc<Record>,
@@ -114,7 +114,7 @@
             for run in 0.. {
                 let id = format!("{name}-{run}");
                 let endpoint =
-                    Endpoint::start_with(&id, "seatdesk", app, control, deadly_caller, &record);
+                    Endpoint::start_with(&id, "seatdesk", place, control, deadly_caller, &record);
                 let Ok(endpoint) = endpoint else {
                     HAS_FAILED.store(true, Ordering::SeqCst);
                     return record.line(format!("{id} could not be started"));
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -87,6 +87,11 @@
         SocketAddr::from((self.ip, self.first_port + offset))
     }
 
+    /// Zone of the machine.
+    pub fn zone(&self) -> &'static str {
+        ZONES[self.zone].0
+    }
+
     /// Address to which clients of this machine send their requests.
     pub fn outbound(&self) -> SocketAddr {
         self.at(OUTBOUND)
--- a/review/harness/endless_body.rs
+++ b/review/harness/endless_body.rs
@@ -1,4 +1,4 @@
-//! Two of three endpoints answer some requests with bodies that do not end until the caller closes.
+//! Three of five endpoints answer some requests with bodies that do not end until the caller closes.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -12,6 +12,10 @@
 use crate::record::Record;
 use crate::{CaseResult, Verdict, http};
 
+/// Services of the endpoints, one a sidecar machine.
+const SERVICES: [&str; 6] =
+    ["seatdesk", "seatdesk", "seatdesk", "seatdesk", "seatdesk", "bookbook"];
+
 /// Calm time before the disruption: `connectivity-window`, and some more.
 const CALM: Duration = Duration::from_secs(5);
 
@@ -21,40 +25,45 @@
 /// Time past the timeout of its route within which a request must have its final answer.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 
-/// Endpoints in trouble: two of three, a share of 0.6 as for `garble` in the site file.
-const ENDPOINTS_IN_TROUBLE: usize = 2;
+/// Endpoints in trouble: three of five, a share of 0.6 as for `garble` in the site file.
+const ENDPOINTS_IN_TROUBLE: usize = 3;
 
 /// One answer in this many has no end: a share of 0.03 as for `garble` in the site file.
 const ENDLESS_EVERY: u32 = 34;
 
-/// Requests that clients send while the endpoints are in trouble, and the pause between two.
-const REQUESTS: usize = 1_500;
-const REQUEST_PAUSE: Duration = Duration::from_millis(8);
+/// Time for which the endpoints are in trouble: 5 s as for `garble` in the site file.
+const TROUBLE: Duration = Duration::from_secs(5);
+
+/// Requests that clients send, and the pause between two.
+const REQUESTS: usize = 1_100;
+const REQUEST_PAUSE: Duration = Duration::from_millis(5);
 
 /// Late requests from which on the rule may be broken.
 const MIN_LATE: usize = 8;
 
 pub fn run(record: &Arc<Record>, is_troubled: bool) -> CaseResult {
-    let deployment = Deployment::start(&["seatdesk", "seatdesk", "seatdesk", "bookbook"])?;
+    let deployment = Deployment::start(&SERVICES)?;
     let mut endpoints = Vec::new();
-    for (index, id) in ["i-a", "i-b", "i-c", "i-d"].into_iter().enumerate() {
-        let service = if index == 3 { "bookbook" } else { "seatdesk" };
-        let machine = &deployment.sidecars[index];
-        let control = machine.control();
-        endpoints.push(Endpoint::start(id, service, machine.app(), control, record)?);
+    for (machine, service) in deployment.sidecars.iter().zip(SERVICES) {
+        let id = format!("i-{}", endpoints.len());
+        endpoints.push(Endpoint::start(&id, service, machine, machine.control(), record)?);
     }
     config::send_first(&deployment, record)?;
     deployment.wait_ready(record)?;
     thread::sleep(CALM);
 
     if is_troubled {
-        record.line("from now on i-a and i-b answer one request in 34 with a body without end");
+        record.line("from now on i-0 to i-2 answer one request in 34 with a body without end");
         for endpoint in endpoints.iter().take(ENDPOINTS_IN_TROUBLE) {
             endpoint.set_endless_every(ENDLESS_EVERY);
         }
     }
+    let sound_from = Instant::now() + TROUBLE;
     let mut clients = Vec::new();
     for number in 0..REQUESTS {
+        if is_troubled && Instant::now() > sound_from {
+            endpoints.iter().for_each(|endpoint| endpoint.set_endless_every(0));
+        }
         let machine = &deployment.sidecars[number % deployment.sidecars.len()];
         let outbound = machine.outbound();
         clients.push(thread::spawn(move || look_up_seats(outbound, &format!("lookup-{number}"))));
--- a/review/harness/endpoint.rs
+++ b/review/harness/endpoint.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use crate::deployment::HEARTBEAT;
+use crate::deployment::{HEARTBEAT, Machine};
 use crate::http::{self, Head};
 use crate::record::Record;
 
@@ -20,6 +20,9 @@
 /// Time within which a heartbeat must be answered to count as acknowledged.
 const ACK_WITHIN: Duration = Duration::from_secs(1);
 
+/// Time after which an idle connection is closed, as in the site file.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time between two looks for a new connection.
 const ACCEPT_EVERY: Duration = Duration::from_millis(1);
 
@@ -63,23 +66,24 @@
 }
 
 impl Endpoint {
-    /// Starts an endpoint that listens at `address`, and sends its heartbeats to `heartbeat_to`.
+    /// Starts the endpoint of a machine, which sends its heartbeats to `heartbeat_to`.
     pub fn start(
         id: &str,
         service: &str,
-        address: SocketAddr,
+        machine: &Machine,
         heartbeat_to: SocketAddr,
         record: &Arc<Record>,
     ) -> Result<Arc<Self>, String> {
-        Self::start_with(id, service, address, heartbeat_to, None, record)
+        let (address, zone) = (machine.app(), machine.zone());
+        Self::start_with(id, service, (address, zone), heartbeat_to, None, record)
     }
 
-    /// Starts an endpoint that crashes when it begins to run a request of the service
+    /// Starts an endpoint at an address in a zone, which crashes when it begins to run a request of the service
     /// `deadly_caller`.
     pub fn start_with(
         id: &str,
         service: &str,
-        address: SocketAddr,
+        (address, zone): (SocketAddr, &'static str),
         heartbeat_to: SocketAddr,
         deadly_caller: Option<&'static str>,
         record: &Arc<Record>,
@@ -89,7 +93,7 @@
         let endpoint = Arc::new(Self {
             id: id.to_owned(),
             service: service.to_owned(),
-            zone: "kochi-ernakulam",
+            zone,
             address,
             born_unix_ms: since_epoch.map_err(|error| error.to_string())?.as_millis(),
             sequence: AtomicU64::new(0),
@@ -150,6 +154,12 @@
         self.endless_every.store(every, Ordering::SeqCst);
     }
 
+    /// Ends the endpoint, as a crash does.
+    pub fn end(&self) {
+        self.stop_heartbeats();
+        self.has_crashed.store(true, Ordering::SeqCst);
+    }
+
     /// Stops the heartbeats.
     pub fn stop_heartbeats(&self) {
         self.sends_heartbeats.store(false, Ordering::SeqCst);
@@ -197,6 +207,7 @@
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nonblocking(false)?;
         stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(IDLE_TIMEOUT))?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(head) = Head::read(&mut reader)? {
@@ -224,8 +235,7 @@
         lock(&self.runs).push(run);
         if is_deadly {
             self.record.line(format!("{}: crashes as it begins to run {request_id}", self.id));
-            self.stop_heartbeats();
-            self.has_crashed.store(true, Ordering::SeqCst);
+            self.end();
             return Ok(());
         }
         self.running.fetch_add(1, Ordering::SeqCst);
--- a/review/harness/foreign_outcome.rs
+++ b/review/harness/foreign_outcome.rs
@@ -46,7 +46,7 @@
     for (index, id) in ["i-a", "i-b", "i-c"].into_iter().enumerate() {
         let service = if index == 2 { "bookbook" } else { "seatdesk" };
         let machine = &deployment.sidecars[index];
-        Endpoint::start(id, service, machine.app(), machine.control(), record)?;
+        Endpoint::start(id, service, machine, machine.control(), record)?;
     }
     config::send_first(&deployment, record)?;
     deployment.wait_ready(record)?;
--- a/review/harness/late_heartbeat.rs
+++ b/review/harness/late_heartbeat.rs
@@ -33,11 +33,11 @@
     let deployment = Deployment::start(&["seatdesk", "seatdesk", "seatdesk", "bookbook"])?;
     let leaving_machine = &deployment.sidecars[0];
     let way = HeartbeatWay::start(leaving_machine.control(), record)?;
-    let leaving = Endpoint::start("i-a", "seatdesk", leaving_machine.app(), way.address, record)?;
+    let leaving = Endpoint::start("i-a", "seatdesk", leaving_machine, way.address, record)?;
     for (index, id) in [(1, "i-b"), (2, "i-c"), (3, "i-d")] {
         let service = if index == 3 { "bookbook" } else { "seatdesk" };
         let machine = &deployment.sidecars[index];
-        Endpoint::start(id, service, machine.app(), machine.control(), record)?;
+        Endpoint::start(id, service, machine, machine.control(), record)?;
     }
     config::send_first(&deployment, record)?;
     deployment.wait_ready(record)?;
