API: the response to an attempt from before a restart answers no request

A core host that was killed with a forwarded order undecided gave its outcome, after the restart, to another operator's order.

Cause: a response of a replica was matched to its request by the attempt key alone, and keys were made of the request's number, which begins anew with each process. The replica sends the response to the host, so the next run gets it, and its request with the same number takes it.

Evidence: the log of the leader holds one proposal only, A's; the entry host ends B's order with A's version. Ruled out: a match by idempotency key (the two differ), and a read's answer taken for an acceptance (no read was in flight). The tests in crates/core/tests/api.rs give the next run of a process each kind of response to an attempt of the run before: 7 of 7 failed before (outcomes accepted, refused, not proposed; answers of reads, to a read and to an order; a redirect), 7 of 7 pass now.

Why this works: each attempt has a random key of 64 bits, and a response counts only for an attempt that this run sent to that replica and still awaits. Reads at followers and at the leader are keyed by the same value, so an answer or a query of an earlier run can't meet a new read there either. A response that is not awaited is logged.

--- a/crates/core/src/api/forward.rs
+++ b/crates/core/src/api/forward.rs
@@ -14,13 +14,14 @@
 
 use super::message::ReadAnswer;
 use super::nearest::nearest_replica;
-use super::pending_request::{PendingRequest, attempt_key, request_of_attempt};
+use super::pending_request::{PendingRequest, attempt_key};
 use super::replica_request::ReplicaRequest;
 use super::request::ApiResponse;
 use super::{ApiError, ErrorCode};
 use crate::Effect;
 use crate::consensus::{ChangeOutcome, Participation};
 use crate::context::Context;
+use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, RequestId};
 use crate::membership::Membership;
 use crate::time::Instant;
@@ -148,7 +149,7 @@
         pending.awaited_replica = to;
         let delay_ms = if to.is_some() { ATTEMPT_TIMEOUT_MS } else { retry_delay_ms(cx) };
         pending.attempt_at = cx.now.plus_ms(delay_ms);
-        let key = attempt_key(request, pending.attempts);
+        let key = attempt_key(cx.rng);
         pending.unresolved_attempts.extend(to.map(|to| (to, key)));
         // The previous attempt may have gone to a replica that is not the leader.
         if pending.attempts > 1 {
@@ -163,6 +164,26 @@
         replica_request
     }
 
+    /// The request that awaits the response of `replica` to `attempt`. None where the response
+    /// is a duplicate, comes after the end of its request, or is for an earlier run of this
+    /// process.
+    fn awaiting(
+        &mut self,
+        cx: &mut Context<'_>,
+        replica: NodeId,
+        attempt: RequestId,
+    ) -> Option<(RequestId, &mut PendingRequest)> {
+        let mut pending = self.pending.iter_mut();
+        let found = pending.find(|(_, pending)| pending.awaits(replica, attempt));
+        if found.is_none() {
+            let key = attempt.0;
+            let text =
+                format!("Ignored a response of {replica} to attempt {key:016x}: not awaited.");
+            cx.log(LogLevel::Info, LogPart::Api, text);
+        }
+        found.map(|(request, pending)| (*request, pending))
+    }
+
     /// Handles the outcome of a change, reported by a replica.
     pub(super) fn outcome(
         &mut self,
@@ -171,17 +192,14 @@
         attempt: RequestId,
         outcome: ChangeOutcome,
     ) {
-        let request = request_of_attempt(attempt);
-        let Some(pending) = self.pending.get_mut(&request) else {
+        let Some((request, pending)) = self.awaiting(cx, from, attempt) else {
             return;
         };
         let result = match outcome {
             ChangeOutcome::Accepted { version } => Ok(ApiResponse::Accepted { version }),
             // Not proposed: the replica is no longer the leader.
             ChangeOutcome::Refused(error) if error.code == ErrorCode::Unavailable => {
-                if !pending.resolve_attempt(from, attempt) {
-                    return;
-                }
+                pending.resolve_attempt(from, attempt);
                 return self.schedule_retry(cx, request, Some(error));
             }
             ChangeOutcome::Refused(error) => Err(error),
@@ -199,10 +217,9 @@
         attempt: RequestId,
         result: Result<ReadAnswer, ApiError>,
     ) {
-        let request = request_of_attempt(attempt);
-        if !self.pending.contains_key(&request) {
+        let Some((request, _)) = self.awaiting(cx, from, attempt) else {
             return;
-        }
+        };
         match result {
             Err(error) if error.code == ErrorCode::Unavailable => {
                 self.schedule_retry(cx, request, Some(error));
@@ -223,17 +240,14 @@
         attempt: RequestId,
         leader: Option<(NodeId, SocketAddr)>,
     ) {
-        let request = request_of_attempt(attempt);
-        let Some(pending) = self.pending.get_mut(&request) else {
+        let Some((request, pending)) = self.awaiting(cx, from, attempt) else {
             return;
         };
-        if !pending.resolve_attempt(from, attempt) {
-            return;
-        }
+        pending.resolve_attempt(from, attempt);
         if let Some((peer, address)) = leader.filter(|(peer, _)| *peer != from) {
             cx.emit(Effect::StorePeerAddress { peer, address });
-            self.leader_hint = Some(peer);
             pending.attempt_at = cx.now;
+            self.leader_hint = Some(peer);
             self.update_next_deadline();
         } else {
             self.leader_hint = None;
--- a/crates/core/src/api/message.rs
+++ b/crates/core/src/api/message.rs
@@ -13,8 +13,8 @@
 
 /// Messages that carry forwarded operators' requests and their responses.
 ///
-/// `request` is the key of one attempt, unique at the process that received
-/// the operator's request.
+/// `request` is the random key of one attempt. No other attempt has it, of this run of the process
+/// that received the operator's request or of an earlier one.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ApiMessage {
     /// Requests that the leader propose a change.
--- a/crates/core/src/api/pending_request.rs
+++ b/crates/core/src/api/pending_request.rs
@@ -1,5 +1,7 @@
 //! One forwarded request and its attempts, whose outcomes are independent of each other.
 
+use rand::Rng;
+
 use super::replica_request::ReplicaRequest;
 use super::{ApiError, ErrorCode};
 use crate::context::Context;
@@ -7,21 +9,14 @@
 use crate::ids::{NodeId, RequestId};
 use crate::time::Instant;
 
-/// Bits of an attempt key that hold the number of the attempt within its request.
-const ATTEMPT_BITS: u32 = 8;
-
 /// Creates the key of one attempt. Responses from other processes carry it.
 ///
-/// Every attempt has its own key, so that a duplicate response to one attempt is
-/// not taken for the response to a later attempt.
-pub(super) fn attempt_key(request: RequestId, attempts: usize) -> RequestId {
-    let number = attempts as u64 & ((1 << ATTEMPT_BITS) - 1);
-    RequestId(request.0 << ATTEMPT_BITS | number)
-}
-
-/// Returns the request that an attempt key belongs to.
-pub(super) fn request_of_attempt(attempt: RequestId) -> RequestId {
-    RequestId(attempt.0 >> ATTEMPT_BITS)
+/// The key is random, because request keys begin anew with each start of the process: a
+/// response to an attempt of an earlier run must not match a request of this one. Every
+/// attempt has its own key, so that a duplicate response to one attempt is not taken for
+/// the response to a later attempt.
+pub(super) fn attempt_key(rng: &mut impl Rng) -> RequestId {
+    RequestId(rng.random())
 }
 
 /// A request of an operator that was forwarded and waits for a response.
@@ -33,18 +28,22 @@
     pub attempts: usize,
     /// Replica that the latest attempt was sent to, while its response is outstanding.
     pub awaited_replica: Option<NodeId>,
-    /// Attempts that were sent and whose outcome is unknown, with their replicas.
+    /// Attempts that were sent and whose outcome is unknown, with their replicas. A response
+    /// to any other attempt is not for this request.
     pub unresolved_attempts: Vec<(NodeId, RequestId)>,
     /// Error of the latest attempt that failed.
     pub last_error: Option<ApiError>,
 }
 
 impl PendingRequest {
+    /// Whether `attempt` was sent to `replica` and its outcome is unknown.
+    pub fn awaits(&self, replica: NodeId, attempt: RequestId) -> bool {
+        self.unresolved_attempts.contains(&(replica, attempt))
+    }
+
     /// Marks one attempt at `replica` as resolved: it can no longer be committed.
-    /// Returns false if it was resolved before.
-    pub fn resolve_attempt(&mut self, replica: NodeId, attempt: RequestId) -> bool {
-        let index = self.unresolved_attempts.iter().position(|entry| *entry == (replica, attempt));
-        index.map(|index| self.unresolved_attempts.swap_remove(index)).is_some()
+    pub fn resolve_attempt(&mut self, replica: NodeId, attempt: RequestId) {
+        self.unresolved_attempts.retain(|entry| *entry != (replica, attempt));
     }
 
     /// Logs the end of the request with the time and the attempts that it took.
--- a/crates/core/tests/api.rs
+++ b/crates/core/tests/api.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use fireflylug_core::api::{
-    Api, ApiError, ApiMessage, ApiParts, ApiRequest, ApiResponse, ErrorCode, MAX_HISTORY_EVENTS,
-    WatchEvent,
+    Api, ApiError, ApiMessage, ApiParts, ApiRequest, ApiResponse, ErrorCode, Freshness,
+    MAX_HISTORY_EVENTS, ReadAnswer, WatchEvent,
 };
 use fireflylug_core::config::{ChangeRequest, ChangeSet, Configuration, Operation, StoredResource};
 use fireflylug_core::consensus::ChangeOutcome;
@@ -179,9 +179,11 @@
 /// Key of the last attempt that was sent. The response must carry it.
 fn attempt_key(effects: &[Effect]) -> RequestId {
     let key = |effect: &Effect| match effect {
-        Effect::Send { message: PeerMessage::Api(ApiMessage::Propose { request, .. }), .. } => {
-            Some(*request)
-        }
+        Effect::Send {
+            message:
+                PeerMessage::Api(ApiMessage::Propose { request, .. } | ApiMessage::Read { request, .. }),
+            ..
+        } => Some(*request),
         _ => None,
     };
     effects.iter().rev().find_map(key).expect("an attempt was sent")
@@ -313,6 +315,94 @@
     assert_eq!(again[0].1.key, first[0].1.key);
 }
 
+/// A proxy that restarted after it had sent `first`, and sent `second` under the same request key.
+struct Restarted {
+    process: Process,
+    replica: NodeId,
+    /// Key of the attempt that the earlier run sent.
+    stale_attempt: RequestId,
+    /// Key of the attempt that waits for its response.
+    attempt: RequestId,
+}
+
+impl Restarted {
+    fn new(first: ApiRequest, second: ApiRequest) -> Self {
+        let sent_before = Process::proxy_with_replicas(&["replica-a"]).request(REQUEST, first);
+        let mut process = Process::proxy_with_replicas(&["replica-a"]);
+        process.me.incarnation += 1;
+        process.rng = SmallRng::seed_from_u64(SEED + 1);
+        let sent = process.request(REQUEST, second);
+        let replica = NodeId::of_host(&name("replica-a"));
+        let (stale_attempt, attempt) = (attempt_key(&sent_before), attempt_key(&sent));
+        Self { process, replica, stale_attempt, attempt }
+    }
+}
+
+fn refused(code: ErrorCode) -> ChangeOutcome {
+    ChangeOutcome::Refused(ApiError::new(code, "refused"))
+}
+
+fn read_all() -> ApiRequest {
+    ApiRequest::ListAll(Freshness::Linearizable)
+}
+
+fn old_list() -> ReadAnswer {
+    ReadAnswer::List { version: Version(1), resources: Vec::new() }
+}
+
+// Guards against the outcome of an order that a process forwarded before its restart being taken for
+// that of another operator's order, which gets the same request key after the restart.
+#[rstest]
+#[case::accepted(ChangeOutcome::Accepted { version: Version(2) })]
+#[case::refused_by_the_log(refused(ErrorCode::Conflict))]
+#[case::not_proposed(refused(ErrorCode::Unavailable))]
+fn an_outcome_from_before_a_restart_answers_no_request(#[case] stale: ChangeOutcome) {
+    let Restarted { mut process, replica, stale_attempt, attempt } =
+        Restarted::new(change(), change());
+
+    let request = stale_attempt;
+    let effects = process.receive(replica, ApiMessage::Outcome { request, outcome: stale });
+    let later = process.run_until_ms(100);
+    let outcome = ChangeOutcome::Accepted { version: Version(3) };
+    let own = process.receive(replica, ApiMessage::Outcome { request: attempt, outcome });
+
+    assert!(responses(&effects).is_empty(), "{effects:?}");
+    assert!(proposals(&later).is_empty(), "the attempt was not awaited any more: {later:?}");
+    assert!(matches!(responses(&own)[..], [ApiResponse::Accepted { version: Version(3) }]));
+}
+
+// Guards against the answer of a read from before a restart being given to another request: to a
+// read, which may then see an older version, or to an order, which then counts as accepted.
+#[rstest]
+#[case::to_a_read(read_all(), Ok(old_list()))]
+#[case::to_an_order(change(), Ok(old_list()))]
+#[case::an_error_to_a_read(read_all(), Err(ApiError::new(ErrorCode::NotFound, "not there")))]
+fn a_read_answer_from_before_a_restart_answers_no_request(
+    #[case] second: ApiRequest,
+    #[case] answer: Result<ReadAnswer, ApiError>,
+) {
+    let Restarted { mut process, replica, stale_attempt, .. } = Restarted::new(read_all(), second);
+
+    let request = stale_attempt;
+    let effects = process.receive(replica, ApiMessage::ReadAnswer { request, answer });
+
+    assert!(responses(&effects).is_empty(), "{effects:?}");
+}
+
+// Guards against a redirect of an attempt from before a restart moving a new request to the process
+// that led then.
+#[rstest]
+fn a_redirect_from_before_a_restart_moves_no_request() {
+    let Restarted { mut process, replica, stale_attempt, .. } = Restarted::new(change(), change());
+    let leader = Some((NodeId::of_host(&name("leader")), SocketAddr::from(([127, 0, 0, 1], 9))));
+
+    let request = stale_attempt;
+    let mut effects = process.receive(replica, ApiMessage::NotLeader { request, leader });
+    effects.extend(process.run_until_ms(100));
+
+    assert!(proposals(&effects).is_empty(), "{effects:?}");
+}
+
 #[rstest]
 fn watch_at_a_proxy_names_the_control_replicas() {
     let mut process = Process::proxy_with_replicas(&["replica-a"]);
