Calls: keys of calls do not begin anew with each run of a proxy

A target copies the key of the call that it runs to the calls that it makes for it. If its owner restarts meanwhile, a call with such a key was bound to whichever call of the new run has the same number: it got that call's deadline, and was cancelled with it.

The keys start at a random number now.

--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -35,7 +35,8 @@
 impl Default for Shared {
     fn default() -> Self {
         Self {
-            next_call: AtomicU64::new(1),
+            // Targets hold keys of calls of the last run: no call of this run may have the same one.
+            next_call: AtomicU64::new(rand::random()),
             entries: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             connections: TaskTracker::new(),
