Burn counts: an acknowledgement from before a restart drops no counts

Sequence numbers of counts begin anew with a process, and acknowledgements did not say which run they are for: one that came after a restart dropped the first counts of the new run. It bears the incarnation now. The test failed before (nothing was sent again) and passes.

--- a/crates/core/src/slo/mod.rs
+++ b/crates/core/src/slo/mod.rs
@@ -55,6 +55,9 @@
     Acknowledged {
         /// Receiver of the acknowledged counts.
         leg: Leg,
+        /// Incarnation of the process that sent the counts. Sequence numbers begin anew with it.
+        #[serde(default)]
+        incarnation: u64,
         /// Sequence number of the acknowledged message.
         sequence: u64,
     },
@@ -135,16 +138,17 @@
     pub fn step(&mut self, cx: &mut Context<'_>, from: NodeId, message: SloMessage) {
         match message {
             SloMessage::Counts { leg, incarnation, sequence, rows } => {
-                cx.send(from, SloMessage::Acknowledged { leg, sequence });
+                cx.send(from, SloMessage::Acknowledged { leg, incarnation, sequence });
                 let message_number = (incarnation, sequence);
                 if self.last_received.insert((from, leg), message_number) != Some(message_number) {
                     self.add_counts(cx.now, leg, rows);
                 }
             }
-            SloMessage::Acknowledged { leg: Leg::Zone, sequence } => {
+            SloMessage::Acknowledged { incarnation, .. } if incarnation != cx.me.incarnation => {}
+            SloMessage::Acknowledged { leg: Leg::Zone, sequence, .. } => {
                 self.to_zone.acknowledged(sequence);
             }
-            SloMessage::Acknowledged { leg: Leg::Replica, sequence } => {
+            SloMessage::Acknowledged { leg: Leg::Replica, sequence, .. } => {
                 if let Some(outbox) = self.to_replicas.get_mut(&from) {
                     outbox.acknowledged(sequence);
                 }
--- a/crates/core/tests/slo.rs
+++ b/crates/core/tests/slo.rs
@@ -192,3 +192,59 @@
     });
     assert_eq!(acknowledged.count(), 2);
 }
+
+/// Puts another control replica into the membership, which then receives the counts of the zone.
+fn add_replica(bench: &mut Bench) -> NodeId {
+    let mut me = bench.me.clone();
+    (me.host, me.id) = (name("host-b"), NodeId::of_host(&name("host-b")));
+    let replica = me.id;
+    let mut effects = Vec::new();
+    let mut cx = Context { now: bench.now, rng: &mut bench.rng, me: &me, effects: &mut effects };
+    Membership::new(MembershipSettings::default(), &me).peer_connected(&mut cx, bench.me.id);
+    let mut cx =
+        Context { now: bench.now, rng: &mut bench.rng, me: &bench.me, effects: &mut bench.effects };
+    for effect in effects {
+        if let Effect::Send { message: PeerMessage::Membership(message), .. } = effect {
+            bench.membership.step(&mut cx, replica, message);
+        }
+    }
+    replica
+}
+
+/// The counts that were sent last: leg, sequence number and number of calls.
+fn last_counts(bench: &Bench) -> Option<(Leg, u64, u32)> {
+    let counts = |effect: &Effect| match effect {
+        Effect::Send {
+            message: PeerMessage::Slo(SloMessage::Counts { leg, sequence, rows, .. }),
+            ..
+        } => Some((*leg, *sequence, rows.iter().map(|(_, counts)| counts.counted).sum())),
+        _ => None,
+    };
+    bench.effects.iter().rev().find_map(counts)
+}
+
+// Guards against an acknowledgement of counts from before a restart dropping those of this run:
+// sequence numbers begin anew with each run.
+#[test]
+fn an_acknowledgement_from_before_a_restart_drops_no_counts() {
+    let mut bench = Bench::new();
+    bench.me.incarnation = 2;
+    let replica = add_replica(&mut bench);
+    bench.count(7, FAST_SUCCESS);
+    bench.pass_minutes(1);
+    let (leg, sequence, calls) = last_counts(&bench).expect("the counts are sent");
+    bench.effects.clear();
+
+    let stale = SloMessage::Acknowledged { leg, incarnation: 1, sequence };
+    bench.run(|slo, cx, _| slo.step(cx, replica, stale));
+    bench.pass_minutes(1);
+    let sent_again = last_counts(&bench);
+    bench.effects.clear();
+    let own = SloMessage::Acknowledged { leg, incarnation: 2, sequence };
+    bench.run(|slo, cx, _| slo.step(cx, replica, own));
+    bench.pass_minutes(1);
+
+    assert_eq!(calls, 7);
+    assert_eq!(sent_again, Some((leg, sequence, calls)));
+    assert_eq!(last_counts(&bench), None);
+}
