Consensus: the round of an earlier term confirms no read

Rounds of heartbeats begin anew with the term of a leader. A follower that had missed the election of the same leader went on echoing the highest round of the term before, which confirmed reads of the new term that no quorum had seen: a leader that is cut off then answers them at once. The round is reset with each new term now.

--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -301,6 +301,8 @@
     ) {
         if term > self.hard_state.term {
             self.set_hard_state(cx, term, None);
+            // The rounds of a leader begin anew with its term, also where it led the last one.
+            self.leader_round = 0;
         }
         if matches!(self.role, Role::Leader(_)) {
             let text = format!("Stopped being leader in term {}.", self.hard_state.term);
