Calls: a response that is cut off resets the caller's connection

A caller of HTTP/1.0 gets a body of unknown length until the connection ends. Where the target cut it, the mesh closed the connection in order, so that the part looked whole.

The caller's connection is now reset whenever its response ends early: the flag is set before the connection is dropped, also where the library drops it because its body failed.

--- a/crates/daemon/src/calls/answer.rs
+++ b/crates/daemon/src/calls/answer.rs
@@ -152,6 +152,9 @@
         } else {
             drop(connection);
         }
+        if !is_complete {
+            open.entry.abort();
+        }
         open.close();
         open.submit(CallEvent::Ended { call: open.call, attempt: self.attempt, is_complete });
     }
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -11,7 +11,7 @@
 use http::request::Parts;
 use http::{Method, Request, Response, Uri, Version};
 use hyper::body::Incoming;
-use tokio::sync::{Mutex, Notify};
+use tokio::sync::Mutex;
 
 use super::answer::{self, Answer, AnswerBody, OpenCall};
 use super::attempt::{Failure, OutgoingRequest, run_attempt};
@@ -20,11 +20,12 @@
 use super::fingerprint::fingerprint;
 use super::headers;
 use super::proxy::{Client, Proxy};
+use super::socket::CallerConnection;
 
 /// Serves one call and returns the response to its sender.
 pub(super) async fn serve(
     proxy: Arc<Proxy>,
-    abort_connection: Arc<Notify>,
+    connection: Arc<CallerConnection>,
     client: Client,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
@@ -64,7 +65,7 @@
     }
     let request_id = parts.headers.get(&proxy.settings.dialect.request_id);
     let request_id = request_id.and_then(|id| id.to_str().ok()).map(CompactString::from);
-    let (call, entry) = proxy.handle.open(abort_connection, request_id);
+    let (call, entry) = proxy.handle.open(connection, request_id);
     entry.pause_progress();
     let open = OpenCall { proxy, call, entry, is_open: true };
     open.submit(CallEvent::Arrived { call, head });
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::socket::CallerConnection;
 use crate::log::{self, DecisionLog};
 
 /// Accepts effects on calls without blocking.
@@ -129,17 +130,17 @@
         });
     }
 
-    /// Registers a new call. `abort_connection` closes the connection of its caller.
+    /// Registers a new call that arrived on a connection.
     pub(super) fn open(
         &self,
-        abort_connection: Arc<Notify>,
+        caller: Arc<CallerConnection>,
         request_id: Option<CompactString>,
     ) -> (CallId, Arc<CallEntry>) {
         let call = CallId(self.shared.next_call.fetch_add(1, Ordering::Relaxed));
         let entry = Arc::new(CallEntry {
             effects: Mutex::default(),
             pushed: Notify::new(),
-            abort_connection,
+            caller,
             progress_ms: AtomicU64::new(self.now_ms()),
             request_id,
         });
@@ -162,7 +163,7 @@
         for entry in self.entries().values() {
             let progress_ms = entry.progress_ms.load(Ordering::Relaxed);
             if progress_ms != 0 && now_ms.saturating_sub(progress_ms) > max_ms {
-                entry.abort_connection.notify_one();
+                entry.abort();
             }
         }
     }
@@ -185,8 +186,7 @@
 pub(super) struct CallEntry {
     effects: Mutex<VecDeque<CallEffect>>,
     pushed: Notify,
-    /// Closes the caller's connection immediately.
-    abort_connection: Arc<Notify>,
+    caller: Arc<CallerConnection>,
     /// Time of the last progress of the response, in milliseconds; 0 while none is relayed.
     progress_ms: AtomicU64,
     /// Request id sent by the caller, for the log.
@@ -196,13 +196,17 @@
 impl CallEntry {
     fn push(&self, effect: CallEffect) {
         if let CallEffect::Abort { .. } = effect {
-            self.abort_connection.notify_one();
-            return;
+            return self.abort();
         }
         self.effects().push_back(effect);
         self.pushed.notify_one();
     }
 
+    /// Cuts off the response.
+    pub fn abort(&self) {
+        self.caller.abort();
+    }
+
     /// Returns the next effect if one is queued.
     pub fn try_next(&self) -> Option<CallEffect> {
         self.effects().pop_front()
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -9,14 +9,15 @@
 use http::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use super::boot_clock::BootClock;
 use super::bulk_limiter::BulkLimiter;
 use super::handle::{CallHandle, Phase};
 use super::pool::{MAX_IDLE, Pool};
+use super::socket::CallerConnection;
 use super::{CallSettings, call, headers};
 use crate::{Runtime, SharedKey};
 
@@ -114,18 +115,17 @@
     async fn serve(self: Arc<Self>, stream: TcpStream, client: Client) {
         // A failure means that the connection is already closed.
         let _ = stream.set_nodelay(true);
-        let abort_connection = Arc::new(Notify::new());
+        let caller = Arc::new(CallerConnection::default());
         let has_received_call = Arc::new(AtomicBool::new(false));
         let service = {
-            let (abort_connection, has_received_call) =
-                (Arc::clone(&abort_connection), Arc::clone(&has_received_call));
+            let (caller, has_received_call) = (Arc::clone(&caller), Arc::clone(&has_received_call));
             let proxy = Arc::clone(&self);
             service_fn(move |request| {
                 has_received_call.store(true, Ordering::Relaxed);
-                let (proxy, abort_connection) = (Arc::clone(&proxy), Arc::clone(&abort_connection));
+                let (proxy, caller) = (Arc::clone(&proxy), Arc::clone(&caller));
                 // Boxed so that an idle connection does not reserve memory for a call.
                 Box::pin(async move {
-                    Ok::<_, Infallible>(call::serve(proxy, abort_connection, client, request).await)
+                    Ok::<_, Infallible>(call::serve(proxy, caller, client, request).await)
                 })
             })
         };
@@ -134,13 +134,13 @@
             .header_read_timeout(HEAD_TIMEOUT)
             .max_headers(MAX_HEADERS)
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(caller.socket(stream), service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.handle.phase();
         tokio::select! {
             // The peer of a failed connection notices the failure itself.
             _ = connection.as_mut() => return,
-            () = abort_connection.notified() => return,
+            () = caller.aborted() => return,
             () = phase_reached(&mut phase, Phase::ClosingIdle) => {}
         }
         connection.as_mut().graceful_shutdown();
@@ -153,7 +153,7 @@
         };
         tokio::select! {
             _ = connection.as_mut() => {}
-            () = abort_connection.notified() => {}
+            () = caller.aborted() => {}
             () = first_call_timeout => {}
         }
     }
--- a/crates/daemon/src/calls/socket.rs
+++ b/crates/daemon/src/calls/socket.rs
@@ -2,6 +2,7 @@
 //!
 //! On a saturated link the bytes of a call may stay in the send buffer until after its
 //! caller timed out. An orderly close would follow them, and the call would still arrive.
+//! To a caller, an orderly close may look like the end of its response.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// Flag that selects a reset instead of an orderly close of a socket.
 #[derive(Clone, Debug, Default)]
@@ -22,6 +24,10 @@
         ResetGuard(Some(self))
     }
 
+    fn set(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
     fn is_set(&self) -> bool {
         self.0.load(Ordering::Relaxed)
     }
@@ -41,11 +47,36 @@
 impl Drop for ResetGuard {
     fn drop(&mut self) {
         if let Some(flag) = &self.0 {
-            flag.0.store(true, Ordering::Relaxed);
+            flag.set();
         }
     }
 }
 
+/// Connection of a caller, or of the proxy that forwarded its call.
+#[derive(Debug, Default)]
+pub(super) struct CallerConnection {
+    reset: ResetFlag,
+    aborted: Notify,
+}
+
+impl CallerConnection {
+    /// Creates the socket of the connection.
+    pub fn socket(&self, stream: TcpStream) -> Socket {
+        Socket::new(stream, self.reset.clone())
+    }
+
+    /// Resets the connection, so that no part of a response is taken for the whole.
+    pub fn abort(&self) {
+        self.reset.set();
+        self.aborted.notify_one();
+    }
+
+    /// Waits until the connection has to be dropped.
+    pub async fn aborted(&self) {
+        self.aborted.notified().await;
+    }
+}
+
 /// A connected socket.
 #[derive(Debug)]
 pub(super) struct Socket {
--- a/crates/daemon/tests/calls/answers.rs
+++ b/crates/daemon/tests/calls/answers.rs
@@ -320,3 +320,23 @@
         assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
     }
 }
+
+/// Guards against a response that its target cuts off looking whole to a caller for which a response
+/// ends with its connection.
+#[rstest]
+#[case::over_an_owner(0)]
+#[case::beside_the_target(1)]
+#[tokio::test]
+async fn a_cut_body_resets_the_connection_of_a_caller_of_http_1_0(#[case] ingress: usize) {
+    let cut = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    let mesh = mesh(&[raw_target(cut).await]).await;
+    let mut caller = TcpStream::connect(mesh.calls(ingress)).await.expect("the proxy accepts");
+
+    let request = "POST /pay HTTP/1.0\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.expect("the proxy reads");
+    let mut answer = Vec::new();
+    let end = caller.read_to_end(&mut answer).await;
+
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(end.is_err() || answer.starts_with("HTTP/1.0 502"), "{end:?} {answer}");
+}
