Calls: a response that has begun is subject to the deadline of its call

Cause: the timer of a call was taken away with the head of its response. What remained was the check for silence of 30 s, which bytes without end never meet.

Ruled out: a lost cancellation at the owner (the ingress beside the target does the same), and the library's reader (bytes go through at once).

The call now keeps a timer until its response ends: 0.2 s after the deadline at the ingress, 0.05 s later at its owner, which no longer depends on the ingress to free the slot. The same holds for the server error of an earlier attempt, which had left the reducer before its body was sent: it stays there until the end, so a graceful stop waits for it too. `cut-off` is logged.

Tests, all red before: 3 of 3 cases in routing/limits.rs (at the ingress beside the target, at the owner, at another ingress), 1 in routing/retries.rs, 16 of 24 in daemon/tests/calls/endless.rs (with and without a length, until the end of the connection, server errors; direct and over an owner; HTTP/1.1 and 1.0; the other 8, chunk extensions and trailers, were ended by the library's limits). `a_server_error_is_passed_on_if_no_retry_succeeds` asserted that the call is over as soon as the response is handed on; it now reports the end of the response first, and asserts the same after it.

--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -224,7 +224,8 @@
 pub struct Policy {
     /// Name of the policy.
     pub name: Name,
-    /// Deadline of a call, in milliseconds from its arrival at the first proxy.
+    /// Deadline of a call, in milliseconds from its arrival at the first proxy to the end of its
+    /// response. A response that has begun is cut off shortly after it.
     #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u32,
     /// Which calls may run more than once.
--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -1,6 +1,7 @@
 //! The head of a response: what it says about its target, and whether it is relayed or the call is
 //! retried.
 
+use super::attempt::relay_timeout_at;
 use super::call::{TargetLoad, TargetNotice};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
@@ -9,7 +10,6 @@
 use crate::context::Context;
 use crate::event::Effect;
 use crate::ids::CallId;
-use crate::time::Instant;
 
 /// Lowest HTTP status that counts as a failure of the target.
 pub(super) const FIRST_SERVER_ERROR: u16 = 500;
@@ -48,7 +48,8 @@
         call.stage = Stage::Relaying(running);
         call.status = status;
         call.answered_at = cx.now;
-        self.set_due(id, Instant::NEVER);
+        let timeout_at = relay_timeout_at(call);
+        self.set_due(id, timeout_at);
         let load = self.load_for_ingress(cx, id, running.target);
         cx.emit(Effect::Call(CallEffect::Relay { call: id, load }));
     }
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -19,6 +19,9 @@
 /// Time past the deadline for which an ingress waits for the owner to report the outcome of the
 /// call, in microseconds.
 const OWNER_GRACE_US: u64 = 50_000;
+/// Time past the deadline within which a response whose head was in time may end, in
+/// microseconds.
+const BODY_GRACE_US: u64 = 200_000;
 
 impl Routing {
     /// Starts the next attempt of a call at this ingress, or refuses the call.
@@ -207,6 +210,13 @@
     if is_local { call.deadline } else { call.deadline.plus_us(OWNER_GRACE_US) }
 }
 
+/// When a response that has begun is cut off: [`BODY_GRACE_US`] after the deadline. The owner
+/// waits longer, since the ingress ends the call at both.
+pub(super) fn relay_timeout_at(call: &Call) -> Instant {
+    let owner_grace_us = if call.is_ingress() { 0 } else { OWNER_GRACE_US };
+    call.deadline.plus_us(BODY_GRACE_US + owner_grace_us)
+}
+
 fn remaining_ms(call: &Call, now: Instant) -> u32 {
     u32::try_from(call.deadline.since_ms(now)).unwrap_or(u32::MAX - 1)
 }
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -220,7 +220,7 @@
         /// Load of the target, for the proxy that forwarded the call.
         load: Option<TargetLoad>,
     },
-    /// Relay the server error of an earlier attempt, because no retry succeeded. Ends the call.
+    /// Relay the server error of an earlier attempt, because no retry succeeded.
     RelayEarlier {
         /// The call.
         call: CallId,
--- a/crates/core/src/routing/decision.rs
+++ b/crates/core/src/routing/decision.rs
@@ -88,6 +88,13 @@
         /// Time from the arrival of the call to the end of the response, in milliseconds.
         after_ms: u64,
     },
+    /// A response was cut off, because it had not ended some time after the deadline.
+    CutOff {
+        /// Number of the attempt that produced the response.
+        attempt: u8,
+        /// Time since the call arrived, in milliseconds.
+        after_ms: u64,
+    },
     /// The caller closed its connection.
     CallerGone {
         /// Attempts that were made.
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use super::answer::FIRST_SERVER_ERROR;
-use super::attempt::attempt_timeout_at;
+use super::attempt::{attempt_timeout_at, relay_timeout_at};
 use super::decision::Step;
 use super::quarantine::REMEMBERED_FOR_MS;
 use super::refusal::{Outcome, Refusal, RefusalCode};
@@ -94,10 +94,13 @@
 
     /// Relays the server error of an earlier attempt, because no later attempt succeeded.
     fn relay_earlier(&mut self, cx: &mut Context<'_>, id: CallId, earlier_error: ServerError) {
+        let call = self.call_mut(id);
+        call.stage = Stage::RelayingEarlier;
+        call.status = earlier_error.status;
+        let timeout_at = relay_timeout_at(call);
+        self.set_due(id, timeout_at);
         self.log_server_error(cx, id, earlier_error);
         cx.emit(Effect::Call(CallEffect::RelayEarlier { call: id }));
-        let took_us = cx.now.since_us(self.calls[&id].arrived_at);
-        self.remove(id, Some(Outcome::Ran), CallResult::Answered { is_success: false, took_us });
     }
 
     /// Time after which a retry of a refused call may be admitted, in milliseconds.
@@ -136,12 +139,12 @@
         is_complete: bool,
     ) {
         let Some(call) = self.calls.get(&id) else { return };
-        let Stage::Relaying(relaying) = call.stage else { return };
-        if call.attempt != attempt {
-            return;
-        }
+        let relaying = match call.stage {
+            Stage::Relaying(relaying) if call.attempt == attempt => relaying,
+            Stage::RelayingEarlier => return self.remove_answered(cx, id, false),
+            _ => return,
+        };
         let is_success = is_complete && call.status < FIRST_SERVER_ERROR;
-        let took_us = cx.now.since_us(call.arrived_at);
         let is_ingress = call.is_ingress();
         if is_complete && cx.now > call.useful_until {
             let since_arrival_ms = |at: Instant| at.since_ms(call.arrived_at);
@@ -160,9 +163,25 @@
         if is_ingress && !is_complete && self.targets.contains_key(relaying.target) {
             self.note_failure(cx, relaying.target);
         }
+        self.remove_answered(cx, id, is_success);
+    }
+
+    fn remove_answered(&mut self, cx: &Context<'_>, id: CallId, is_success: bool) {
+        let took_us = cx.now.since_us(self.calls[&id].arrived_at);
         self.remove(id, Some(Outcome::Ran), CallResult::Answered { is_success, took_us });
     }
 
+    /// Cuts off a response whose end is overdue. Whether bytes still arrive makes no difference:
+    /// a body may have no end.
+    fn cut_off(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let call = &self.calls[&id];
+        let (attempt, after_ms) = (call.attempt, cx.now.since_ms(call.arrived_at));
+        let step = Step::CutOff { attempt, after_ms };
+        cx.log_decision(id, step);
+        cx.emit(Effect::Call(CallEffect::Abort { call: id }));
+        self.ended(cx, id, attempt, false);
+    }
+
     /// The caller closed its connection; the process has already dropped the attempt.
     pub(super) fn caller_gone(&mut self, cx: &mut Context<'_>, id: CallId) {
         if let Some(call) = self.calls.get(&id) {
@@ -177,7 +196,7 @@
     /// The caller violated a limit.
     pub(super) fn caller_failed(&mut self, cx: &mut Context<'_>, id: CallId, code: RefusalCode) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let is_relaying = matches!(call.stage, Stage::Relaying(_));
+        let is_relaying = matches!(call.stage, Stage::Relaying(_) | Stage::RelayingEarlier);
         call.may_have_run |= matches!(call.stage, Stage::Running(_) | Stage::Cancelling(_));
         self.drop_attempt(cx, id);
         if is_relaying {
@@ -190,7 +209,7 @@
 
     fn drop_attempt(&mut self, cx: &mut Context<'_>, id: CallId) {
         match self.calls[&id].stage {
-            Stage::Choosing => {}
+            Stage::Choosing | Stage::RelayingEarlier => {}
             Stage::Queued(target) => self.leave_queue(id, target),
             Stage::Running(attempt) | Stage::Cancelling(attempt) | Stage::Relaying(attempt) => {
                 self.release(cx, id, attempt, false);
@@ -208,7 +227,8 @@
     pub(super) fn check_due(&mut self, cx: &mut Context<'_>, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
         match call.stage {
-            Stage::Choosing | Stage::Relaying(_) => {}
+            Stage::Choosing => {}
+            Stage::Relaying(_) | Stage::RelayingEarlier => self.cut_off(cx, id),
             Stage::Queued(target) => {
                 self.leave_queue(id, target);
                 self.refuse(cx, id, RefusalCode::DeadlineExceeded);
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -33,6 +33,9 @@
     Cancelling(Attempt),
     /// The response is being relayed.
     Relaying(Attempt),
+    /// The server error of an earlier attempt is being relayed. Its slot was released when the
+    /// call was retried.
+    RelayingEarlier,
 }
 
 /// One attempt of a call at one target.
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -19,6 +19,14 @@
     harness
 }
 
+/// A proxy that forwards to a target on another host.
+fn ingress() -> Harness {
+    let mut harness = Harness::new("host-a", quick_resources());
+    harness.set_member("host-b", locality("z1", "r1"), MemberStatus::Alive);
+    harness.set_target(record("seatdesk", "one", "host-b"));
+    harness
+}
+
 #[rstest]
 #[case(1)]
 #[case(2)]
@@ -213,6 +221,30 @@
     assert!(harness.routing.is_idle());
 }
 
+/// Guards against a response without end: once its head had arrived, no timer ended its call, and it
+/// held a slot of its target until the caller gave up.
+#[rstest]
+#[case::at_the_ingress_beside_its_target(owner(), |harness: &mut Harness| harness.arrive("/seats", true))]
+#[case::at_the_owner(owner(), |harness: &mut Harness| harness.arrive_forwarded("seatdesk", "one", 2_000))]
+#[case::at_the_ingress_of_another_host(ingress(), |harness: &mut Harness| harness.arrive("/seats", true))]
+fn a_response_without_end_is_cut_off_soon_after_the_deadline(
+    #[case] mut harness: Harness,
+    #[case] arrive: fn(&mut Harness) -> CallId,
+) {
+    let call = arrive(&mut harness);
+    harness.answer(call, 1, 200);
+    harness.take_effects();
+
+    harness.pass_ms(2_000);
+    let at_the_deadline = harness.take_effects();
+    harness.pass_ms(500);
+
+    assert_eq!(at_the_deadline, []);
+    assert_eq!(harness.take_effects(), [CallEffect::Abort { call }]);
+    assert!(harness.routing.is_idle());
+    assert!(harness.routing.metrics().targets.iter().all(|target| target.in_flight == 0));
+}
+
 /// Guards against large responses that occupy all slots of a host with a slow link.
 #[test]
 fn large_answers_on_a_slow_link_leave_slots_to_other_calls() {
--- a/crates/core/tests/routing/retries.rs
+++ b/crates/core/tests/routing/retries.rs
@@ -2,7 +2,7 @@
 
 use fireflylug_core::ids::CallId;
 use fireflylug_core::resource::{Policy, Repeatable, Resource, Route, Service};
-use fireflylug_core::routing::{CallEffect, Chain, Outcome, RefusalCode};
+use fireflylug_core::routing::{CallEffect, CallEvent, Chain, Outcome, RefusalCode};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
@@ -129,6 +129,25 @@
 
     let last = harness.take_effects().pop();
     assert!(matches!(last, Some(CallEffect::RelayEarlier { .. })), "{last:?}");
+    harness.step(CallEvent::Ended { call, attempt: 1, is_complete: true });
+    assert!(harness.routing.is_idle());
+}
+
+/// Guards against the body of an earlier server error that has no end: no timer ended its call.
+#[test]
+fn an_endless_server_error_of_an_earlier_attempt_is_cut_off() {
+    let mut harness = ingress_retrying_server_errors();
+    let call = harness.arrive("/look", true);
+    harness.answer(call, 1, 500);
+    for attempt in 2..=4 {
+        harness.fail(call, attempt, RefusalCode::Overloaded, Outcome::NotRun);
+    }
+    harness.take_effects();
+
+    let deadline_ms = Policy::new(name("eager")).deadline_ms;
+    harness.pass_ms(u64::from(deadline_ms) + 500);
+
+    assert_eq!(harness.take_effects(), [CallEffect::Abort { call }]);
     assert!(harness.routing.is_idle());
 }
 
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -175,7 +175,6 @@
                 }
             }
             CallEffect::RelayEarlier { .. } => {
-                open.close();
                 let (attempt, answer) =
                     answered.take().expect("a response was reported to the reducer");
                 return answer::relay(open, client, attempt, answer, None);
--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -172,6 +172,11 @@
                 after_ms = *after_ms
             });
         }
+        Step::CutOff { attempt, after_ms } => {
+            spdlog::info!("calls: {name}", kv: {
+                request, attempt = *attempt, after_ms = *after_ms
+            });
+        }
         Step::CallerGone { attempts, after_ms } => {
             spdlog::info!("calls: {name}", kv: {
                 request, attempts = *attempts, after_ms = *after_ms
--- a/crates/daemon/tests/calls/endless.rs
+++ b/crates/daemon/tests/calls/endless.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +15,16 @@
 /// HTTP library.
 const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
 
+const HTTP_11: &str = "HTTP/1.1";
+const HTTP_10: &str = "HTTP/1.0";
+
+/// Piece of an endless body.
+const PIECE: &str = "zzzzzzzzzzzzzzzz";
+
+/// Head of a chunked response, and a chunk of it.
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+const CHUNK: &str = "10\r\nzzzzzzzzzzzzzzzz\r\n";
+
 /// A target that responds with `begin`, followed by `piece` repeated without end.
 struct EndlessTarget {
     address: SocketAddr,
@@ -88,7 +99,7 @@
     let mut written_before = usize::MAX;
     while written_before != target.written_bytes.load(Ordering::SeqCst) {
         written_before = target.written_bytes.load(Ordering::SeqCst);
-        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
     }
     assert!(written_before <= MAX_BUFFERED_BYTES, "{written_before} bytes are buffered");
     assert_eq!(target.closed(), 0);
@@ -96,3 +107,92 @@
     drop(caller);
     until("the target's connection is closed", || target.closed() == 1).await;
 }
+
+/// Guards against a response without end that outlasts the deadline of its call until the caller
+/// gives up: only the head of a response was subject to the deadline.
+#[rstest]
+#[case::chunked(CHUNKED, CHUNK)]
+#[case::of_a_length_that_is_never_reached(
+    "HTTP/1.1 200 OK\r\ncontent-length: 99999999999999\r\n\r\n",
+    PIECE
+)]
+#[case::until_the_connection_ends("HTTP/1.1 200 OK\r\n\r\n", PIECE)]
+#[case::of_a_server_error("HTTP/1.1 500 Oops\r\ntransfer-encoding: chunked\r\n\r\n", CHUNK)]
+#[case::chunk_extension(CHUNKED, "1;x=")]
+#[case::trailers("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x-more: zzzz\r\n")]
+#[tokio::test]
+async fn a_body_without_end_is_cut_off_after_the_deadline(
+    #[values(HTTP_11, HTTP_10)] version: &'static str,
+    #[values(0, 1)] ingress: usize,
+    #[case] begin: &'static str,
+    #[case] piece: &'static str,
+) {
+    let target = EndlessTarget::start(begin, piece).await;
+    let mesh = mesh(&[target.address]).await;
+
+    let request = format!(
+        "GET /sheets {version}\r\nhost: x\r\nconnection: close\r\n\
+         fireflylug-deadline-ms: 400\r\n\r\n"
+    );
+    let end = read_to_the_end(mesh.calls(ingress), &request).await;
+
+    assert!(!end.is_complete(), "{end:?}");
+    until("the target's connection is closed", || target.closed() == 1).await;
+    until("no call is in flight", || {
+        mesh.running()
+            .all(|daemon| daemon.runtime().inspect(|state| state.routing().in_flight()) == 0)
+    })
+    .await;
+}
+
+/// How a response ended for its caller.
+#[derive(Debug)]
+struct End {
+    /// Start of the response, with its head.
+    begin: String,
+    /// Last bytes of the response.
+    last: Vec<u8>,
+    is_reset: bool,
+}
+
+impl End {
+    /// Whether the caller takes the response for a whole one.
+    fn is_complete(&self) -> bool {
+        let head = self.begin.to_ascii_lowercase();
+        if self.is_reset || !head.starts_with("http/1.") {
+            return false;
+        }
+        match head.contains("chunked") {
+            true => self.last.ends_with(b"0\r\n\r\n"),
+            false => !head.contains("content-length"),
+        }
+    }
+}
+
+/// Sends a request and reads until the other end closes the connection.
+async fn read_to_the_end(address: SocketAddr, request: &str) -> End {
+    let mut stream = TcpStream::connect(address).await.expect("the proxy accepts");
+    stream.write_all(request.as_bytes()).await.expect("the proxy reads");
+    let mut end = End { begin: String::new(), last: Vec::new(), is_reset: false };
+    let mut bytes = vec![0; 64 * 1024];
+    let read = async {
+        loop {
+            match stream.read(&mut bytes).await {
+                Ok(0) => return,
+                Ok(length) => {
+                    if end.begin.is_empty() {
+                        let begin = String::from_utf8_lossy(&bytes[..length.min(200)]);
+                        end.begin = begin.into_owned();
+                    }
+                    end.last = bytes[length.saturating_sub(16)..length].to_vec();
+                }
+                Err(_) => {
+                    end.is_reset = true;
+                    return;
+                }
+            }
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), read).await.expect("the proxy closes it");
+    end
+}
