Calls: the content of a call includes the service of its caller

Cause: contents were told apart by host, method, path, query and body, whoever the caller was, and each complete answer acquits a content of the ends seen. So answers to the sound caller acquitted the deadly one. The users count the caller among what makes it the same request.

Evidence: the record of the case; with the caller left out of the fingerprint again, the new test fails as in the users' words (the sound caller is refused for the deadly one's ends, or the deadly one never is). Ruled out: ends that are not noticed (each end is logged with its content), and records that don't spread (without the sound caller the request is refused after four ends).

The fingerprint includes the service of the caller, at the ingress from its settings and at the owner as forwarded. The owner of the product's own dialect had dropped that header, so its targets did not get it either (test before: "never refused, 0 ended", since no target saw the caller): it is kept now, and a value that a caller sends still counts for nothing.

--- a/crates/core/src/routing/message.rs
+++ b/crates/core/src/routing/message.rs
@@ -5,8 +5,8 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-/// Identifies the content of a call: the same for calls with the same host, method, path, query and
-/// body. The default identifies no content.
+/// Identifies the content of a call: the same for calls of callers of the same service with the same
+/// host, method, path, query and body. The default identifies no content.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
 )]
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -7,7 +7,7 @@
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, CallOrigin, Outcome, Refusal, RefusalCode,
 };
-use http::header::{self, HeaderMap};
+use http::header::{self, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::{Method, Request, Response, Uri, Version};
 use hyper::body::Incoming;
@@ -48,6 +48,7 @@
         Err(code) => return refuse_not_run(&proxy, client, code),
     };
     let host = host(&parts);
+    let caller_service = caller_service(&proxy, client, &parts.headers);
     let head = CallHead {
         origin,
         host: host.clone(),
@@ -55,14 +56,14 @@
         is_safe_method: matches!(parts.method, Method::GET | Method::HEAD | Method::OPTIONS),
         body_bytes: body.length(),
         is_replayable: body.is_replayable(),
-        fingerprint: fingerprint(&host, &parts, &body),
+        fingerprint: fingerprint(caller_service.as_ref(), &host, &parts, &body),
         chain,
         transit,
     };
     let mut parts = forwarded_head(parts);
-    if client == Client::Callers {
-        set_caller_service(&proxy, &mut parts.headers);
-    }
+    let name = &proxy.settings.dialect.caller_service;
+    parts.headers.remove(name);
+    parts.headers.extend(caller_service.map(|service| (name.clone(), service)));
     let request_id = parts.headers.get(&proxy.settings.dialect.request_id);
     let request_id = request_id.and_then(|id| id.to_str().ok()).map(CompactString::from);
     let (call, entry) = proxy.handle.open(connection, request_id);
@@ -77,13 +78,12 @@
     answer::refuse(proxy, client, refusal, None, refusal.default_retry_after_ms())
 }
 
-/// Sets the caller's service from the settings and ignores the value that the caller sent.
-fn set_caller_service(proxy: &Proxy, header_map: &mut HeaderMap) {
-    let name = &proxy.settings.dialect.caller_service;
-    header_map.remove(name);
-    let service = proxy.settings.caller_service.as_ref();
-    if let Some(value) = service.and_then(|service| service.parse().ok()) {
-        header_map.insert(name, value);
+/// Service of the caller: at the ingress from its settings, whatever the caller sent, and at the
+/// owner as the ingress forwarded it.
+fn caller_service(proxy: &Proxy, client: Client, header_map: &HeaderMap) -> Option<HeaderValue> {
+    match client {
+        Client::Callers => proxy.settings.caller_service.as_ref()?.parse().ok(),
+        Client::Proxies => header_map.get(&proxy.settings.dialect.caller_service).cloned(),
     }
 }
 
