Calls: a content that turns deadly is refused in time

An answer acquitted its content of all ends of the next 10 s, so that a request which was served before it began to end its targets had 10 s more: at a retry a second, 6 of them reached targets later than 4 s after the third end; the users allow 3.

The time is 3 s now: shorter than `connectivity-window`, and long enough for contents of many calls, which are answered several times a second. The test failed before for one retry a second (6 late runs) and passes for one in 0.3 to 5 s.

--- a/crates/core/src/routing/answered_contents.rs
+++ b/crates/core/src/routing/answered_contents.rs
@@ -7,8 +7,9 @@
 const SLOTS: usize = 1_024;
 
 /// Time for which an answer shows that a content does not end targets, in milliseconds. Targets may
-/// be replaced by ones that it does end.
-const RECENT_MS: u64 = 10_000;
+/// be replaced by ones that it does end, and the ends in this time come on top of those after which
+/// a content is refused.
+const RECENT_MS: u64 = 3_000;
 
 /// A table in which each content has one slot, which it shares with others.
 #[derive(Debug)]
--- a/crates/core/tests/routing/quarantine.rs
+++ b/crates/core/tests/routing/quarantine.rs
@@ -13,7 +13,16 @@
 const CONTENT: Fingerprint = Fingerprint(7);
 
 /// Time for which an answer acquits a content of later ends too, in milliseconds.
-const ANSWER_COUNTS_FOR_MS: u64 = 10_000;
+const ANSWER_COUNTS_FOR_MS: u64 = 3_000;
+
+/// Ends after which the users count further runs, once `CONNECTIVITY_WINDOW_MS` are over, and how
+/// many of them they tolerate.
+const TOLERATED_ENDS: usize = 3;
+const CONNECTIVITY_WINDOW_MS: u64 = 4_000;
+const TOLERATED_LATE_RUNS: usize = 3;
+
+/// Most retries of a call.
+const MAX_RETRIES: usize = 100;
 
 /// Time for which a content is remembered, in milliseconds.
 const REMEMBERED_FOR_MS: u64 = 600_000;
@@ -112,6 +121,29 @@
     assert!(is_refused(&mut harness));
 }
 
+// Guards against a content that was answered before it began to end its targets: the last answer
+// acquitted it of ends for so long that more late retries reached targets than the users allow.
+#[rstest]
+fn a_content_that_turns_deadly_is_refused_in_time(
+    #[values(300, 700, 1_000, 1_400, 2_000, 5_000)] retry_every_ms: u64,
+) {
+    let mut harness = owner();
+    let id = call(&mut harness);
+    harness.complete(id, 1);
+    harness.take_effects();
+
+    let mut ends_ms = Vec::new();
+    while ends_ms.len() < MAX_RETRIES && !is_refused(&mut harness) {
+        let end_ms = retry_every_ms * (ends_ms.len() as u64 + 1);
+        end_target(&mut harness, end_ms);
+        ends_ms.push(end_ms);
+    }
+
+    let counted_from_ms = ends_ms[TOLERATED_ENDS - 1] + CONNECTIVITY_WINDOW_MS;
+    let late = ends_ms.iter().filter(|end_ms| **end_ms > counted_from_ms).count();
+    assert!(late <= TOLERATED_LATE_RUNS, "{late} late runs: {ends_ms:?}");
+}
+
 // Guards against a content of many calls that is refused because several targets end at once.
 #[rstest]
 fn a_content_that_was_just_answered_is_no_suspect() {
