Calls: a server error acquits no content

A target that fails may answer with a server error without running the request; a complete answer of that kind acquitted a content that ends its targets. Only other answers acquit now. The test failed before and passes.

--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -156,7 +156,8 @@
             };
             cx.log_decision(id, step);
         }
-        if is_complete {
+        // A target that fails may not have run the call, so that proves nothing.
+        if is_success {
             self.record_answered_content(cx, id);
         }
         self.release(cx, id, relaying, is_complete);
--- a/crates/core/src/routing/quarantine.rs
+++ b/crates/core/src/routing/quarantine.rs
@@ -2,10 +2,10 @@
 //!
 //! The owner of a target notices that the target ended, and which calls were in flight there. One
 //! of them may be the cause. It comes again under another id and at any proxy, so calls are
-//! recognised by their content. Every proxy collects, for each content, the ends of targets at
-//! which a call with it was in flight. A complete response to such a call, after them or shortly
-//! before, acquits it of them. At [`QUARANTINE_AFTER_ENDS`] ends the proxies refuse calls with that
-//! content.
+//! recognised by their content, which includes the service of the caller. Every proxy collects, for
+//! each content, the ends of targets at which a call with it was in flight. A complete response to
+//! such a call, other than a server error, after them or shortly before, acquits it of them. At
+//! [`QUARANTINE_AFTER_ENDS`] ends the proxies refuse calls with that content.
 //!
 //! Both sets of ends only grow until the content is forgotten, and two records are merged by union,
 //! so they may arrive in any order and any number of times.
--- a/crates/core/tests/routing/quarantine.rs
+++ b/crates/core/tests/routing/quarantine.rs
@@ -121,6 +121,22 @@
     assert!(is_refused(&mut harness));
 }
 
+// Guards against a content that ends its targets being acquitted by a target that failed without
+// running it.
+#[rstest]
+fn a_server_error_acquits_no_content() {
+    let mut harness = owner();
+    receive(&mut harness, suspect(&[1, 2], &[], 0));
+    let id = call(&mut harness);
+    harness.answer(id, 1, 500);
+    harness.step(CallEvent::Ended { call: id, attempt: 1, is_complete: true });
+    harness.take_effects();
+
+    receive(&mut harness, suspect(&[3], &[], 0));
+
+    assert!(is_refused(&mut harness));
+}
+
 // Guards against a content that was answered before it began to end its targets: the last answer
 // acquitted it of ends for so long that more late retries reached targets than the users allow.
 #[rstest]
