Membership: an announcement of a run that departed does not bring its target back

Cause: a departure ended the lease, and nothing noted that this run of the target had left. The late heartbeat has the highest number that was heard from that address, so it made a new lease.

Ruled out: a number that is compared wrongly (the late one is the newest), and a proxy that missed the departure (the runs stop at all of them until the heartbeat).

A departure now ends one run, known by its start: later announcements of it are ignored, those of a later run count at once. It is kept at the owner and in the target's record; other processes refuse a record of the same run without it, and a restarted owner learns of it from them.

--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -147,10 +147,11 @@
             ApiRequest::Leave(target) => leave_target(cx, &mut parts, &target),
             ApiRequest::LeaveId(id) => match parts.membership.own_target(&id) {
                 Some(target) => leave_target(cx, &mut parts, &target),
-                None => ApiResponse::Error(ApiError::new(
-                    ErrorCode::NotFound,
-                    format!("no target {id} is announced at this host"),
-                )),
+                None => {
+                    parts.membership.record_unknown_departure(cx, &id);
+                    let message = format!("no target {id} is announced at this host");
+                    ApiResponse::Error(ApiError::new(ErrorCode::NotFound, message))
+                }
             },
         };
         cx.emit(Effect::Answer { request, response });
--- a/crates/core/src/membership/gossip.rs
+++ b/crates/core/src/membership/gossip.rs
@@ -122,6 +122,9 @@
         record: TargetRecord,
         from: Option<NodeId>,
     ) {
+        if from.is_some() && record.owner == cx.me.id {
+            self.apply_departure(cx, &record);
+        }
         let is_unannounced = record.owner == cx.me.id
             && record.state != TargetState::Gone
             && !self.leases.contains(&record.target);
@@ -139,6 +142,16 @@
         }
     }
 
+    /// Applies what a record of an earlier run of this process says of a target that this run may
+    /// know by an announcement that was sent before.
+    fn apply_departure(&mut self, cx: &mut Context<'_>, record: &TargetRecord) {
+        match self.leases.learn(cx.now, record) {
+            Some(departure) if departure.has_left => _ = self.remove_own_target(cx, &record.target),
+            Some(_) => self.drain_own_target(cx, &record.target),
+            None => {}
+        }
+    }
+
     fn queue_record(
         &mut self,
         now: Instant,
--- a/crates/core/src/membership/leases.rs
+++ b/crates/core/src/membership/leases.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use super::departures::{Departure, Departures};
 use super::view::View;
 use super::{AnnouncementOrder, TargetAnnouncement, TargetRecord, TargetState};
 use crate::context::Identity;
-use crate::ids::TargetId;
+use crate::ids::{Name, TargetId};
 use crate::time::Instant;
 
 /// Longest lease of a target, in milliseconds.
@@ -33,6 +34,15 @@
     is_leaving: bool,
 }
 
+/// Why a lease ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum LeaseEnd {
+    /// The target left, or another one runs at its address.
+    Left,
+    /// It was not renewed in time. The target may still run.
+    Expired,
+}
+
 /// Most addresses for which the newest announcement is stored.
 const MAX_STORED_ADDRESSES: usize = 256;
 
@@ -45,6 +55,7 @@
     /// has left.
     newest_by_address: BTreeMap<SocketAddr, (AnnouncementOrder, TargetId)>,
     next_expiry_at: Option<Instant>,
+    departures: Departures,
 }
 
 impl Leases {
@@ -79,16 +90,22 @@
         if !self.is_newest(announcement) {
             return Vec::new();
         }
-        let mut records = self.end_replaced(me, view, announcement);
+        let departure = self.departures.of_run(now, &announcement.target, announcement.order);
+        let has_left = departure.is_some_and(|departure| departure.has_left);
+        if has_left || self.is_of_earlier_run(announcement) {
+            return Vec::new();
+        }
+        let mut records = self.end_replaced(now, me, view, announcement);
         let is_known = self.contains(&announcement.target);
         if !is_known && self.leases.len() >= MAX_TARGETS {
             return records;
         }
-        let is_leaving = self.is_leaving(announcement);
+        let is_leaving = departure.is_some() || self.is_leaving(announcement);
         let is_draining = announcement.draining || is_leaving || is_stopping;
         let state = if is_draining { TargetState::Draining } else { TargetState::Ready };
         let old = view.target(&announcement.target);
-        let record = next_record(me, announcement, state, old);
+        let record =
+            TargetRecord { has_departed: is_leaving, ..next_record(me, announcement, state, old) };
         let expires_at = now.plus_ms(u64::from(announcement.lease_ms.min(MAX_LEASE_MS)));
         let lease = self.leases.entry(announcement.target.clone());
         let lease = lease.or_insert(Lease {
@@ -117,9 +134,42 @@
     }
 
     /// Marks a target as leaving. Returns false if it is already marked, or without a lease.
-    pub fn mark_leaving(&mut self, target: &TargetId) -> bool {
-        let lease = self.leases.get_mut(target);
-        lease.is_some_and(|lease| !std::mem::replace(&mut lease.is_leaving, true))
+    pub fn mark_leaving(&mut self, now: Instant, target: &TargetId) -> bool {
+        let Some(lease) = self.leases.get_mut(target) else { return false };
+        if let Some(started_unix_ms) = lease.started_unix_ms {
+            let departure = Departure { started_unix_ms, has_left: false };
+            self.departures.record(now, target, departure);
+        }
+        !std::mem::replace(&mut lease.is_leaving, true)
+    }
+
+    /// Records the departure of a target that is not announced to this process.
+    pub fn record_unknown_departure(&mut self, now: Instant, id: &Name, unix_ms: u64) {
+        self.departures.record_unknown(now, id, unix_ms);
+    }
+
+    /// Learns from a record that an earlier run of this process wrote. Returns the departure of the
+    /// run that holds the lease, if the record, or a request that came before it, states one.
+    pub fn learn(&mut self, now: Instant, record: &TargetRecord) -> Option<Departure> {
+        let target = &record.target;
+        if let Some(departure) = record.departure() {
+            self.departures.record(now, target, departure);
+        }
+        if let Some(order) = record.order.filter(|_| record.state == TargetState::Draining)
+            && self.newest_at(record.address) < Some(order)
+        {
+            self.store_newest(record.address, order, target.clone());
+            let lease = self.leases.get(target);
+            if lease.is_some_and(|lease| lease.started_unix_ms == Some(order.started_unix_ms)) {
+                // The lease is by an announcement that was sent before the target drained.
+                return Some(Departure { started_unix_ms: order.started_unix_ms, has_left: false });
+            }
+        }
+        let order = match self.leases.get(target) {
+            Some(lease) => lease.started_unix_ms.map(AnnouncementOrder::first_of),
+            None => record.order,
+        };
+        self.departures.of_run(now, target, order)
     }
 
     /// Whether the announced target stated before that it is leaving, in the same run.
@@ -132,6 +182,13 @@
         })
     }
 
+    /// Whether a later run of the target holds the lease, at whatever address.
+    fn is_of_earlier_run(&self, announcement: &TargetAnnouncement) -> bool {
+        let lease = self.leases.get(&announcement.target);
+        let held_by = lease.and_then(|lease| lease.started_unix_ms);
+        announcement.order.is_some_and(|order| held_by > Some(order.started_unix_ms))
+    }
+
     /// Records an announcement and returns whether it is newer than all others at its
     /// address. An announcement without an order always counts as newest.
     fn is_newest(&mut self, announcement: &TargetAnnouncement) -> bool {
@@ -145,19 +202,28 @@
                 return false;
             }
         }
+        self.store_newest(announcement.address, order, announcement.target.clone());
+        true
+    }
+
+    fn newest_at(&self, address: SocketAddr) -> Option<AnnouncementOrder> {
+        self.newest_by_address.get(&address).map(|(newest, _)| *newest)
+    }
+
+    fn store_newest(&mut self, address: SocketAddr, order: AnnouncementOrder, target: TargetId) {
         if self.newest_by_address.len() >= MAX_STORED_ADDRESSES
-            && !self.newest_by_address.contains_key(&announcement.address)
+            && !self.newest_by_address.contains_key(&address)
         {
             self.newest_by_address.pop_first();
         }
-        self.newest_by_address.insert(announcement.address, (order, announcement.target.clone()));
-        true
+        self.newest_by_address.insert(address, (order, target));
     }
 
     /// Ends the leases of other targets at the address of a numbered announcement,
     /// because the announced target has replaced them. Returns their last records.
     fn end_replaced(
         &mut self,
+        now: Instant,
         me: &Identity,
         view: &View,
         announcement: &TargetAnnouncement,
@@ -170,20 +236,29 @@
         };
         let replaced: Vec<TargetId> =
             self.leases.iter().filter(is_replaced).map(|(target, _)| target.clone()).collect();
-        replaced.iter().filter_map(|target| self.remove(me, view, target)).collect()
+        let end = LeaseEnd::Left;
+        replaced.iter().filter_map(|target| self.remove(now, me, view, target, end)).collect()
     }
 
     /// Ends a lease. Returns the target's last record, with the state gone, if this
     /// process held the lease and owns the record.
     pub fn remove(
         &mut self,
+        now: Instant,
         me: &Identity,
         view: &View,
         target: &TargetId,
+        end: LeaseEnd,
     ) -> Option<TargetRecord> {
-        self.leases.remove(target)?;
+        let lease = self.leases.remove(target)?;
         self.update_next_expiry();
-        view.target(target).filter(|old| old.owner == me.id).map(gone_record)
+        let has_left = end == LeaseEnd::Left;
+        if let Some(started_unix_ms) = lease.started_unix_ms.filter(|_| has_left) {
+            self.departures.record(now, target, Departure { started_unix_ms, has_left });
+        }
+        let old = view.target(target).filter(|old| old.owner == me.id)?;
+        let has_departed = has_left || lease.is_leaving;
+        Some(TargetRecord { has_departed, ..gone_record(old) })
     }
 
     /// Targets whose lease has expired.
@@ -224,17 +299,21 @@
         state,
         load_percent: announcement.load_percent,
         cold_ms: announcement.cold_ms,
+        order: announcement.order,
+        has_departed: false,
     }
 }
 
-/// Whether two records differ at most in sequence, load and `cold_ms`.
+/// Whether two records differ at most in sequence, load, `cold_ms` and `order`.
 fn is_equal_except_load(old: &TargetRecord, new: &TargetRecord) -> bool {
     let is_same_start = old.incarnation == new.incarnation;
     let load_percent = old.load_percent;
     let sequence = old.sequence;
     // A target warms up over time anyway, so a change of `cold_ms` needs no record.
     let cold_ms = old.cold_ms;
-    is_same_start && TargetRecord { sequence, load_percent, cold_ms, ..new.clone() } == *old
+    // The order of each announcement differs.
+    let order = old.order;
+    is_same_start && TargetRecord { sequence, load_percent, cold_ms, order, ..new.clone() } == *old
 }
 
 fn is_load_step(old: Option<u8>, new: Option<u8>) -> bool {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -16,6 +16,7 @@
 //! declared dead if it does not refute the suspicion in time. An availability zone
 //! as a whole is cut off when no heartbeats of its relay arrive.
 
+mod departures;
 mod gossip;
 pub(crate) mod hash;
 mod health;
@@ -50,7 +51,7 @@
 use crate::event::{LogLevel, LogPart};
 use crate::ids::{Name, NodeId, TargetId};
 use crate::time::Instant;
-use leases::Leases;
+use leases::{LeaseEnd, Leases};
 use links::Links;
 use reachability::ReachabilityTracker;
 use topology::Topology;
@@ -221,7 +222,7 @@
     /// Runs all work that is due.
     pub fn tick(&mut self, cx: &mut Context<'_>) {
         for target in self.leases.expired(cx.now) {
-            self.remove_own_target(cx, &target);
+            self.end_lease(cx, &target, LeaseEnd::Expired);
         }
         if cx.now >= self.dial_at {
             self.dial_seeds(cx);
@@ -273,11 +274,21 @@
         self.apply_view_changes(cx);
     }
 
-    /// Ends the lease of a target of this process, because the target leaves or the
-    /// lease expired. Returns false if this process holds no lease of it.
+    /// Ends the lease of a target of this process, because the target leaves. Later
+    /// announcements of the same run are ignored. Returns false if this process holds no lease of it.
     pub fn remove_own_target(&mut self, cx: &mut Context<'_>, target: &TargetId) -> bool {
+        self.end_lease(cx, target, LeaseEnd::Left)
+    }
+
+    /// Records that a target leaves of which this process has no announcement: it may have
+    /// restarted since. Announcements that the target sent before are ignored.
+    pub fn record_unknown_departure(&mut self, cx: &Context<'_>, id: &Name) {
+        self.leases.record_unknown_departure(cx.now, id, cx.me.unix_ms(cx.now));
+    }
+
+    fn end_lease(&mut self, cx: &mut Context<'_>, target: &TargetId, end: LeaseEnd) -> bool {
         let is_known = self.leases.contains(target);
-        if let Some(record) = self.leases.remove(cx.me, &self.view, target) {
+        if let Some(record) = self.leases.remove(cx.now, cx.me, &self.view, target, end) {
             self.merge_target(cx, record, None);
         }
         self.apply_view_changes(cx);
@@ -287,13 +298,13 @@
     /// Marks a target of this process as draining, because it states in a response that it is
     /// leaving. Does nothing if it is draining already, or if this process holds no lease of it.
     pub fn drain_own_target(&mut self, cx: &mut Context<'_>, target: &TargetId) {
-        if !self.leases.mark_leaving(target) {
+        if !self.leases.mark_leaving(cx.now, target) {
             return;
         }
         cx.log(LogLevel::Info, LogPart::Membership, format!("Target {target} is leaving."));
         let old = self.view.target(target).filter(|old| old.owner == cx.me.id);
         if let Some(record) = old.map(leases::draining_record) {
-            self.merge_target(cx, record, None);
+            self.merge_target(cx, TargetRecord { has_departed: true, ..record }, None);
         }
         self.apply_view_changes(cx);
     }
--- a/crates/core/src/membership/record.rs
+++ b/crates/core/src/membership/record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::departures::Departure;
 use crate::context::{Addresses, Identity};
 use crate::ids::{Locality, Name, NodeId, TargetId};
 
@@ -172,6 +173,13 @@
     pub sequence: u64,
 }
 
+impl AnnouncementOrder {
+    /// The order of the first announcement of a run.
+    pub(super) fn first_of(started_unix_ms: u64) -> Self {
+        Self { started_unix_ms, sequence: 0 }
+    }
+}
+
 /// Record of a target, held by every proxy. Only its owner writes it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TargetRecord {
@@ -197,6 +205,13 @@
     /// Time for which it is still slow, in milliseconds from when the record was written.
     #[serde(default, skip_serializing_if = "crate::message::is_zero")]
     pub cold_ms: u32,
+    /// Order of the announcement by which the record was written, if the target numbers them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub order: Option<AnnouncementOrder>,
+    /// Whether this run of the target has left, or stated that it is leaving. No announcement of
+    /// the same run brings it back: it may have been sent before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_departed: bool,
 }
 
 impl TargetRecord {
@@ -205,4 +220,23 @@
         let version = |record: &Self| (record.incarnation, record.sequence, record.owner);
         version(self) > version(other)
     }
+
+    /// Whether `other`, of the same target, was written by an announcement that was sent before the
+    /// target departed or drained by this record. An owner that restarted may write such a record.
+    pub(super) fn is_later_announcement_than(&self, other: &Self) -> bool {
+        if let Some(departure) = self.departure() {
+            let is_same_run =
+                other.order.is_none_or(|order| order.started_unix_ms <= departure.started_unix_ms);
+            return is_same_run && !other.has_departed && other.state != TargetState::Gone;
+        }
+        let drains = self.state == TargetState::Draining && other.state == TargetState::Ready;
+        drains && other.order.is_some() && other.order < self.order
+    }
+
+    /// Departure of the run of the target, if the target numbers its runs.
+    pub(super) fn departure(&self) -> Option<Departure> {
+        let order = self.order.filter(|_| self.has_departed)?;
+        let has_left = self.state == TargetState::Gone;
+        Some(Departure { started_unix_ms: order.started_unix_ms, has_left })
+    }
 }
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -121,15 +121,16 @@
         true
     }
 
-    /// Merges a target's record. Returns false if it is not newer than the record held,
-    /// if none is held and the target is gone, or if the owner is not a known member.
+    /// Merges a target's record. Returns false if it is not newer than the record held, if the
+    /// target has departed since its announcement by the record held, if none is held and the
+    /// target is gone, or if the owner is not a known member.
     pub fn merge_target(&mut self, now: Instant, record: TargetRecord) -> bool {
         if !self.members.contains_key(&record.owner) {
             return false;
         }
         let old = self.targets.get(&record.target).map(|stored| &stored.record);
         let is_newer = match old {
-            Some(old) => record.supersedes(old),
+            Some(old) => record.supersedes(old) && !old.is_later_announcement_than(&record),
             None => record.state != TargetState::Gone,
         };
         if !is_newer {
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -4,7 +4,9 @@
 mod mesh;
 
 use fireflylug_core::ids::TargetId;
-use fireflylug_core::membership::{MemberStatus, TargetState};
+use fireflylug_core::membership::{
+    AnnouncementOrder, MemberStatus, TargetAnnouncement, TargetState,
+};
 use mesh::fixtures::{name, two_regions};
 use mesh::{Faults, Mesh};
 use rstest::rstest;
@@ -269,3 +271,181 @@
 
     assert!(is_dial_due, "the new seeds are due at once");
 }
+
+/// Host whose target departs.
+const OWNER: usize = 7;
+
+/// Start of the run that departs.
+const RUN: u64 = 1_000;
+
+fn announcement(
+    mesh: &Mesh,
+    id: &str,
+    started_unix_ms: u64,
+    sequence: u64,
+    draining: bool,
+) -> TargetAnnouncement {
+    TargetAnnouncement {
+        target: target(id),
+        address: mesh.identity(OWNER).addresses.calls,
+        slots: 4,
+        connections: 4,
+        lease_ms: 4_000,
+        load_percent: None,
+        draining,
+        cold_ms: 0,
+        order: Some(AnnouncementOrder { started_unix_ms, sequence }),
+    }
+}
+
+fn announce(mesh: &mut Mesh, announcement: TargetAnnouncement) {
+    mesh.with_process(OWNER, |process, cx| process.membership.announce_target(cx, announcement));
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Departure {
+    Left,
+    Leaving,
+    LeavingAndLeaseOver,
+    Draining,
+    Replaced,
+}
+
+fn depart(mesh: &mut Mesh, departure: Departure) {
+    let target = target("one");
+    match departure {
+        Departure::Left => {
+            mesh.with_process(OWNER, |p, cx| p.membership.remove_own_target(cx, &target));
+        }
+        Departure::Leaving | Departure::LeavingAndLeaseOver => {
+            mesh.with_process(OWNER, |p, cx| p.membership.drain_own_target(cx, &target));
+        }
+        Departure::Draining => {
+            let draining = announcement(mesh, "one", RUN, 9, true);
+            announce(mesh, draining);
+        }
+        Departure::Replaced => {
+            let other = announcement(mesh, "two", RUN + 500, 1, false);
+            announce(mesh, other);
+        }
+    }
+    mesh.run_until("the target gets no calls", 3, |mesh| {
+        mesh.running().all(|(host, _)| mesh.target_state(host, &target) != Some(TargetState::Ready))
+    });
+    if departure == Departure::LeavingAndLeaseOver {
+        mesh.run_ms(5_000);
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Restart {
+    None,
+    HeardAfterJoining,
+    HeardAtOnce,
+}
+
+// Guards against an announcement that arrives after its target departed and brings it back: for the
+// owner that heard the departure, and for its next run, before and after it has joined the others.
+#[rstest]
+fn a_late_announcement_does_not_bring_a_departed_target_back(
+    #[values(
+        Departure::Left,
+        Departure::Leaving,
+        Departure::LeavingAndLeaseOver,
+        Departure::Draining,
+        Departure::Replaced
+    )]
+    departure: Departure,
+    #[values(Restart::None, Restart::HeardAfterJoining, Restart::HeardAtOnce)] restart: Restart,
+) {
+    let mut mesh = Mesh::started(&two_regions(6), 31);
+    let target = target("one");
+    let first = announcement(&mesh, "one", RUN, 1, false);
+    announce(&mut mesh, first);
+    mesh.run_until("the target is known", 10, |m| {
+        has_state_everywhere(m, &target, TargetState::Ready)
+    });
+    depart(&mut mesh, departure);
+    if restart != Restart::None {
+        mesh.crash(OWNER);
+        mesh.run_ms(50);
+        mesh.start(OWNER);
+    }
+    if restart == Restart::HeardAfterJoining {
+        mesh.run_until("the host is alive", 5, |m| {
+            has_status_everywhere(m, OWNER, MemberStatus::Alive)
+        });
+    }
+
+    // All announcements before the one that says `draining` have lower numbers.
+    let late = announcement(&mesh, "one", RUN, 8, false);
+    announce(&mut mesh, late);
+    let settle_ms = if restart == Restart::HeardAtOnce { 1_500 } else { 0 };
+    mesh.run_ms(settle_ms);
+    for _ in 0..40 {
+        let is_used = mesh
+            .running()
+            .any(|(host, _)| mesh.target_state(host, &target) == Some(TargetState::Ready));
+        assert!(!is_used, "the departed target is back");
+        mesh.run_ms(100);
+    }
+
+    let new_run = announcement(&mesh, "one", RUN + 1_000, 1, false);
+    announce(&mut mesh, new_run);
+    mesh.run_until("the new run of the target is known", 3, |m| {
+        has_state_everywhere(m, &target, TargetState::Ready)
+    });
+}
+
+// Guards against a departure that the owner acknowledges after a restart, of a target of which it has
+// heard nothing since, and then forgets.
+#[rstest]
+fn a_departure_after_a_restart_of_the_owner_holds() {
+    let mut mesh = Mesh::started(&two_regions(6), 32);
+    let target = target("one");
+    let first = announcement(&mesh, "one", RUN, 1, false);
+    announce(&mut mesh, first);
+    mesh.run_until("the target is known", 10, |m| {
+        has_state_everywhere(m, &target, TargetState::Ready)
+    });
+    mesh.crash(OWNER);
+    mesh.run_ms(50);
+    mesh.start(OWNER);
+
+    mesh.with_process(OWNER, |p, cx| p.membership.record_unknown_departure(cx, &name("one")));
+    let late = announcement(&mesh, "one", RUN, 8, false);
+    announce(&mut mesh, late);
+    mesh.run_until("the host is alive", 5, |m| {
+        has_status_everywhere(m, OWNER, MemberStatus::Alive)
+    });
+    mesh.run_ms(3_000);
+
+    assert!(
+        mesh.running()
+            .all(|(host, _)| { mesh.target_state(host, &target) != Some(TargetState::Ready) })
+    );
+    let started_unix_ms = mesh.identity(OWNER).started_unix_ms + 60_000;
+    let new_run = announcement(&mesh, "one", started_unix_ms, 1, false);
+    announce(&mut mesh, new_run);
+    mesh.run_until("the new run of the target is known", 3, |m| {
+        has_state_everywhere(m, &target, TargetState::Ready)
+    });
+}
+
+// Guards against an announcement of an earlier run, at the address that the target had then, which
+// takes the lease from the run that holds it.
+#[rstest]
+fn an_announcement_of_an_earlier_run_at_another_address_is_ignored() {
+    let mut mesh = Mesh::started(&two_regions(6), 33);
+    let target = target("one");
+    let later = announcement(&mesh, "one", RUN + 1_000, 1, false);
+    let mut earlier = announcement(&mesh, "one", RUN, 8, true);
+    earlier.address.set_port(1);
+    announce(&mut mesh, later);
+
+    announce(&mut mesh, earlier);
+
+    mesh.run_until("the target is known", 3, |m| {
+        has_state_everywhere(m, &target, TargetState::Ready)
+    });
+}
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -69,6 +69,8 @@
         state: TargetState::Ready,
         load_percent: None,
         cold_ms: 0,
+        order: None,
+        has_departed: false,
     }
 }
 
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -112,6 +112,8 @@
             state: TargetState::Ready,
             load_percent: None,
             cold_ms: 0,
+            order: None,
+            has_departed: false,
         };
         routing.membership_changed(&mut cx, &MembershipChange::Member(member));
         routing.membership_changed(&mut cx, &MembershipChange::Target(record));
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -209,6 +209,8 @@
             state: TargetState::Ready,
             load_percent: None,
             cold_ms: 0,
+            order: None,
+            has_departed: false,
         };
         self.slots.insert(record.target.clone(), vec![Instant::ZERO; SLOTS as usize]);
         self.run_reducer(|routing, _, cx| {
