Tests: bytes without end of a target do not fill the memory

The report of other operators: a target sends bytes that are no answer, without end, in a head or a body; the process that had called it kept them all and ran out of memory.

Heads are limited to 64 KiB by the library's reader, bodies by what the caller takes; since the deadline covers the body both end with it. The health query of a restarted daemon reads no body, and a head of limited size (4 cases).

`EndlessTarget` moved to crates/fault, since two test programs use it.

--- a/crates/daemon/tests/calls/endless.rs
+++ b/crates/daemon/tests/calls/endless.rs
@@ -1,13 +1,15 @@
 //! Targets that send an endless response head or body until the connection is closed.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use fireflylug_core::resource::{Resource, Service};
+use fireflylug_daemon::local_target::LocalTarget;
+use fireflylug_fault::EndlessTarget;
+use fireflylug_measure::calls::mesh::{Mesh, name};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use crate::fixture::{exchange, mesh, until};
 
@@ -25,47 +27,6 @@
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 const CHUNK: &str = "10\r\nzzzzzzzzzzzzzzzz\r\n";
 
-/// A target that responds with `begin`, followed by `piece` repeated without end.
-struct EndlessTarget {
-    address: SocketAddr,
-    written_bytes: Arc<AtomicUsize>,
-    closed: Arc<AtomicUsize>,
-}
-
-impl EndlessTarget {
-    async fn start(begin: &'static str, piece: &'static str) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a port is free");
-        let address = listener.local_addr().expect("it has an address");
-        let target = Self { address, written_bytes: Arc::default(), closed: Arc::default() };
-        let (written, closed) = (Arc::clone(&target.written_bytes), Arc::clone(&target.closed));
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (written, closed) = (Arc::clone(&written), Arc::clone(&closed));
-                tokio::spawn(async move {
-                    write_endlessly(stream, begin, piece, &written).await;
-                    closed.fetch_add(1, Ordering::SeqCst);
-                });
-            }
-        });
-        target
-    }
-
-    fn closed(&self) -> usize {
-        self.closed.load(Ordering::SeqCst)
-    }
-}
-
-async fn write_endlessly(mut stream: TcpStream, begin: &str, piece: &str, written: &AtomicUsize) {
-    let mut head = [0; 4_096];
-    if stream.read(&mut head).await.is_err() || stream.write_all(begin.as_bytes()).await.is_err() {
-        return;
-    }
-    let pieces = piece.repeat(1_024);
-    while stream.write_all(pieces.as_bytes()).await.is_ok() {
-        written.fetch_add(pieces.len(), Ordering::SeqCst);
-    }
-}
-
 #[rstest]
 #[case::no_answer_at_all("", "zzzzzzzzzzzzzzzz")]
 #[case::headers("HTTP/1.1 200 OK\r\n", "x-more: zzzzzzzz\r\n")]
@@ -75,8 +36,8 @@
     #[case] begin: &'static str,
     #[case] piece: &'static str,
 ) {
-    let target = EndlessTarget::start(begin, piece).await;
-    let mesh = mesh(&[target.address]).await;
+    let target = EndlessTarget::start(begin, piece).await.expect("the target starts");
+    let mesh = mesh(&[target.address()]).await;
 
     let request = "POST /pay HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
     let answer = exchange(mesh.calls(0), request).await;
@@ -89,16 +50,17 @@
 /// The caller stops reading and later disconnects. Backpressure must bound the buffered bytes.
 #[tokio::test]
 async fn a_body_without_end_gets_backpressure_and_is_closed_when_the_caller_disconnects() {
-    let target = EndlessTarget::start("HTTP/1.1 200 OK\r\n\r\n", "zzzzzzzzzzzzzzzz").await;
-    let mesh = mesh(&[target.address]).await;
+    let target = EndlessTarget::start("HTTP/1.1 200 OK\r\n\r\n", PIECE).await;
+    let target = target.expect("the target starts");
+    let mesh = mesh(&[target.address()]).await;
     let mut caller = TcpStream::connect(mesh.calls(0)).await.expect("the proxy accepts");
     caller.write_all(b"GET /sheets HTTP/1.1\r\nhost: x\r\n\r\n").await.expect("the proxy reads");
     let mut begin = [0; 1_024];
     assert!(caller.read(&mut begin).await.expect("the answer begins") > 0);
 
     let mut written_before = usize::MAX;
-    while written_before != target.written_bytes.load(Ordering::SeqCst) {
-        written_before = target.written_bytes.load(Ordering::SeqCst);
+    while written_before != target.written_bytes() {
+        written_before = target.written_bytes();
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
     assert!(written_before <= MAX_BUFFERED_BYTES, "{written_before} bytes are buffered");
@@ -127,8 +89,8 @@
     #[case] begin: &'static str,
     #[case] piece: &'static str,
 ) {
-    let target = EndlessTarget::start(begin, piece).await;
-    let mesh = mesh(&[target.address]).await;
+    let target = EndlessTarget::start(begin, piece).await.expect("the target starts");
+    let mesh = mesh(&[target.address()]).await;
 
     let request = format!(
         "GET /sheets {version}\r\nhost: x\r\nconnection: close\r\n\
@@ -196,3 +158,41 @@
     tokio::time::timeout(Duration::from_secs(10), read).await.expect("the proxy closes it");
     end
 }
+
+/// Guards against a health response without end that is read for as long as it lasts.
+#[rstest]
+#[case::no_response("", PIECE, false)]
+#[case::headers("HTTP/1.1 200 OK\r\n", "x-more: zzzzzzzz\r\n", false)]
+#[case::body(
+    "HTTP/1.1 200 OK\r\nfireflylug-target-id: one\r\nfireflylug-target-load: 3,0,8\r\n\r\n",
+    PIECE,
+    true
+)]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nfireflylug-target-id: one\r\nfireflylug-target-load: 3,0,8\r\n\
+     transfer-encoding: chunked\r\n\r\n",
+    CHUNK,
+    true
+)]
+#[tokio::test]
+async fn a_health_response_without_end_is_not_read_to_its_end(
+    #[case] begin: &'static str,
+    #[case] piece: &'static str,
+    #[case] is_found: bool,
+) {
+    let target = EndlessTarget::start(begin, piece).await.expect("the target starts");
+    let mut mesh = Mesh::start(1).await.expect("the daemon starts");
+    let mut service = Service::new(name("seatdesk"));
+    service.health_path = Some("/health".into());
+    mesh.configure([Resource::Service(service)]);
+    let local =
+        LocalTarget { service: name("seatdesk"), address: target.address(), lease_ms: 60_000 };
+
+    mesh.daemons[0].as_mut().expect("the daemon runs").find_target(local);
+
+    until("the target's connection is closed", || target.closed() > 0).await;
+    assert!(target.written_bytes() <= MAX_BUFFERED_BYTES, "{} bytes", target.written_bytes());
+    if is_found {
+        mesh.wait_for_targets(1).await.expect("the target is known");
+    }
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod end_to_end;
+mod endless;
 mod garbage;
 mod outages;
 mod support;
--- a/tests/processes/support.rs
+++ b/tests/processes/support.rs
@@ -125,6 +125,16 @@
         status.expect("the daemon exits in time").expect("a child of this test").success()
     }
 
+    /// Returns the most memory that the daemon of a host has used, in bytes.
+    pub fn peak_memory_bytes(&self, host: usize) -> u64 {
+        let child = self.daemons[host].child.as_ref().expect("a daemon that runs");
+        let pid = child.id().expect("a daemon that runs");
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("a status");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|peak| peak.trim().strip_suffix(" kB")).expect("the peak in kB");
+        kib.trim().parse::<u64>().expect("a number") * 1024
+    }
+
     /// Deletes the data folder of a host that is down, as if its disk were replaced.
     pub fn delete_data_dir(&self, host: usize) {
         let control = self.daemons[host].settings.control.as_ref().expect("a control host");
