Membership: a departure counts for the run that replaced an earlier one unnoticed

A new run of a target that looks like the one before wrote no record, so the record named the earlier run, and a departure that was learned from it ended that one only. A record is written for each run now; a departure of an unknown target holds for each late announcement, not only the first. The test failed before and passes.

--- a/crates/core/src/membership/departures.rs
+++ b/crates/core/src/membership/departures.rs
@@ -70,16 +70,17 @@
         order: Option<AnnouncementOrder>,
     ) -> Option<Departure> {
         if let Some((heard_at, unix_ms)) = self.unknown.get(&target.id).copied() {
+            let started_unix_ms = order.map_or(unix_ms, |order| order.started_unix_ms);
             let is_over = now.since_ms(heard_at) >= UNKNOWN_FOR_MS;
-            match order {
-                _ if is_over => {}
-                None => return Some(Departure { started_unix_ms: unix_ms, has_left: true }),
-                Some(AnnouncementOrder { started_unix_ms, .. }) if started_unix_ms <= unix_ms => {
-                    self.record(now, target, Departure { started_unix_ms, has_left: true });
+            if is_over || started_unix_ms > unix_ms {
+                self.unknown.remove(&target.id);
+            } else {
+                let departure = Departure { started_unix_ms, has_left: true };
+                if order.is_some() {
+                    self.record(now, target, departure);
                 }
-                Some(_) => {}
+                return Some(departure);
             }
-            self.unknown.remove(&target.id);
         }
         let (departure, _) = self.by_target.get(target)?;
         let is_same_run =
--- a/crates/core/src/membership/leases.rs
+++ b/crates/core/src/membership/leases.rs
@@ -304,14 +304,17 @@
     }
 }
 
-/// Whether two records differ at most in sequence, load, `cold_ms` and `order`.
+/// Whether two records are of the same run and differ at most in sequence, load, `cold_ms` and the
+/// number of the announcement.
 fn is_equal_except_load(old: &TargetRecord, new: &TargetRecord) -> bool {
     let is_same_start = old.incarnation == new.incarnation;
     let load_percent = old.load_percent;
     let sequence = old.sequence;
     // A target warms up over time anyway, so a change of `cold_ms` needs no record.
     let cold_ms = old.cold_ms;
-    // The order of each announcement differs.
+    let run = |record: &TargetRecord| record.order.map(|order| order.started_unix_ms);
+    let is_same_start = is_same_start && run(old) == run(new);
+    // Each announcement of a run has another number.
     let order = old.order;
     is_same_start && TargetRecord { sequence, load_percent, cold_ms, order, ..new.clone() } == *old
 }
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -397,6 +397,34 @@
     });
 }
 
+// Guards against a record that names an earlier run, whose departure then doesn't count for this one.
+#[rstest]
+fn a_departure_counts_for_the_run_that_replaced_an_earlier_one_unnoticed() {
+    let mut mesh = Mesh::started(&two_regions(6), 34);
+    let target = target("one");
+    for started_unix_ms in [RUN, RUN + 10] {
+        let first = announcement(&mesh, "one", started_unix_ms, 1, false);
+        announce(&mut mesh, first);
+        mesh.run_ms(500);
+    }
+    depart(&mut mesh, Departure::Left);
+    mesh.crash(OWNER);
+    mesh.run_ms(50);
+    mesh.start(OWNER);
+    mesh.run_until("the host is alive", 5, |m| {
+        has_status_everywhere(m, OWNER, MemberStatus::Alive)
+    });
+
+    let late = announcement(&mesh, "one", RUN + 10, 8, false);
+    announce(&mut mesh, late);
+    mesh.run_ms(3_000);
+
+    assert!(
+        mesh.running()
+            .all(|(host, _)| { mesh.target_state(host, &target) != Some(TargetState::Ready) })
+    );
+}
+
 // Guards against a departure that the owner acknowledges after a restart, of a target of which it has
 // heard nothing since, and then forgets.
 #[rstest]
