Store: the file system under a data folder is a trait

Callers and operators see nothing: the program uses the system's files as before.

Cause: nothing could show what a loss of power leaves of a data folder, since the tests write to real files, which keep what was never synced.

Change: Store::open_on takes a FileSystem; Store::open passes SystemFiles, with the same calls in the same order. Two calls of Path::exists before a removal became a removal that accepts a missing file.

--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -6,6 +6,7 @@
 use fireflylug_core::ids::NodeId;
 use serde::{Deserialize, Serialize};
 
+use crate::file_system::FileSystem;
 use crate::record::{decode_file, encode_file};
 use crate::{StoreError, files};
 
@@ -22,15 +23,15 @@
 
 impl Identity {
     /// Reads the identity of a folder; `None` if the file does not exist.
-    pub(crate) fn read(folder: &Path) -> Result<Option<Self>, StoreError> {
+    pub(crate) fn read(fs: &dyn FileSystem, folder: &Path) -> Result<Option<Self>, StoreError> {
         let path = Self::path(folder);
-        let Some(bytes) = files::read(&path)? else { return Ok(None) };
+        let Some(bytes) = files::read(fs, &path)? else { return Ok(None) };
         decode_file(&path, &bytes).map(Some)
     }
 
     /// Writes the identity of a folder.
-    pub(crate) fn write(&self, folder: &Path) -> Result<(), StoreError> {
-        files::replace(&Self::path(folder), &encode_file(self))
+    pub(crate) fn write(&self, fs: &dyn FileSystem, folder: &Path) -> Result<(), StoreError> {
+        files::replace(fs, &Self::path(folder), &encode_file(self))
     }
 
     pub(crate) fn path(folder: &Path) -> PathBuf {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,9 +7,11 @@
 //! The folder holds `identity` (the identity of the storage), `snapshot`, one `log-NUMBER`
 //! of frames, and `lock`. Files are replaced by writing a temporary file, syncing and
 //! renaming it. A torn frame at the end of the log, left by a crash, is dropped; damage
-//! anywhere else is an error that names file and offset.
+//! anywhere else is an error that names file and offset. All of it goes through a
+//! [`FileSystem`], which is [`SystemFiles`] in the program.
 
 mod error;
+mod file_system;
 mod files;
 mod frame;
 mod identity;
@@ -18,4 +20,5 @@
 mod store;
 
 pub use error::StoreError;
+pub use file_system::{FileLock, FileSystem, SystemFiles, WritableFile};
 pub use store::Store;
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -1,12 +1,12 @@
 //! Recovery of the log and the snapshot of a data folder.
 
 use std::collections::BTreeMap;
-use std::fs::{self, OpenOptions};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use fireflylug_core::consensus::{DiskId, Entry, HardState, Snapshot};
 
+use crate::file_system::FileSystem;
 use crate::files::{self, Describe};
 use crate::record::{self, Record, SnapshotFile};
 use crate::{StoreError, frame};
@@ -39,10 +39,9 @@
 }
 
 /// Returns the numbers of the log files in a folder, sorted.
-pub(crate) fn log_numbers(folder: &Path) -> Result<Vec<u64>, StoreError> {
+pub(crate) fn log_numbers(fs: &dyn FileSystem, folder: &Path) -> Result<Vec<u64>, StoreError> {
     let mut numbers = Vec::new();
-    for dir_entry in fs::read_dir(folder).describe("list", folder)? {
-        let name = dir_entry.describe("list", folder)?.file_name();
+    for name in fs.list(folder).describe("list", folder)? {
         let number = name.to_str().and_then(|name| name.strip_prefix(LOG_PREFIX));
         numbers.extend(number.and_then(|number| u64::from_str_radix(number, 16).ok()));
     }
@@ -51,25 +50,29 @@
 }
 
 /// Recovers the newest log and the snapshot of a storage.
-pub(crate) fn recover(folder: &Path, disk: DiskId) -> Result<Recovered, StoreError> {
-    let Some(log_number) = log_numbers(folder)?.pop() else {
+pub(crate) fn recover(
+    fs: &dyn FileSystem,
+    folder: &Path,
+    disk: DiskId,
+) -> Result<Recovered, StoreError> {
+    let Some(log_number) = log_numbers(fs, folder)?.pop() else {
         let path = log_path(folder, 1);
         return Err(StoreError::damaged(path, 0, "the log is missing"));
     };
     let path = log_path(folder, log_number);
     let mut recovered = Recovered { log_number, ..Recovered::default() };
-    recovered.read_log(&path)?;
+    recovered.read_log(fs, &path)?;
     if recovered.disk != Some(disk) {
         return Err(StoreError::damaged(path, 0, "the log belongs to another storage"));
     }
-    recovered.read_snapshot(&snapshot_path(folder), disk)?;
+    recovered.read_snapshot(fs, &snapshot_path(folder), disk)?;
     recovered.check_entries(&path)?;
     Ok(recovered)
 }
 
 impl Recovered {
-    fn read_log(&mut self, path: &Path) -> Result<(), StoreError> {
-        let bytes = files::read(path)?.unwrap_or_default();
+    fn read_log(&mut self, fs: &dyn FileSystem, path: &Path) -> Result<(), StoreError> {
+        let bytes = files::read(fs, path)?.unwrap_or_default();
         let mut offset = 0;
         while let Some(frame) = frame::decode(&bytes[offset..]) {
             if frame.number <= self.frame_number && offset > 0 {
@@ -83,7 +86,7 @@
             offset += frame.len();
         }
         if offset < bytes.len() {
-            self.truncate_tail(path, &bytes, offset)?;
+            self.truncate_tail(fs, path, &bytes, offset)?;
         }
         Ok(())
     }
@@ -91,6 +94,7 @@
     /// Truncates a torn last frame after a crash. None of its records was acknowledged.
     fn truncate_tail(
         &mut self,
+        fs: &dyn FileSystem,
         path: &Path,
         bytes: &[u8],
         offset: usize,
@@ -99,7 +103,7 @@
         if offset == 0 || frame::contains_frame(&bytes[offset + 1..]) {
             return Err(StoreError::damaged(path, offset, "the checksum does not match"));
         }
-        let file = OpenOptions::new().write(true).open(path).describe("open", path)?;
+        let mut file = files::open(fs, path)?;
         file.set_len(offset as u64).describe("truncate", path)?;
         file.sync_all().describe("sync", path)?;
         let truncated_bytes = bytes.len() - offset;
@@ -124,8 +128,13 @@
         }
     }
 
-    fn read_snapshot(&mut self, path: &Path, disk: DiskId) -> Result<(), StoreError> {
-        if let Some(bytes) = files::read(path)? {
+    fn read_snapshot(
+        &mut self,
+        fs: &dyn FileSystem,
+        path: &Path,
+        disk: DiskId,
+    ) -> Result<(), StoreError> {
+        if let Some(bytes) = files::read(fs, path)? {
             let file: SnapshotFile = record::decode_file(path, &bytes)?;
             if file.disk != disk {
                 return Err(StoreError::damaged(
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,8 +1,7 @@
 //! Store of a control replica in one data folder.
 
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
-use std::io::Write;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -11,6 +10,7 @@
 };
 use fireflylug_core::ids::NodeId;
 
+use crate::file_system::{FileLock, FileSystem, SystemFiles, WritableFile};
 use crate::files::{self, Describe};
 use crate::identity::Identity;
 use crate::record::{self, Record, SnapshotFile};
@@ -20,11 +20,12 @@
 /// An open data folder, locked exclusively by this process.
 #[derive(Debug)]
 pub struct Store {
+    fs: Arc<dyn FileSystem>,
     folder: PathBuf,
     /// Holds the lock on the folder while the store is open.
-    _lock: File,
+    _lock: Box<dyn FileLock>,
     identity: Identity,
-    log: File,
+    log: Box<dyn WritableFile>,
     log_number: u64,
     frame_number: u64,
     hard_state: HardState,
@@ -42,24 +43,38 @@
     /// [`StoreError::Damaged`] if more than a torn last write is missing or invalid,
     /// and [`StoreError::Io`].
     pub fn open(folder: &Path) -> Result<(Self, RecoveredDisk), StoreError> {
-        fs::create_dir_all(folder).describe("create", folder)?;
-        let lock = lock(folder)?;
-        let mut identity = match Identity::read(folder)? {
+        Self::open_on(Arc::new(SystemFiles), folder)
+    }
+
+    /// Opens or creates a data folder on a file system, as [`Store::open`] does.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Store::open`].
+    pub fn open_on(
+        fs: Arc<dyn FileSystem>,
+        folder: &Path,
+    ) -> Result<(Self, RecoveredDisk), StoreError> {
+        fs.create_folder(folder).describe("create", folder)?;
+        let lock = lock(&*fs, folder)?;
+        let mut identity = match Identity::read(&*fs, folder)? {
             Some(identity) => identity,
-            None => create_identity(folder)?,
+            None => create_identity(&*fs, folder)?,
         };
         if identity.generation == 0 {
-            initialize_storage(folder, identity.disk)?;
+            initialize_storage(&*fs, folder, identity.disk)?;
         }
-        let recovered = recovery::recover(folder, identity.disk)?;
+        let recovered = recovery::recover(&*fs, folder, identity.disk)?;
         identity.generation += 1;
-        identity.write(folder)?;
+        identity.write(&*fs, folder)?;
         let path = log_path(folder, recovered.log_number);
+        let log = files::open(&*fs, &path)?;
         let store = Self {
+            fs,
             folder: folder.to_owned(),
             _lock: lock,
             identity,
-            log: OpenOptions::new().append(true).open(&path).describe("open", &path)?,
+            log,
             log_number: recovered.log_number,
             frame_number: recovered.frame_number,
             hard_state: recovered.hard_state,
@@ -126,7 +141,7 @@
             }
             DiskWrite::Owner(owner) => {
                 self.identity.owner = Some(*owner);
-                self.identity.write(&self.folder)?;
+                self.identity.write(&*self.fs, &self.folder)?;
             }
             DiskWrite::Reset { disk, owner } => {
                 records.clear();
@@ -156,7 +171,7 @@
         keep_entries: bool,
     ) -> Result<(), StoreError> {
         let file = SnapshotFile { disk: self.identity.disk, snapshot: Arc::clone(snapshot) };
-        files::replace(&snapshot_path(&self.folder), &record::encode_file(&file))?;
+        files::replace(&*self.fs, &snapshot_path(&self.folder), &record::encode_file(&file))?;
         self.snapshot_index = Some(snapshot.index);
         self.entries = self.entries.split_off(&(snapshot.index + 1));
         if !keep_entries {
@@ -175,28 +190,27 @@
         records.extend(self.entries.values().cloned().map(Record::Entry));
         let path = log_path(&self.folder, self.log_number);
         let frame = frame::encode(self.frame_number, &record::encode(&records));
-        files::replace(&path, &frame)?;
-        self.log = OpenOptions::new().append(true).open(&path).describe("open", &path)?;
+        files::replace(&*self.fs, &path, &frame)?;
+        self.log = files::open(&*self.fs, &path)?;
         self.remove_old_logs()
     }
 
     fn remove_old_logs(&self) -> Result<(), StoreError> {
-        let numbers = recovery::log_numbers(&self.folder)?;
+        let numbers = recovery::log_numbers(&*self.fs, &self.folder)?;
         for number in numbers.into_iter().filter(|number| *number < self.log_number) {
-            let path = log_path(&self.folder, number);
-            fs::remove_file(&path).describe("remove", &path)?;
+            files::remove(&*self.fs, &log_path(&self.folder, number))?;
         }
         Ok(())
     }
 
     fn reset(&mut self, disk: DiskId, owner: NodeId) -> Result<(), StoreError> {
         self.identity = Identity { disk, owner: Some(owner), generation: 0 };
-        self.identity.write(&self.folder)?;
-        initialize_storage(&self.folder, disk)?;
+        self.identity.write(&*self.fs, &self.folder)?;
+        initialize_storage(&*self.fs, &self.folder, disk)?;
         self.identity.generation = 1;
-        self.identity.write(&self.folder)?;
+        self.identity.write(&*self.fs, &self.folder)?;
         let path = log_path(&self.folder, FIRST_LOG_NUMBER);
-        self.log = OpenOptions::new().append(true).open(&path).describe("open", &path)?;
+        self.log = files::open(&*self.fs, &path)?;
         self.log_number = FIRST_LOG_NUMBER;
         self.frame_number = 0;
         self.hard_state = HardState::default();
@@ -209,38 +223,36 @@
 /// Number of the first log of a storage.
 const FIRST_LOG_NUMBER: u64 = 1;
 
-fn lock(folder: &Path) -> Result<File, StoreError> {
+fn lock(fs: &dyn FileSystem, folder: &Path) -> Result<Box<dyn FileLock>, StoreError> {
     let path = folder.join("lock");
-    let file = File::create(&path).describe("create", &path)?;
-    match file.try_lock() {
-        Ok(()) => Ok(file),
-        Err(fs::TryLockError::WouldBlock) => Err(StoreError::Locked { path }),
-        Err(fs::TryLockError::Error(error)) => Err(error).describe("lock", &path),
+    match fs.lock(&path) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Err(StoreError::Locked { path }),
+        locked => locked.describe("lock", &path),
     }
 }
 
 /// Creates the identity of a new folder.
-fn create_identity(folder: &Path) -> Result<Identity, StoreError> {
-    let has_log = !recovery::log_numbers(folder)?.is_empty();
-    if has_log || snapshot_path(folder).exists() {
+fn create_identity(fs: &dyn FileSystem, folder: &Path) -> Result<Identity, StoreError> {
+    let has_log = !recovery::log_numbers(fs, folder)?.is_empty();
+    if has_log || files::read(fs, &snapshot_path(folder))?.is_some() {
         let path = Identity::path(folder);
         return Err(StoreError::damaged(path, 0, "the file is missing"));
     }
     let identity = Identity { disk: DiskId(rand::random()), owner: None, generation: 0 };
-    identity.write(folder)?;
+    identity.write(fs, folder)?;
     if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
-        files::sync_folder(parent)?;
+        files::sync_folder(fs, parent)?;
     }
     Ok(identity)
 }
 
 /// Removes all logs and the snapshot, and starts the first log of a storage.
-fn initialize_storage(folder: &Path, disk: DiskId) -> Result<(), StoreError> {
-    let old_logs =
-        recovery::log_numbers(folder)?.into_iter().map(|number| log_path(folder, number));
-    for path in old_logs.chain([snapshot_path(folder)]).filter(|path| path.exists()) {
-        fs::remove_file(&path).describe("remove", &path)?;
+fn initialize_storage(fs: &dyn FileSystem, folder: &Path, disk: DiskId) -> Result<(), StoreError> {
+    for number in recovery::log_numbers(fs, folder)? {
+        files::remove(fs, &log_path(folder, number))?;
     }
+    files::remove(fs, &snapshot_path(folder))?;
     let head = vec![Record::Head { disk, snapshot_index: None }];
-    files::replace(&log_path(folder, FIRST_LOG_NUMBER), &frame::encode(0, &record::encode(&head)))
+    let frame = frame::encode(0, &record::encode(&head));
+    files::replace(fs, &log_path(folder, FIRST_LOG_NUMBER), &frame)
 }
