Store: the log is written again on opening, before its entries count as durable

Cause: Store::open returned every whole frame of the log, and the replica counts what it recovers as synced. A frame of a process that was killed between the write and its sync, or whose sync failed before the folder was opened again, is in memory only. (a) A loss of power then takes an acknowledged entry, vote or term back. (b) A frame written after it may survive it, and the whole frame after a missing one is Damaged. Syncing the log on opening would not help after a failed sync, which may have dropped the pages: a later sync of the same file succeeds without them.

Change: the whole frames are written to a new file that is synced and takes the place of the log, which also cuts a torn tail. An opening takes one more sync of a file and one more of the folder.

Evidence: a simulated file system in the tests cuts files back to their last sync.

No existing test changed.

--- a/crates/store/src/file_system.rs
+++ b/crates/store/src/file_system.rs
@@ -84,13 +84,6 @@
     /// The system's error; a part may be written.
     fn write_all(&mut self, bytes: &[u8]) -> io::Result<()>;
 
-    /// Cuts the file to a length in bytes.
-    ///
-    /// # Errors
-    ///
-    /// The system's error.
-    fn set_len(&mut self, len: u64) -> io::Result<()>;
-
     /// Syncs the content and its length.
     ///
     /// # Errors
@@ -161,10 +154,6 @@
         Write::write_all(self, bytes)
     }
 
-    fn set_len(&mut self, len: u64) -> io::Result<()> {
-        File::set_len(self, len)
-    }
-
     fn sync_data(&mut self) -> io::Result<()> {
         File::sync_data(self)
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,7 +7,8 @@
 //! The folder holds `identity` (the identity of the storage), `snapshot`, one `log-NUMBER`
 //! of frames, and `lock`. Files are replaced by writing a temporary file, syncing and
 //! renaming it. A torn frame at the end of the log, left by a crash, is dropped; damage
-//! anywhere else is an error that names file and offset. All of it goes through a
+//! anywhere else is an error that names file and offset. On opening, the log is written
+//! again, since what is read may never have been synced. All of it goes through a
 //! [`FileSystem`], which is [`SystemFiles`] in the program.
 
 mod error;
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -49,7 +49,7 @@
     Ok(numbers)
 }
 
-/// Recovers the newest log and the snapshot of a storage.
+/// Recovers the newest log and the snapshot of a storage. What is returned is synced.
 pub(crate) fn recover(
     fs: &dyn FileSystem,
     folder: &Path,
@@ -86,15 +86,16 @@
             offset += frame.len();
         }
         if offset < bytes.len() {
-            self.truncate_tail(fs, path, &bytes, offset)?;
+            self.note_torn_tail(path, &bytes, offset)?;
         }
-        Ok(())
+        // A killed process may have left frames in memory only, and a failed sync may have
+        // dropped them, so that syncing this file proves nothing: all are written again.
+        files::replace(fs, path, &bytes[..offset])
     }
 
-    /// Truncates a torn last frame after a crash. None of its records was acknowledged.
-    fn truncate_tail(
+    /// Reports a torn last frame after a crash. None of its records was acknowledged.
+    fn note_torn_tail(
         &mut self,
-        fs: &dyn FileSystem,
         path: &Path,
         bytes: &[u8],
         offset: usize,
@@ -103,9 +104,6 @@
         if offset == 0 || frame::contains_frame(&bytes[offset + 1..]) {
             return Err(StoreError::damaged(path, offset, "the checksum does not match"));
         }
-        let mut file = files::open(fs, path)?;
-        file.set_len(offset as u64).describe("truncate", path)?;
-        file.sync_all().describe("sync", path)?;
         let truncated_bytes = bytes.len() - offset;
         let name = path.display();
         self.notices.push(format!(
--- /dev/null
+++ b/crates/store/tests/power_loss/cases.rs
@@ -0,0 +1,105 @@
+//! Single losses of power, at every operation of the command that they follow.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use fireflylug_core::consensus::{DiskCommand, DiskWrite, Entry, Payload, RecoveredDisk};
+use fireflylug_store::{Store, StoreError};
+
+use crate::simulated_disk::{Fault, SimulatedDisk, Unsynced};
+
+/// Folder of the simulated disk that the store uses.
+const FOLDER: &str = "/data";
+
+/// More operations than one command or one opening takes.
+const OPERATIONS: u32 = 24;
+
+/// Number of seeds, each with other outcomes of kills and losses of power.
+const SEEDS: u64 = 24;
+
+fn open(disk: &SimulatedDisk) -> Result<(Store, RecoveredDisk), StoreError> {
+    Store::open_on(Arc::new(disk.clone()), Path::new(FOLDER))
+}
+
+fn reopen(disk: &SimulatedDisk, case: &str) -> RecoveredDisk {
+    open(disk).unwrap_or_else(|error| panic!("{case}: the folder does not open: {error}")).1
+}
+
+/// Opens the folder, runs a write with a fault after some operations, and closes it.
+fn write_with(disk: &SimulatedDisk, write: DiskWrite, operations: u32, fault: Fault) {
+    let (mut store, _) = open(disk).expect("the folder opens");
+    disk.set_fault(operations, fault);
+    let _ = store.run(&[DiskCommand { sequence: 1, write }]);
+    disk.clear_fault();
+}
+
+/// A disk whose folder holds these writes, each with its own sync.
+fn disk_with(seed: u64, writes: Vec<DiskWrite>) -> SimulatedDisk {
+    let disk = SimulatedDisk::new(seed);
+    let (mut store, _) = open(&disk).expect("the folder opens");
+    for write in writes {
+        store.run(&[DiskCommand { sequence: 1, write }]).expect("the write is synced");
+    }
+    disk
+}
+
+fn append(indexes: std::ops::RangeInclusive<u64>, term: u64) -> DiskWrite {
+    let entry = |index| Arc::new(Entry { index, term, unix_ms: index, payload: Payload::Noop });
+    DiskWrite::Append(indexes.map(entry).collect())
+}
+
+fn last_index(recovered: &RecoveredDisk) -> u64 {
+    recovered.entries.last().map_or(0, |entry| entry.index)
+}
+
+/// Every pair of a number of operations and a seed.
+fn kills() -> impl Iterator<Item = (u32, u64)> {
+    (0..OPERATIONS).flat_map(|operations| (0..SEEDS).map(move |seed| (operations, seed)))
+}
+
+// Guards against an acknowledged entry that only the memory of a killed process's host held.
+#[test]
+fn entry_that_a_killed_process_wrote_is_synced_before_it_is_recovered() {
+    for (operations, seed) in kills() {
+        let disk = disk_with(seed, vec![append(1..=1, 1)]);
+        write_with(&disk, append(2..=2, 1), operations, Fault::Kill);
+
+        let reported = reopen(&disk, "after the kill");
+        disk.lose_power(Unsynced::Gone);
+        let recovered = reopen(&disk, "after the loss of power");
+
+        let case = format!("kill at {operations}, seed {seed}");
+        assert_eq!(last_index(&recovered), last_index(&reported), "{case}");
+    }
+}
+
+// Guards against an acknowledged entry that a failed sync had dropped from memory.
+#[test]
+fn entry_whose_sync_failed_is_written_again_before_it_is_recovered() {
+    for (operations, seed) in kills() {
+        let disk = disk_with(seed, vec![append(1..=1, 1)]);
+        write_with(&disk, append(2..=2, 1), operations, Fault::Refuse { operations: 1 });
+
+        let reported = reopen(&disk, "after the failed sync");
+        disk.lose_power(Unsynced::Gone);
+        let recovered = reopen(&disk, "after the loss of power");
+
+        let case = format!("failure at {operations}, seed {seed}");
+        assert_eq!(last_index(&recovered), last_index(&reported), "{case}");
+    }
+}
+
+// Guards against a replica that never starts again, as a whole frame follows a lost one.
+#[test]
+fn frame_that_is_lost_before_a_whole_one_does_not_damage_the_log() {
+    for (operations, seed) in kills() {
+        let disk = disk_with(seed, vec![append(1..=1, 1)]);
+        write_with(&disk, append(2..=2, 1), operations, Fault::Kill);
+        write_with(&disk, append(2..=2, 2), operations, Fault::Kill);
+
+        disk.lose_power(Unsynced::Mixed);
+        let recovered = reopen(&disk, &format!("kills at {operations}, seed {seed}"));
+
+        assert!(last_index(&recovered) >= 1, "kills at {operations}, seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/store/tests/power_loss/main.rs
@@ -0,0 +1,5 @@
+//! A data folder keeps what was reported as synced through kills, losses of power, and
+//! writes and syncs that fail.
+
+mod cases;
+mod simulated_disk;
