Store: the names of a folder are synced before anything is built on them

Operators may find a control replica that never starts again ("the file is missing", "the log is missing"), and a folder may be empty after a loss of power although changes were acknowledged in it.

Cause: after a kill the names that the process created or renamed are there, but not synced, and a loss of power keeps or loses each by itself. - A first start is killed in the sync of the identity's name; the next start writes the log. If the log's name outlasts a loss of power and the identity's does not, the identity counts as missing. - A reset is killed there; the next start removes the logs. If the removals outlast it and the new identity's name does not, the old identity has no log. - The name of the folder itself was synced only by the start that created the identity; if that start was killed before, no later one did it.

Change: a storage is initialised only after a sync of the folder, and of the folder above it while the identity's generation is 0, which says that no start is complete.

No existing test changed.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -62,6 +62,7 @@
             None => create_identity(&*fs, folder)?,
         };
         if identity.generation == 0 {
+            sync_name(&*fs, folder)?;
             initialize_storage(&*fs, folder, identity.disk)?;
         }
         let recovered = recovery::recover(&*fs, folder, identity.disk)?;
@@ -240,14 +241,21 @@
     }
     let identity = Identity { disk: DiskId(rand::random()), owner: None, generation: 0 };
     identity.write(fs, folder)?;
-    if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
-        files::sync_folder(fs, parent)?;
-    }
     Ok(identity)
 }
 
+/// Syncs the name of a data folder.
+fn sync_name(fs: &dyn FileSystem, folder: &Path) -> Result<(), StoreError> {
+    match folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        Some(parent) => files::sync_folder(fs, parent),
+        None => Ok(()),
+    }
+}
+
 /// Removes all logs and the snapshot, and starts the first log of a storage.
 fn initialize_storage(fs: &dyn FileSystem, folder: &Path, disk: DiskId) -> Result<(), StoreError> {
+    // The identity may have been read from memory. Without it, the rest would be damage.
+    files::sync_folder(fs, folder)?;
     for number in recovery::log_numbers(fs, folder)? {
         files::remove(fs, &log_path(folder, number))?;
     }
