Store: an opening removes temporary files that a crash left

Cause: a file is replaced by a temporary one that is renamed. Where a loss of power keeps the new name and not the removal of the old one, both name one file; the next replacement emptied it under its temporary name, and a kill there left it empty. The users' pages do not say whether a rename is kept or lost as a whole; the simulated disk takes the worse case, and so it was not seen outside of it. Temporary logs also stayed for ever.

Change: an opening removes all temporary names before it writes a file.

--- a/crates/store/src/files.rs
+++ b/crates/store/src/files.rs
@@ -6,6 +6,8 @@
 use crate::StoreError;
 use crate::file_system::{FileSystem, WritableFile};
 
+const TEMPORARY_EXTENSION: &str = "tmp";
+
 /// Adds the failed operation and the path to a system error.
 pub(crate) trait Describe<T> {
     fn describe(self, action: &'static str, path: &Path) -> Result<T, StoreError>;
@@ -54,6 +56,18 @@
     }
 }
 
+/// Removes the temporary files that a crash left. To empty them in place would be wrong: after
+/// a loss of power in a rename, both names may name one file.
+pub(crate) fn remove_temporaries(fs: &dyn FileSystem, folder: &Path) -> Result<(), StoreError> {
+    for name in fs.list(folder).describe("list", folder)? {
+        let path = folder.join(name);
+        if path.extension().is_some_and(|extension| extension == TEMPORARY_EXTENSION) {
+            remove(fs, &path)?;
+        }
+    }
+    Ok(())
+}
+
 fn temporary_of(path: &Path) -> PathBuf {
-    path.with_extension("tmp")
+    path.with_extension(TEMPORARY_EXTENSION)
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -57,6 +57,7 @@
     ) -> Result<(Self, RecoveredDisk), StoreError> {
         fs.create_folder(folder).describe("create", folder)?;
         let lock = lock(&*fs, folder)?;
+        files::remove_temporaries(&*fs, folder)?;
         let mut identity = match Identity::read(&*fs, folder)? {
             Some(identity) => identity,
             None => create_identity(&*fs, folder)?,
--- a/crates/store/tests/power_loss/cases.rs
+++ b/crates/store/tests/power_loss/cases.rs
@@ -168,3 +168,21 @@
         }
     }
 }
+
+// Guards against a file that is emptied under its temporary name, which came back.
+#[test]
+fn temporary_name_that_comes_back_does_not_empty_the_file() {
+    for (operations, seed) in kills() {
+        for second in 0..OPERATIONS {
+            let disk = disk_with(seed, vec![append(1..=3, 1)]);
+            write_with(&disk, snapshot(2, 1, true), operations, Fault::Kill);
+            disk.lose_power(Unsynced::Mixed);
+            write_with(&disk, snapshot(3, 1, true), second, Fault::Kill);
+
+            let case = format!("kills at {operations} and {second}, seed {seed}");
+            reopen(&disk, &case);
+            disk.lose_power(Unsynced::Mixed);
+            reopen(&disk, &case);
+        }
+    }
+}
