Daemon: a stop that reaches its time limit logs what was open

The warning now lists calls by progress, connections of callers and of other proxies by what they do (unused, receiving, calling, responded), and requests at the resource API; `Daemon::open_work` returns the same.

daemon: the stop limit of 3000 ms passed; open calls: 0 choosing, 0 queued, 0 running, 0 cancelling, 0 relaying; connections of callers: 0 unused, 1 receiving, 0 calling, 0 responded; ...

--- a/crates/core/src/routing/metrics.rs
+++ b/crates/core/src/routing/metrics.rs
@@ -3,6 +3,7 @@
 use strum::IntoEnumIterator;
 
 use super::refusal::{Outcome, RefusalCode};
+use super::state::Stage;
 use crate::ids::{Name, TargetId};
 
 /// Counters of one service at one proxy.
@@ -28,6 +29,34 @@
     }
 }
 
+/// Calls in flight at one proxy by progress, including forwarded ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StageCounts {
+    /// No attempt is in progress.
+    pub choosing: u32,
+    /// In the admission queue of a target of this host.
+    pub queued: u32,
+    /// The head of the response has not arrived.
+    pub running: u32,
+    /// Cancelled, with the end of the attempt not reported yet.
+    pub cancelling: u32,
+    /// The response is being relayed.
+    pub relaying: u32,
+}
+
+impl StageCounts {
+    pub(super) fn count(&mut self, stage: &Stage) {
+        let count = match stage {
+            Stage::Choosing => &mut self.choosing,
+            Stage::Queued(_) => &mut self.queued,
+            Stage::Running(_) => &mut self.running,
+            Stage::Cancelling(_) => &mut self.cancelling,
+            Stage::Relaying(_) | Stage::RelayingEarlier => &mut self.relaying,
+        };
+        *count += 1;
+    }
+}
+
 /// Refusals by code.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RefusalCounts([u64; REFUSAL_CODES]);
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -56,7 +56,7 @@
 pub use decision::{Decision, Step};
 pub use link_share::LinkShare;
 pub use message::{Fingerprint, RoutingMessage, SuspectRecord, TargetEnd};
-pub use metrics::{RoutingMetrics, ServiceCounts, TargetMetrics};
+pub use metrics::{RoutingMetrics, ServiceCounts, StageCounts, TargetMetrics};
 pub use quarantine::QUARANTINE_AFTER_ENDS;
 pub use rate_limit::RateLimit;
 pub use refusal::{Outcome, Refusal, RefusalCode};
@@ -273,6 +273,13 @@
         self.calls.len()
     }
 
+    /// Calls in flight by progress, including forwarded ones.
+    pub fn stage_counts(&self) -> StageCounts {
+        let mut counts = StageCounts::default();
+        self.calls.values().for_each(|call| counts.count(&call.stage));
+        counts
+    }
+
     /// Counters for the metrics endpoint. The run time is proportional to the number of
     /// targets.
     pub fn metrics(&self) -> RoutingMetrics {
--- a/crates/daemon/src/api/requests.rs
+++ b/crates/daemon/src/api/requests.rs
@@ -29,6 +29,11 @@
         })
     }
 
+    /// Number of requests without a response, except watches.
+    pub fn pending(&self) -> u64 {
+        self.pending.counts().0
+    }
+
     /// Whether the daemon is ready for calls.
     pub fn is_ready(&self) -> bool {
         self.runtime.inspect(|state| state.distribution().is_ready() && !state.is_stopping())
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -19,6 +19,7 @@
 use super::boot_clock::SentStamp;
 use super::fingerprint::fingerprint;
 use super::headers;
+use super::open_connections::ConnectionStage;
 use super::proxy::{Client, Proxy};
 use super::socket::CallerConnection;
 
@@ -32,12 +33,12 @@
     let (parts, body) = request.into_parts();
     let origin = match origin(&proxy, client, &parts.headers) {
         Ok(origin) => origin,
-        Err(code) => return refuse_not_run(&proxy, client, code),
+        Err(code) => return refuse_not_run(&proxy, &connection, client, code),
     };
     let stamp = (client == Client::Proxies).then(|| headers::sent_stamp(&parts.headers)).flatten();
     let transit = stamp.map(SentStamp::received_now);
     let Some(mut chain) = headers::chain(&parts.headers) else {
-        return refuse_not_run(&proxy, client, RefusalCode::BadRequest);
+        return refuse_not_run(&proxy, &connection, client, RefusalCode::BadRequest);
     };
     if client == Client::Callers {
         let given_ms = headers::caller_deadline_ms(&parts.headers, &proxy.settings.dialect);
@@ -45,7 +46,7 @@
     }
     let body = match BodySource::read(body).await {
         Ok(body) => body,
-        Err(code) => return refuse_not_run(&proxy, client, code),
+        Err(code) => return refuse_not_run(&proxy, &connection, client, code),
     };
     let host = host(&parts);
     let caller_service = caller_service(&proxy, client, &parts.headers);
@@ -73,7 +74,13 @@
     run(open, client, OutgoingRequest { parts, body: Mutex::new(body) }).await
 }
 
-fn refuse_not_run(proxy: &Proxy, client: Client, code: RefusalCode) -> Response<AnswerBody> {
+fn refuse_not_run(
+    proxy: &Proxy,
+    connection: &CallerConnection,
+    client: Client,
+    code: RefusalCode,
+) -> Response<AnswerBody> {
+    connection.set_stage(ConnectionStage::Responded);
     let refusal = Refusal { code, outcome: Outcome::NotRun };
     answer::refuse(proxy, client, refusal, None, refusal.default_retry_after_ms())
 }
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -13,6 +13,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::open_connections::{ConnectionCounts, ConnectionStage, OpenConnection, OpenConnections};
+use super::proxy::Client;
 use super::socket::CallerConnection;
 use crate::log::{self, DecisionLog};
 
@@ -28,6 +30,7 @@
     entries: Mutex<HashMap<CallId, Arc<CallEntry>>>,
     phase: watch::Sender<Phase>,
     connections: TaskTracker,
+    open_connections: Arc<OpenConnections>,
     killed: CancellationToken,
     started: Instant,
     decisions: DecisionLog,
@@ -41,6 +44,7 @@
             entries: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             connections: TaskTracker::new(),
+            open_connections: Arc::default(),
             killed: CancellationToken::new(),
             started: Instant::now(),
             decisions: DecisionLog::default(),
@@ -105,6 +109,21 @@
         self.entries().len()
     }
 
+    /// Open connections of callers.
+    pub fn caller_connections(&self) -> ConnectionCounts {
+        self.shared.open_connections.counts(Client::Callers)
+    }
+
+    /// Open connections of other proxies.
+    pub fn proxy_connections(&self) -> ConnectionCounts {
+        self.shared.open_connections.counts(Client::Proxies)
+    }
+
+    /// Counts a new connection until the result is dropped.
+    pub(super) fn open_connection(&self, client: Client) -> OpenConnection {
+        self.shared.open_connections.open(client)
+    }
+
     pub(super) fn connections(&self) -> &TaskTracker {
         &self.shared.connections
     }
@@ -144,12 +163,15 @@
             progress_ms: AtomicU64::new(self.now_ms()),
             request_id,
         });
+        entry.caller.set_stage(ConnectionStage::Calling);
         self.entries().insert(call, Arc::clone(&entry));
         (call, entry)
     }
 
     pub(super) fn close(&self, call: CallId) {
-        self.entries().remove(&call);
+        if let Some(entry) = self.entries().remove(&call) {
+            entry.caller.set_stage(ConnectionStage::Responded);
+        }
     }
 
     /// Records progress of a response.
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -15,6 +15,7 @@
 mod fingerprint;
 mod handle;
 mod headers;
+mod open_connections;
 mod pool;
 mod proxy;
 mod socket;
@@ -25,6 +26,7 @@
 pub use dialect::{CallDialect, StatusRule};
 use fireflylug_settings::BulkLimit;
 pub use handle::CallHandle;
+pub use open_connections::{ConnectionCounts, ConnectionStage};
 use tokio::net::TcpListener;
 
 use self::proxy::{Client, Proxy};
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -16,6 +15,7 @@
 use super::boot_clock::BootClock;
 use super::bulk_limiter::BulkLimiter;
 use super::handle::{CallHandle, Phase};
+use super::open_connections::ConnectionStage;
 use super::pool::{MAX_IDLE, Pool};
 use super::socket::CallerConnection;
 use super::{CallSettings, call, headers};
@@ -115,13 +115,11 @@
     async fn serve(self: Arc<Self>, stream: TcpStream, client: Client) {
         // A failure means that the connection is already closed.
         let _ = stream.set_nodelay(true);
-        let caller = Arc::new(CallerConnection::default());
-        let has_received_call = Arc::new(AtomicBool::new(false));
+        let caller = Arc::new(CallerConnection::new(self.handle.open_connection(client)));
         let service = {
-            let (caller, has_received_call) = (Arc::clone(&caller), Arc::clone(&has_received_call));
-            let proxy = Arc::clone(&self);
+            let (proxy, caller) = (Arc::clone(&self), Arc::clone(&caller));
             service_fn(move |request| {
-                has_received_call.store(true, Ordering::Relaxed);
+                caller.set_stage(ConnectionStage::Receiving);
                 let (proxy, caller) = (Arc::clone(&proxy), Arc::clone(&caller));
                 // Boxed so that an idle connection does not reserve memory for a call.
                 Box::pin(async move {
@@ -147,7 +145,7 @@
         // A connection that carried no call does not delay the shutdown.
         let first_call_timeout = async {
             tokio::time::sleep(FIRST_CALL_GRACE).await;
-            if has_received_call.load(Ordering::Relaxed) {
+            if caller.is_used() {
                 std::future::pending::<()>().await;
             }
         };
--- a/crates/daemon/src/calls/socket.rs
+++ b/crates/daemon/src/calls/socket.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::open_connections::{ConnectionStage, OpenConnection};
+
 /// Flag that selects a reset instead of an orderly close of a socket.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResetFlag(Arc<AtomicBool>);
@@ -53,13 +55,29 @@
 }
 
 /// Connection of a caller, or of the proxy that forwarded its call.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct CallerConnection {
     reset: ResetFlag,
     aborted: Notify,
+    open: OpenConnection,
 }
 
 impl CallerConnection {
+    /// Creates the state of a connection that is counted in `open`.
+    pub fn new(open: OpenConnection) -> Self {
+        Self { reset: ResetFlag::default(), aborted: Notify::new(), open }
+    }
+
+    /// Records what the connection is doing.
+    pub fn set_stage(&self, stage: ConnectionStage) {
+        self.open.set_stage(stage);
+    }
+
+    /// Whether a call has arrived.
+    pub fn is_used(&self) -> bool {
+        self.open.is_used()
+    }
+
     /// Creates the socket of the connection.
     pub fn socket(&self, stream: TcpStream) -> Socket {
         Socket::new(stream, self.reset.clone())
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,6 +9,7 @@
 use eyre::{WrapErr, eyre};
 use fireflylug_core::consensus::{ControlSettings, RecoveredDisk};
 use fireflylug_core::context::{Addresses, Identity};
+use fireflylug_core::event::{LogLevel, LogPart};
 use fireflylug_core::ids::NodeId;
 use fireflylug_core::membership::MembershipSettings;
 use fireflylug_core::routing::RoutingSettings;
@@ -25,7 +26,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{PeerHandle, PeerSettings};
 use crate::runtime::IoHandles;
-use crate::{Runtime, SharedKey, Translation, calls, disk, peers};
+use crate::{OpenWork, Runtime, SharedKey, Translation, calls, disk, log, peers};
 
 /// A running daemon. Several daemons can run in one program.
 ///
@@ -132,6 +133,16 @@
         self.runtime.exited().await;
     }
 
+    /// Returns what the process is still doing.
+    pub fn open_work(&self) -> OpenWork {
+        OpenWork {
+            calls: self.runtime.inspect(|state| state.routing().stage_counts()),
+            callers: self.calls.caller_connections(),
+            proxies: self.calls.proxy_connections(),
+            api_requests: self.requests.pending(),
+        }
+    }
+
     /// Shuts down gracefully: accepts no new work and completes requests in flight.
     ///
     /// Returns false if the configured time limit passed first; requests still in flight
@@ -148,6 +159,8 @@
         if is_finished {
             // The last messages and responses may still be in send buffers.
             tokio::time::sleep(FINAL_SEND_TIME).await;
+        } else {
+            self.log_open_work();
         }
         self.abort();
         while self.tasks.join_next().await.is_some() {}
@@ -160,6 +173,12 @@
         self.abort();
     }
 
+    fn log_open_work(&self) {
+        let (limit_ms, open) = (self.stop_limit.as_millis(), self.open_work());
+        let text = format!("the stop limit of {limit_ms} ms passed; open {open}");
+        log::write(LogLevel::Warn, LogPart::Daemon, &text);
+    }
+
     fn abort(&mut self) {
         self.api.stop();
         self.tasks.abort_all();
--- /dev/null
+++ b/crates/daemon/tests/calls/closes.rs
@@ -0,0 +1,133 @@
+//! What ends with the process or with a change of the configuration, and what does not.
+
+use std::net::SocketAddr;
+
+use fireflylug_core::resource::{Policy, Resource, Route, Service};
+use fireflylug_daemon::calls::ConnectionStage;
+use fireflylug_fault::{HttpClient, TargetOptions};
+use fireflylug_measure::calls::mesh::name;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::fixture::{HeldTarget, mesh, target, until};
+
+const HELD_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Service `seatdesk` whose calls time out after `deadline_ms`.
+fn with_deadline(deadline_ms: u32) -> Vec<Resource> {
+    let policy = Policy::new(name("quick")).with_deadline_ms(deadline_ms);
+    vec![
+        Resource::Policy(policy),
+        Resource::Service(Service::new(name("seatdesk")).with_policy(name("quick"))),
+        Resource::Route(Route::new(name("look"), "/", name("seatdesk"))),
+    ]
+}
+
+async fn look(address: SocketAddr) -> std::io::Result<(u16, String)> {
+    let answer = HttpClient::new().send(address, "GET /sheets", &[], "").await?;
+    Ok((answer.status.as_u16(), answer.text()))
+}
+
+#[tokio::test]
+async fn open_work_lists_a_call_at_its_ingress_and_at_its_owner() {
+    let held = HeldTarget::start(HELD_ANSWER).await;
+    let mesh = mesh(&[held.address]).await;
+    let call = tokio::spawn(look(mesh.calls(0)));
+    until("the call runs", || held.has_call()).await;
+
+    let [ingress, owner] = [0, 1].map(|index| mesh.daemon(index).open_work());
+    held.answer();
+    let answer = call.await.expect("no panic").expect("a response");
+
+    assert_eq!(answer, (200, "ok".to_owned()));
+    assert_eq!([ingress.calls.running, owner.calls.running], [1, 1]);
+    assert_eq!(ingress.callers.of(ConnectionStage::Calling), 1);
+    assert_eq!(owner.proxies.of(ConnectionStage::Calling), 1);
+    assert_eq!(
+        ingress.to_string(),
+        "calls: 0 choosing, 0 queued, 1 running, 0 cancelling, 0 relaying; \
+         connections of callers: 0 unused, 0 receiving, 1 calling, 0 responded; \
+         connections of proxies: 0 unused, 0 receiving, 0 calling, 0 responded; \
+         0 requests at the resource API"
+    );
+}
+
+// Guards against an answer that is lost with the process while its caller reads slowly.
+#[tokio::test]
+async fn a_caller_that_reads_slowly_gets_its_whole_answer_from_a_stopping_process() {
+    let target = target(TargetOptions::new().with_body_bytes(4_000_000)).await;
+    let mut mesh = mesh(&[target.address()]).await;
+    let mut stream = TcpStream::connect(mesh.calls(0)).await.expect("the proxy accepts");
+    let request = "GET /sheets HTTP/1.1\r\nhost: a\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.expect("the proxy reads");
+    until("the call ran", || target.total_runs() == 1).await;
+
+    let stop = mesh.stop(0);
+    let read = async {
+        let mut answer = Vec::new();
+        let mut part = vec![0; 100_000];
+        while let Ok(count @ 1..) = stream.read(&mut part).await {
+            answer.extend_from_slice(&part[..count]);
+            tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+        }
+        answer
+    };
+    let (finished, answer) = tokio::join!(stop, read);
+
+    assert!(finished);
+    assert_eq!(answer.iter().filter(|byte| **byte == b'x').count(), 4_000_000);
+}
+
+#[tokio::test]
+async fn a_change_that_removes_the_route_and_its_service_ends_no_call_in_flight() {
+    let held = HeldTarget::start(HELD_ANSWER).await;
+    let mut mesh = mesh(&[held.address]).await;
+    let address = mesh.calls(0);
+    let call = tokio::spawn(look(address));
+    until("the call runs", || held.has_call()).await;
+
+    mesh.configure([]);
+    let after = look(address).await.expect("a response");
+    held.answer();
+    let answer = call.await.expect("no panic").expect("a response");
+
+    assert_eq!(after.0, 404);
+    assert_eq!(answer, (200, "ok".to_owned()));
+}
+
+#[tokio::test]
+async fn a_change_to_a_shorter_timeout_ends_no_call_in_flight() {
+    let held = HeldTarget::start(HELD_ANSWER).await;
+    let mut mesh = mesh(&[held.address]).await;
+    mesh.configure(with_deadline(20_000));
+    let address = mesh.calls(0);
+    let call = tokio::spawn(look(address));
+    until("the call runs", || held.has_call()).await;
+
+    mesh.configure(with_deadline(200));
+    let after = look(address).await.expect("a response");
+    held.answer();
+    let answer = call.await.expect("no panic").expect("a response");
+
+    assert_eq!(after.0, 504);
+    assert_eq!(answer, (200, "ok".to_owned()));
+}
+
+#[tokio::test]
+async fn a_reload_and_a_change_of_targets_end_no_call_in_flight() {
+    let held = HeldTarget::start(HELD_ANSWER).await;
+    let mesh = mesh(&[held.address]).await;
+    let call = tokio::spawn(look(mesh.calls(0)));
+    until("the call runs", || held.has_call()).await;
+
+    for daemon in mesh.running() {
+        let mut settings = fireflylug_settings::Settings::mesh_of_one();
+        settings.seeds = vec![daemon.addresses().peers];
+        daemon.reload(&settings);
+    }
+    mesh.announce_again(1, "t0", true);
+    held.answer();
+    let answer = call.await.expect("no panic").expect("a response");
+
+    assert_eq!(answer, (200, "ok".to_owned()));
+}
