Calls: a request body without end does not hold up a stop

What was seen: a process that received the start of a request body kept waiting for the rest after it had begun to refuse calls, for up to 10 s after the last byte, and so until its time limit (9.6 s of a grace of 10 s); then it exited with status 3 as if calls had been cut off. The caller got no answer.

Cause: the body is buffered before the call is admitted, and that wait did not take part in the stop, while a connection without any call did (500 ms). Both now end 500 ms after the process began to refuse calls: the request is refused as `stopping`, not run, as it would be if the rest arrived.

--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -44,7 +44,7 @@
         let given_ms = headers::caller_deadline_ms(&parts.headers, &proxy.settings.dialect);
         chain.remaining_ms = chain.remaining_ms.into_iter().chain(given_ms).min();
     }
-    let body = match BodySource::read(body).await {
+    let body = match receive(&proxy, body).await {
         Ok(body) => body,
         Err(code) => return refuse_not_run(&proxy, &connection, client, code),
     };
@@ -74,6 +74,16 @@
     run(open, client, OutgoingRequest { parts, body: Mutex::new(body) }).await
 }
 
+/// Receives the start of a request body. A stopping process refuses new calls, so it does not
+/// wait for a body until the time limit of the stop.
+async fn receive(proxy: &Proxy, body: Incoming) -> Result<BodySource, RefusalCode> {
+    tokio::select! {
+        biased;
+        body = BodySource::read(body) => body,
+        () = proxy.handle.refuses_incomplete_requests() => Err(RefusalCode::Stopping),
+    }
+}
+
 fn refuse_not_run(
     proxy: &Proxy,
     connection: &CallerConnection,
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use fireflylug_core::collections::HashMap;
@@ -18,6 +18,10 @@
 use super::socket::CallerConnection;
 use crate::log::{self, DecisionLog};
 
+/// Time that a stopping process still waits for the rest of a request after it has started to
+/// refuse calls.
+const REQUEST_GRACE: Duration = Duration::from_millis(500);
+
 /// Accepts effects on calls without blocking.
 #[derive(Clone, Debug, Default)]
 pub struct CallHandle {
@@ -133,8 +137,16 @@
         self.shared.killed.clone()
     }
 
-    pub(super) fn phase(&self) -> watch::Receiver<Phase> {
-        self.shared.phase.subscribe()
+    /// Waits until a stopping process no longer waits for the rest of a request.
+    pub async fn refuses_incomplete_requests(&self) {
+        self.reached(Phase::ClosingIdle).await;
+        tokio::time::sleep(REQUEST_GRACE).await;
+    }
+
+    /// Waits until the graceful shutdown has reached a phase.
+    pub(super) async fn reached(&self, minimum_phase: Phase) {
+        // The sender is not dropped before `self`.
+        let _ = self.shared.phase.subscribe().wait_for(|phase| *phase >= minimum_phase).await;
     }
 
     pub(super) fn is_serving(&self) -> bool {
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -10,7 +10,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use super::boot_clock::BootClock;
 use super::bulk_limiter::BulkLimiter;
@@ -34,8 +33,6 @@
 const MIN_IDLE_TO_OWNER: Duration = Duration::from_secs(1);
 /// Interval between checks for stalled responses and idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Grace period for the first call on a new connection during a graceful shutdown.
-const FIRST_CALL_GRACE: Duration = Duration::from_millis(500);
 /// Delay after a failed accept: the process may be out of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -88,14 +85,13 @@
 
     /// Accepts connections until the graceful shutdown closes the listeners.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, client: Client) {
-        let mut phase = self.handle.phase();
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.spawn(stream, client),
                     Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
                 },
-                () = phase_reached(&mut phase, Phase::ListenersClosed) => break,
+                () = self.handle.reached(Phase::ListenersClosed) => break,
             }
         }
         // Serves connections in the accept backlog; closing the listener would reset them.
@@ -134,17 +130,16 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(caller.socket(stream), service);
         let mut connection = std::pin::pin!(connection);
-        let mut phase = self.handle.phase();
         tokio::select! {
             // The peer of a failed connection notices the failure itself.
             _ = connection.as_mut() => return,
             () = caller.aborted() => return,
-            () = phase_reached(&mut phase, Phase::ClosingIdle) => {}
+            () = self.handle.reached(Phase::ClosingIdle) => {}
         }
         connection.as_mut().graceful_shutdown();
         // A connection that carried no call does not delay the shutdown.
         let first_call_timeout = async {
-            tokio::time::sleep(FIRST_CALL_GRACE).await;
+            self.handle.refuses_incomplete_requests().await;
             if caller.is_used() {
                 std::future::pending::<()>().await;
             }
@@ -167,8 +162,3 @@
         }
     }
 }
-
-async fn phase_reached(phase: &mut watch::Receiver<Phase>, minimum_phase: Phase) {
-    // The sender is not dropped before the proxy.
-    let _ = phase.wait_for(|phase| *phase >= minimum_phase).await;
-}
--- a/crates/daemon/tests/calls/closes.rs
+++ b/crates/daemon/tests/calls/closes.rs
@@ -5,13 +5,26 @@
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_daemon::calls::ConnectionStage;
 use fireflylug_fault::{HttpClient, TargetOptions};
-use fireflylug_measure::calls::mesh::name;
+use fireflylug_measure::calls::mesh::{Mesh, name};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::fixture::{HeldTarget, mesh, target, until};
 
 const HELD_ANSWER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const HALF_A_PAYMENT: &str = "POST /pay HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc";
+
+/// Starts one daemon that stops without notice and waits three seconds for requests in flight.
+async fn quickly_stopping_daemon() -> Mesh {
+    let mut mesh = Mesh::default();
+    let start = mesh.add_daemon_with(|mut settings| {
+        settings.stop_notice_ms = 0;
+        settings.stop_limit_ms = 3_000;
+        settings
+    });
+    start.await.expect("the daemon starts");
+    mesh
+}
 
 /// Service `seatdesk` whose calls time out after `deadline_ms`.
 fn with_deadline(deadline_ms: u32) -> Vec<Resource> {
@@ -28,6 +41,24 @@
     Ok((answer.status.as_u16(), answer.text()))
 }
 
+// Guards against a stop that waits for a request body until the time limit.
+#[tokio::test]
+async fn a_request_body_without_end_does_not_delay_a_stop() {
+    let mut mesh = quickly_stopping_daemon().await;
+    let mut stream = TcpStream::connect(mesh.calls(0)).await.expect("the proxy accepts");
+    stream.write_all(HALF_A_PAYMENT.as_bytes()).await.expect("the proxy reads");
+    let receiving = |mesh: &Mesh| mesh.daemon(0).open_work().callers.of(ConnectionStage::Receiving);
+    until("the body is being received", || receiving(&mesh) == 1).await;
+
+    let finished = mesh.stop(0).await;
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+
+    assert!(finished, "the stop reached its time limit; {answer:?}");
+    assert!(read.is_ok() && answer.starts_with("HTTP/1.1 503"), "{read:?} {answer:?}");
+    assert!(answer.contains("fireflylug-outcome: not-run"), "{answer:?}");
+}
+
 #[tokio::test]
 async fn open_work_lists_a_call_at_its_ingress_and_at_its_owner() {
     let held = HeldTarget::start(HELD_ANSWER).await;
