Calls: the first request of a connection is answered while the process stops

What callers saw: a connection that was just accepted was closed without an answer when the process began to refuse calls, although its first request was on its way or lay unread in the socket, which resets it. Half a second of grace was meant for that case.

Cause: the HTTP library closes a connection on which it has seen no byte as soon as it is told to close, so the grace only held for a request whose head had been received in part. Such a connection is now not told to close: the response to its first call does that, or the end of the grace.

A process stops up to 500 ms later if it has connections on which no call has arrived.

Evidence: the case without a byte failed before, the one with half a head passed:

test result: FAILED. 1 passed; 1 failed (closes.rs:195:5: "")

No rule of the users counts such a request, as it was not read.

--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -136,8 +136,11 @@
             () = caller.aborted() => return,
             () = self.handle.reached(Phase::ClosingIdle) => {}
         }
-        connection.as_mut().graceful_shutdown();
-        // A connection that carried no call does not delay the shutdown.
+        // The HTTP library would close a connection that carried no call at once, although its
+        // first call may be in transit. The response to that call closes the connection.
+        if caller.is_used() {
+            connection.as_mut().graceful_shutdown();
+        }
         let first_call_timeout = async {
             self.handle.refuses_incomplete_requests().await;
             if caller.is_used() {
--- a/crates/daemon/tests/calls/closes.rs
+++ b/crates/daemon/tests/calls/closes.rs
@@ -1,11 +1,13 @@
 //! What ends with the process or with a change of the configuration, and what does not.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_daemon::calls::ConnectionStage;
 use fireflylug_fault::{HttpClient, TargetOptions};
 use fireflylug_measure::calls::mesh::{Mesh, name};
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -162,3 +164,34 @@
 
     assert_eq!(answer, (200, "ok".to_owned()));
 }
+
+// Guards against a connection that is closed while its first request is in transit.
+#[rstest]
+#[case::nothing_received("")]
+#[case::half_a_head_received("GET /sheets HTTP/1.1\r\nho")]
+#[tokio::test]
+async fn the_first_request_of_a_connection_is_answered_by_a_process_that_refuses_calls(
+    #[case] received: &str,
+) {
+    let mut mesh = quickly_stopping_daemon().await;
+    let mut stream = TcpStream::connect(mesh.calls(0)).await.expect("the proxy accepts");
+    stream.write_all(received.as_bytes()).await.expect("the proxy reads");
+    let unused = |mesh: &Mesh| mesh.daemon(0).open_work().callers.of(ConnectionStage::Unused);
+    until("the connection is accepted", || unused(&mesh) == 1).await;
+    let runtime = Arc::clone(mesh.daemon(0).runtime());
+
+    let caller = async {
+        let is_refusing = || runtime.inspect(|s| s.is_stopping() && s.routing().is_idle());
+        until("calls are refused", is_refusing).await;
+        let rest = "GET /sheets HTTP/1.1\r\nhost: a\r\n\r\n".strip_prefix(received);
+        let sent = stream.write_all(rest.expect("the same request").as_bytes()).await;
+        let mut answer = String::new();
+        let read = stream.read_to_string(&mut answer).await;
+        (sent.is_ok() && read.is_ok(), answer)
+    };
+    let (finished, (is_ok, answer)) = tokio::join!(mesh.stop(0), caller);
+
+    assert!(finished && is_ok);
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(answer.contains("fireflylug-outcome: not-run"), "{answer:?}");
+}
