Tests: real processes stop, reload and change beside callers that keep their connections

A request that a target ran must have been answered completely, and each process must end within its time limit with success. Requests that no target ran are not judged: they may have crossed the close.

Not covered: calls that targets make, pipelined requests, calls up to their deadline.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -8,4 +8,5 @@
 mod endless;
 mod garbage;
 mod outages;
+mod stops;
 mod support;
--- a/tests/processes/support.rs
+++ b/tests/processes/support.rs
@@ -112,9 +112,20 @@
 
     /// Sends SIGTERM to the daemon of a host.
     pub async fn terminate(&mut self, host: usize) {
+        self.send_signal(host, "-TERM").await;
+    }
+
+    /// Sends SIGHUP to each running daemon, which reloads its settings file.
+    pub async fn reload_all(&self) {
+        for host in self.running() {
+            self.send_signal(host, "-HUP").await;
+        }
+    }
+
+    async fn send_signal(&self, host: usize, signal: &str) {
         let child = self.daemons[host].child.as_ref().expect("a daemon that runs");
         let pid = child.id().expect("a daemon that runs").to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status().await;
+        let sent = Command::new("kill").args([signal, &pid]).status().await;
         assert!(sent.expect("kill").success());
     }
 
