--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
 use fireflylug_core::collections::HashMap;
@@ -13,9 +13,15 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::open_connections::{ConnectionCounts, ConnectionStage, OpenConnection, OpenConnections};
+use super::proxy::Client;
 use super::socket::CallerConnection;
 use crate::log::{self, DecisionLog};
 
+/// Time that a stopping process still waits for the rest of a request after it has started to
+/// refuse calls.
+const REQUEST_GRACE: Duration = Duration::from_millis(500);
+
 /// Accepts effects on calls without blocking.
 #[derive(Clone, Debug, Default)]
 pub struct CallHandle {
@@ -28,6 +34,7 @@
     entries: Mutex<HashMap<CallId, Arc<CallEntry>>>,
     phase: watch::Sender<Phase>,
     connections: TaskTracker,
+    open_connections: Arc<OpenConnections>,
     killed: CancellationToken,
     started: Instant,
     decisions: DecisionLog,
@@ -41,6 +48,7 @@
             entries: Mutex::default(),
             phase: watch::Sender::new(Phase::Serving),
             connections: TaskTracker::new(),
+            open_connections: Arc::default(),
             killed: CancellationToken::new(),
             started: Instant::now(),
             decisions: DecisionLog::default(),
@@ -105,6 +113,21 @@
         self.entries().len()
     }
 
+    /// Open connections of callers.
+    pub fn caller_connections(&self) -> ConnectionCounts {
+        self.shared.open_connections.counts(Client::Callers)
+    }
+
+    /// Open connections of other proxies.
+    pub fn proxy_connections(&self) -> ConnectionCounts {
+        self.shared.open_connections.counts(Client::Proxies)
+    }
+
+    /// Counts a new connection until the result is dropped.
+    pub(super) fn open_connection(&self, client: Client) -> OpenConnection {
+        self.shared.open_connections.open(client)
+    }
+
     pub(super) fn connections(&self) -> &TaskTracker {
         &self.shared.connections
     }
@@ -114,8 +137,16 @@
         self.shared.killed.clone()
     }
 
-    pub(super) fn phase(&self) -> watch::Receiver<Phase> {
-        self.shared.phase.subscribe()
+    /// Waits until a stopping process no longer waits for the rest of a request.
+    pub async fn refuses_incomplete_requests(&self) {
+        self.reached(Phase::ClosingIdle).await;
+        tokio::time::sleep(REQUEST_GRACE).await;
+    }
+
+    /// Waits until the graceful shutdown has reached a phase.
+    pub(super) async fn reached(&self, minimum_phase: Phase) {
+        // The sender is not dropped before `self`.
+        let _ = self.shared.phase.subscribe().wait_for(|phase| *phase >= minimum_phase).await;
     }
 
     pub(super) fn is_serving(&self) -> bool {
@@ -144,12 +175,15 @@
             progress_ms: AtomicU64::new(self.now_ms()),
             request_id,
         });
+        entry.caller.set_stage(ConnectionStage::Calling);
         self.entries().insert(call, Arc::clone(&entry));
         (call, entry)
     }
 
     pub(super) fn close(&self, call: CallId) {
-        self.entries().remove(&call);
+        if let Some(entry) = self.entries().remove(&call) {
+            entry.caller.set_stage(ConnectionStage::Responded);
+        }
     }
 
     /// Records progress of a response.
