--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -149,9 +149,13 @@
         Ok(())
     }
 
-    /// Drops the entries that the snapshot covers and checks that the rest has no gap.
+    /// Drops the entries that the snapshot covers, and those that do not follow it, and checks
+    /// that the rest has no gap.
     fn check_entries(&mut self, path: &Path) -> Result<(), StoreError> {
         let covered_index = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        if !self.is_snapshot_in_log() {
+            self.entries.clear();
+        }
         self.entries = self.entries.split_off(&(covered_index + 1));
         let has_gap = self
             .entries
@@ -163,4 +167,17 @@
         }
         Ok(())
     }
+
+    /// Whether the log was started for the snapshot. A crash may come between the two.
+    pub(crate) fn is_own_log(&self) -> bool {
+        self.snapshot_index == self.snapshot.as_ref().map(|snapshot| snapshot.index)
+    }
+
+    /// Whether the entries follow the snapshot: an older log has to hold the last entry that
+    /// the snapshot covers.
+    fn is_snapshot_in_log(&self) -> bool {
+        let Some(snapshot) = &self.snapshot else { return true };
+        let last_covered = self.entries.get(&snapshot.index);
+        self.is_own_log() || last_covered.is_some_and(|entry| entry.term == snapshot.term)
+    }
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -71,7 +71,8 @@
         identity.write(&*fs, folder)?;
         let path = log_path(folder, recovered.log_number);
         let log = files::open(&*fs, &path)?;
-        let store = Self {
+        let is_own_log = recovered.is_own_log();
+        let mut store = Self {
             fs,
             folder: folder.to_owned(),
             _lock: lock,
@@ -84,7 +85,11 @@
             entries: recovered.entries.clone(),
             has_failed: false,
         };
-        store.remove_old_logs()?;
+        if is_own_log {
+            store.remove_old_logs()?;
+        } else {
+            store.start_log()?;
+        }
         let recovered = RecoveredDisk {
             disk: identity.disk,
             owner: identity.owner,
--- a/crates/store/tests/power_loss/cases.rs
+++ b/crates/store/tests/power_loss/cases.rs
@@ -169,6 +169,34 @@
     }
 }
 
+// Guards against entries that conflict with the snapshot before them.
+#[test]
+fn snapshot_whose_log_was_not_started_drops_entries_that_do_not_follow_it() {
+    for (operations, seed) in kills() {
+        let disk = disk_with(seed, vec![snapshot(0, 0, false), append(1..=9, 1)]);
+        write_with(&disk, snapshot(5, 2, false), operations, Fault::Kill);
+
+        let recovered = reopen(&disk, "after the kill");
+
+        let index = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let expected = if index == 5 { 0 } else { 9 };
+        assert_eq!(last_index(&recovered), expected, "kill at {operations}, seed {seed}");
+    }
+}
+
+// Guards against the loss of entries that do follow the snapshot before them.
+#[test]
+fn compaction_whose_log_was_not_started_keeps_the_entries_after_it() {
+    for (operations, seed) in kills() {
+        let disk = disk_with(seed, vec![snapshot(0, 0, false), append(1..=9, 1)]);
+        write_with(&disk, snapshot(5, 1, true), operations, Fault::Kill);
+
+        let recovered = reopen(&disk, "after the kill");
+
+        assert_eq!(last_index(&recovered), 9, "kill at {operations}, seed {seed}");
+    }
+}
+
 // Guards against a file that is emptied under its temporary name, which came back.
 #[test]
 fn temporary_name_that_comes_back_does_not_empty_the_file() {
--- a/crates/store/tests/power_loss/main.rs
+++ b/crates/store/tests/power_loss/main.rs
@@ -2,4 +2,6 @@
 //! writes and syncs that fail.
 
 mod cases;
+mod model;
+mod random;
 mod simulated_disk;
