Control replica: forms no voter set on a failed disk

Nobody is known to have seen it. Cause: a blank sole voter found by its address formed the initial set when membership named it, also after its disk had failed. Every other entry point checks that. The disk thread drops what was queued before it opens the folder again; a command between that and the new replica would run on the new store under a sequence of the old one, and its Synced event would count for commands of the new replica.

Change: set_known_replicas checks it too; the reopened replica then forms the set. tests/consensus/cluster.rs: identity() is public in the test crate, nothing else.

Evidence, before: blank_replica_whose_disk_failed_forms_no_set: left: 1, right: 0.

--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -165,7 +165,8 @@
             self.settings.initial_addresses.iter().map(node_at).collect();
         let Some(nodes) = nodes.filter(|nodes| !nodes.is_empty()) else { return };
         self.settings.initial_voters = nodes;
-        if self.pending_start.is_none() && matches!(self.role, Role::Blank(_)) {
+        let is_running = self.pending_start.is_none() && !self.storage.has_failed();
+        if is_running && matches!(self.role, Role::Blank(_)) {
             self.begin_bootstrap(cx);
             self.hello_at = cx.now;
         }
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -447,7 +447,7 @@
     }
 }
 
-fn identity(at: usize) -> Identity {
+pub fn identity(at: usize) -> Identity {
     let host = name(&format!("control-{at}"));
     let any = "127.0.0.1:1".parse().expect("an address");
     Identity {
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -3,6 +3,7 @@
 mod cases;
 mod cluster;
 mod disk;
+mod failed_disk;
 mod full_disks;
 mod random;
 mod starts;
