--- a/crates/core/src/consensus/floors.rs
+++ b/crates/core/src/consensus/floors.rs
@@ -91,7 +91,7 @@
         }
         let floor = hello.floor.unwrap_or_default();
         let lacks_entries =
-            floor.term == self.hard_state.term && floor.match_index > self.storage.durable_index();
+            floor.term == self.hard_state.term && floor.match_index > self.storage.held_index();
         let is_older = floor.generation > self.generation
             || floor.term > self.hard_state.term
             || lacks_entries;
--- a/crates/core/src/consensus/storage.rs
+++ b/crates/core/src/consensus/storage.rs
@@ -15,6 +15,8 @@
     /// Unsynced appends and snapshots: the command's sequence and its last entry.
     unsynced: VecDeque<(u64, u64)>,
     durable_index: u64,
+    /// Index of the last entry that was recovered.
+    recovered_index: u64,
     has_failed: bool,
 }
 
@@ -27,6 +29,7 @@
             hard_state_sequence: 0,
             unsynced: VecDeque::new(),
             durable_index,
+            recovered_index: durable_index,
             has_failed: false,
         }
     }
@@ -85,6 +88,12 @@
         self.durable_index
     }
 
+    /// Index of the last entry that the disk held when it was opened, or of a later one that
+    /// is synced. A snapshot under way takes nothing back from it.
+    pub(super) fn held_index(&self) -> u64 {
+        self.recovered_index.max(self.durable_index)
+    }
+
     pub(super) fn hard_state_sequence(&self) -> u64 {
         self.hard_state_sequence
     }
--- /dev/null
+++ b/crates/core/tests/consensus/confirmation.rs
@@ -0,0 +1,103 @@
+//! Tests of a voter whose storage the others still have to confirm.
+
+use std::sync::Arc;
+
+use fireflylug_core::consensus::{
+    ConsensusMessage, ControlReplica, ControlSettings, DiskId, DiskWrite, Entry, Floor, HardState,
+    Hello, InstallSnapshot, Payload, RecoveredDisk, Snapshot, Voter, VoterSet,
+};
+use fireflylug_core::context::{Context, Identity};
+use fireflylug_core::{Effect, Instant};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::cluster::identity;
+
+/// Term of the leader, of the recovered entries and of the floor.
+const TERM: u64 = 1;
+
+/// Last entry that the voter acknowledged before its restart.
+const ACKNOWLEDGED: u64 = 5;
+
+fn voter(at: usize) -> Voter {
+    let node = identity(at).id;
+    Voter { node, disk: DiskId(node.0) }
+}
+
+fn voters() -> VoterSet {
+    VoterSet::new((0..5).map(voter).collect())
+}
+
+/// Disk of the first voter, with the entries up to `last`.
+fn recovered_disk(last: u64) -> RecoveredDisk {
+    let entry =
+        |index| Arc::new(Entry { index, term: TERM, unix_ms: index, payload: Payload::Noop });
+    RecoveredDisk {
+        owner: Some(voter(0).node),
+        generation: 2,
+        hard_state: HardState { term: TERM, vote: None, commit: 0 },
+        snapshot: Some(Arc::new(Snapshot::initial(voters()))),
+        entries: (1..=last).map(entry).collect(),
+        ..RecoveredDisk::blank(voter(0).disk)
+    }
+}
+
+/// Snapshot of entries that the voter lacks.
+fn snapshot_message() -> ConsensusMessage {
+    let snapshot = Snapshot { index: 50, term: TERM, ..Snapshot::initial(voters()) };
+    ConsensusMessage::Snapshot(InstallSnapshot {
+        term: TERM,
+        round: 1,
+        snapshot: Arc::new(snapshot),
+    })
+}
+
+/// Response of another voter to a hello, with what the first voter acknowledged.
+fn floor_message(at: usize) -> ConsensusMessage {
+    ConsensusMessage::Hello(Hello {
+        disk: voter(at).disk,
+        generation: 1,
+        blank: false,
+        needs_response: false,
+        floor: Some(Floor { generation: 1, term: TERM, match_index: ACKNOWLEDGED }),
+        leader: Some(voter(1).node),
+        discovered_voters: Vec::new(),
+    })
+}
+
+/// Passes messages to the first voter. Returns whether it reset its storage.
+fn is_reset_by(recovered: RecoveredDisk, messages: Vec<(usize, ConsensusMessage)>) -> bool {
+    let me: Identity = identity(0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut effects = Vec::new();
+    let now = Instant::from_us(1_000_000);
+    let mut replica = ControlReplica::new(ControlSettings::default(), recovered, now);
+    for (from, message) in messages {
+        let mut cx = Context { now, rng: &mut rng, me: &me, effects: &mut effects };
+        replica.step(&mut cx, voter(from).node, message);
+    }
+    let is_reset = |effect: &Effect| matches!(effect, Effect::Disk(command) if matches!(command.write, DiskWrite::Reset { .. }));
+    effects.iter().any(is_reset)
+}
+
+// Guards against a voter that drops its storage as an older copy while a snapshot of the leader
+// is not synced yet.
+#[test]
+fn voter_that_is_writing_a_snapshot_is_not_taken_for_an_older_copy() {
+    let messages = vec![(1, snapshot_message()), (2, floor_message(2))];
+
+    let is_reset = is_reset_by(recovered_disk(ACKNOWLEDGED), messages);
+
+    assert!(!is_reset);
+}
+
+// Guards against an older copy that counts as complete while the leader's snapshot that fills it
+// is not synced yet.
+#[test]
+fn older_copy_that_is_writing_a_snapshot_is_reset() {
+    let messages = vec![(1, snapshot_message()), (2, floor_message(2))];
+
+    let is_reset = is_reset_by(recovered_disk(ACKNOWLEDGED - 1), messages);
+
+    assert!(is_reset);
+}
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -2,6 +2,7 @@
 
 mod cases;
 mod cluster;
+mod confirmation;
 mod disk;
 mod failed_disk;
 mod full_disks;
