--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -2,7 +2,9 @@
 
 mod cases;
 mod cluster;
+mod confirmation;
 mod disk;
+mod failed_disk;
 mod full_disks;
 mod random;
 mod starts;
