An acceptance waits until the voters that respond are admitted

The same for the growth from three voters to five: a change accepted by two of three is gone, or unreadable, if those two disks are lost, though five voters tolerate that.

Cause: accepted was said at the commit. While a voter runs with a storage that is not admitted, or a learner is not promoted, fewer further losses leave a quorum than the number of voters promises.

Change: the leader withholds an acceptance until no change of the voters is uncommitted, the voters that respond are known to run with their admitted storages, and no learner could fill a missing place; for 1 s at most (MAX_WITHHOLD_MS). A voter silent for 600 ms is not waited for. When a process connects, the leader requests a response that names its storage. A replica that no longer leads says unknown instead, and the resend under the key gets the outcome. Versions are distributed at the commit, as before.

--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -245,6 +245,7 @@
         self.leader = Some(cx.me.id);
         self.role = Role::Leader(Leadership {
             peers: BTreeMap::new(),
+            started_at: cx.now,
             first_index: next_index,
             round: 0,
             next_heartbeat_at: cx.now.plus_ms(HEARTBEAT_INTERVAL_MS),
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -185,7 +185,7 @@
             let previous_version = self.state_machine.configuration().version();
             let outcome = self.state_machine.apply(&entry);
             self.publish_version(cx, previous_version);
-            self.resolve_proposals(&entry, outcome);
+            self.resolve_proposals(cx, &entry, outcome);
             if let Payload::Voters(_) = entry.payload {
                 self.pending_voters.retain(|(index, _)| *index > entry.index);
                 needs_hard_state_write = true;
@@ -225,7 +225,12 @@
         }
     }
 
-    fn resolve_proposals(&mut self, entry: &Entry, outcome: Option<ChangeOutcome>) {
+    fn resolve_proposals(
+        &mut self,
+        cx: &Context<'_>,
+        entry: &Entry,
+        outcome: Option<ChangeOutcome>,
+    ) {
         for (term, origin) in self.pending.take_proposals_at(entry.index) {
             let is_same_term = term == entry.term;
             let outcome = match &outcome {
@@ -235,7 +240,7 @@
                     "the leader was replaced before the change was committed; send it again",
                 )),
             };
-            self.output(ControlOutput::Outcome(origin, outcome));
+            self.report_outcome(cx, origin, outcome);
         }
     }
 
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -34,9 +34,20 @@
             return;
         }
         self.maintain_voters(cx);
+        self.report_acceptances(cx);
         self.send_heartbeats(cx);
     }
 
+    /// Handles the first connection to another process. It may have started anew with another
+    /// storage, so the leader requests a response that names it.
+    pub fn peer_connected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if let Some(progress) = leadership.peers.get_mut(&peer) {
+            progress.await_response(cx.now);
+            self.send_append(cx, peer, Vec::new(), 0);
+        }
+    }
+
     /// Sends pending entries to every peer, or an empty append as a heartbeat.
     pub(super) fn send_heartbeats(&mut self, cx: &mut Context<'_>) {
         let Role::Leader(leadership) = &mut self.role else { return };
@@ -182,8 +193,7 @@
         let Role::Leader(leadership) = &mut self.role else { return };
         let Some(peer) = leadership.peers.get_mut(&from) else { return };
         peer.set_disk((response.disk, response.generation));
-        peer.last_response_at = cx.now;
-        peer.echoed_round = peer.echoed_round.max(response.round);
+        peer.record_response(cx.now, response.round);
         let mut needs_snapshot = false;
         match response.rejected {
             Some(rejected) if rejected.prev_index < peer.match_index => {}
@@ -211,6 +221,7 @@
         self.answer_reads(cx);
         self.send_entries(cx, from);
         self.admit_when_caught_up(cx, from);
+        self.report_acceptances(cx);
     }
 
     /// Advances the commit index to the last entry that a majority has synced.
@@ -232,6 +243,7 @@
         self.commit_index = index;
         self.is_confirmed = true;
         self.apply_committed(cx);
+        self.report_acceptances(cx);
         self.send_heartbeats(cx);
         self.answer_reads(cx);
         let is_removed = self.pending_voters.is_empty() && !self.is_voter(me);
@@ -275,6 +287,7 @@
         let peer = leadership.peers.entry(from).or_insert_with(|| Peer::new(next_index, cx.now));
         if peer.disk != Some(disk) {
             peer.set_disk(disk);
+            peer.await_response(cx.now);
             peer.probe(next_index);
             self.send_append(cx, from, Vec::new(), 0);
         }
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -9,6 +9,7 @@
 //! set is validated when its entry is applied, so that every replica computes
 //! the same outcome, whichever replica leads at that time.
 
+mod acceptance;
 mod bootstrap;
 mod disk;
 mod election;
@@ -39,6 +40,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use acceptance::MAX_WITHHOLD_MS;
 pub use disk::{DiskCommand, DiskEvent, DiskWrite, RecoveredDisk};
 pub use entry::{DiskId, Entry, HardState, Payload, Voter, VoterSet};
 pub use message::{
@@ -99,7 +101,8 @@
 /// Outcome of a change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum ChangeOutcome {
-    /// Committed now, or earlier under the same idempotency key.
+    /// Committed now, or earlier under the same idempotency key. Reported once the voters that
+    /// respond are admitted with their present storages, within [`MAX_WITHHOLD_MS`].
     Accepted {
         /// Version of the configuration that holds the change.
         version: Version,
--- a/crates/core/src/consensus/peer.rs
+++ b/crates/core/src/consensus/peer.rs
@@ -51,6 +51,8 @@
     pub(super) last_response_at: Instant,
     /// Newest heartbeat round that it echoed.
     pub(super) echoed_round: u64,
+    /// Until when a response is awaited that names its present storage.
+    awaited_until: Instant,
 }
 
 impl Peer {
@@ -64,9 +66,32 @@
             in_flight_bytes: 0,
             last_response_at,
             echoed_round: 0,
+            awaited_until: Instant::default(),
         }
     }
 
+    /// Awaits a response for one election timeout, because its storage may have changed.
+    pub(super) fn await_response(&mut self, now: Instant) {
+        self.awaited_until = now.plus_ms(ELECTION_TIMEOUT_MAX_MS);
+    }
+
+    /// Whether a response that names its present storage is awaited.
+    pub(super) fn is_awaited(&self, now: Instant) -> bool {
+        now < self.awaited_until
+    }
+
+    /// Records a response.
+    pub(super) fn record_response(&mut self, now: Instant, round: u64) {
+        self.last_response_at = now;
+        self.echoed_round = self.echoed_round.max(round);
+        self.awaited_until = now;
+    }
+
+    /// Whether the replica responds or may soon.
+    pub(super) fn is_expected_to_respond(&self, now: Instant) -> bool {
+        self.is_awaited(now) || self.is_responsive(now)
+    }
+
     /// Records the storage. Resets the progress where it was made with another storage or
     /// before a restart.
     pub(super) fn set_disk(&mut self, disk: (DiskId, u64)) {
--- a/crates/core/src/consensus/pending.rs
+++ b/crates/core/src/consensus/pending.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::Origin;
+use super::{ChangeOutcome, Origin};
 use crate::ids::NodeId;
 use crate::time::Instant;
 
@@ -23,6 +23,15 @@
     pub(super) deadline: Instant,
 }
 
+/// The acceptance of a committed change that is not reported yet. Leader only.
+#[derive(Debug)]
+pub(super) struct WithheldAcceptance {
+    pub(super) origin: Origin,
+    pub(super) outcome: ChangeOutcome,
+    /// When it is reported at the latest.
+    pub(super) deadline: Instant,
+}
+
 /// A read at the leader.
 #[derive(Debug)]
 pub(super) struct Read {
@@ -69,6 +78,8 @@
 pub(super) struct PendingRequests {
     /// By index and term of the entry.
     pub(super) proposals: BTreeMap<(u64, u64), Proposal>,
+    /// Ordered by deadline.
+    pub(super) withheld: VecDeque<WithheldAcceptance>,
     /// Ordered by round.
     pub(super) reads: VecDeque<Read>,
     pub(super) remote_reads: BTreeMap<Origin, RemoteRead>,
@@ -77,12 +88,18 @@
 impl PendingRequests {
     /// The earliest deadline.
     pub(super) fn next_deadline(&self) -> Instant {
-        // Proposals and reads are in order of arrival with one timeout each, so the first is due
+        // Proposals, acceptances and reads are in order of arrival with one timeout each, so the first is due
         // first. Remote reads are few, so all are compared.
         let proposal = self.proposals.values().next().map_or(Instant::NEVER, |p| p.deadline);
+        let withheld = self.withheld.front().map_or(Instant::NEVER, |w| w.deadline);
         let read = self.reads.front().map_or(Instant::NEVER, |read| read.deadline);
         let remote = self.remote_reads.values().map(RemoteRead::next_deadline);
-        remote.fold(proposal.min(read), Instant::min)
+        remote.fold(proposal.min(withheld).min(read), Instant::min)
+    }
+
+    /// Removes and returns the first withheld acceptance if its deadline has passed.
+    pub(super) fn take_overdue_acceptance(&mut self, now: Instant) -> Option<WithheldAcceptance> {
+        self.withheld.pop_front_if(|withheld| withheld.deadline <= now)
     }
 
     /// Returns the reads whose request is sent to the leader again now.
--- a/crates/core/src/consensus/proposals.rs
+++ b/crates/core/src/consensus/proposals.rs
@@ -122,6 +122,7 @@
         for origin in self.pending.take_expired_proposals(cx.now) {
             self.output(ControlOutput::Outcome(origin, ChangeOutcome::Unknown));
         }
+        self.report_overdue_acceptances(cx);
         self.refuse_expired_reads(cx);
         self.resend_read_requests(cx);
     }
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -309,6 +309,7 @@
             cx.log(LogLevel::Info, LogPart::Consensus, text);
             self.last_leader_contact_at = self.last_quorum_contact_at(cx.now);
             self.refuse_reads(cx);
+            self.withdraw_acceptances();
         }
         if self.leader != leader {
             self.leader = leader;
--- a/crates/core/src/consensus/role.rs
+++ b/crates/core/src/consensus/role.rs
@@ -68,6 +68,8 @@
 pub(super) struct Leadership {
     /// The other replicas, voters and learners.
     pub(super) peers: BTreeMap<NodeId, Peer>,
+    /// When the term of this leader began.
+    pub(super) started_at: Instant,
     /// Index of the first entry of the term. Once it is committed, the commit index covers every
     /// committed entry.
     pub(super) first_index: u64,
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -92,6 +92,9 @@
         Event::PeerConnected { peer } => {
             state.membership.peer_connected(&mut cx, peer);
             state.distribution.peer_connected(&mut cx, &state.membership, peer);
+            if let Some(control) = &mut state.control {
+                control.peer_connected(&mut cx, peer);
+            }
             state.routing.peer_connected(&mut cx, peer);
         }
         Event::PeerDisconnected { peer } => {
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -186,6 +186,27 @@
         self.nodes[node].disk = disk;
     }
 
+    /// Ends the connections of a replica to all others, and opens them again.
+    pub fn reconnect(&mut self, node: usize) {
+        let peer = self.id(node);
+        for other in (0..self.nodes.len()).filter(|other| *other != node) {
+            self.drive(other, |replica, cx| replica.peer_disconnected(cx, peer));
+            self.drive(other, |replica, cx| replica.peer_connected(cx, peer));
+        }
+    }
+
+    /// Makes all replicas known to each other, as the membership does.
+    pub fn introduce_all(&mut self) {
+        let all: Vec<_> = self
+            .nodes
+            .iter()
+            .map(|node| (node.identity.id, node.identity.addresses.peers))
+            .collect();
+        for node in 0..self.nodes.len() {
+            self.drive(node, |replica, cx| replica.set_known_replicas(cx, &all));
+        }
+    }
+
     pub fn isolate(&mut self, node: usize) {
         for other in (0..self.nodes.len()).filter(|other| *other != node) {
             self.blocked_links.insert((node, other));
@@ -300,6 +321,10 @@
         if node.start != start || node.replica.is_none() {
             return;
         }
+        if node.disk.is_stuck {
+            self.schedule(self.faults.max_sync_us, Event::Sync { node: at, start });
+            return;
+        }
         node.is_sync_pending = false;
         if node.disk_fails {
             let event = DiskEvent::Failed { error: "no space left".to_owned() };
--- a/crates/core/tests/consensus/disk.rs
+++ b/crates/core/tests/consensus/disk.rs
@@ -17,6 +17,8 @@
     snapshot: Option<Arc<Snapshot>>,
     entries: BTreeMap<u64, Arc<Entry>>,
     pub unsynced: VecDeque<DiskCommand>,
+    /// Whether no sync finishes, as on a disk that hangs.
+    pub is_stuck: bool,
 }
 
 impl FakeDisk {
@@ -29,6 +31,7 @@
             snapshot: None,
             entries: BTreeMap::new(),
             unsynced: VecDeque::new(),
+            is_stuck: false,
         }
     }
 
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -5,4 +5,6 @@
 mod disk;
 mod full_disks;
 mod random;
+mod repairs;
+mod replacements;
 mod starts;
