An acceptance waits for a voter that has connected, not for 600 ms

Cause: the leader guessed by times alone whether a voter may respond. On a busy machine a voter that has connected responds later than 600 ms; one that is gone cannot.

Change: the replica records the processes that are connected. A voter that has connected is waited for until it responds, one without a connection is not. The bound of 1 s on the whole stays.

--- a/crates/core/src/consensus/acceptance.rs
+++ b/crates/core/src/consensus/acceptance.rs
@@ -75,10 +75,20 @@
         let Role::Leader(leadership) = &self.role else { return false };
         let voters = self.state_machine.voters();
         self.pending_voters.is_empty()
-            && !awaits_admission(leadership, voters, now)
+            && !self.awaits_admission(leadership, voters, now)
             && !self.awaits_promotion(leadership, voters, now)
     }
 
+    /// Whether a voter in touch is not known to run with its admitted storage.
+    fn awaits_admission(&self, leadership: &Leadership, voters: &VoterSet, now: Instant) -> bool {
+        voters.voters().iter().any(|voter| {
+            let Some(peer) = leadership.peers.get(&voter.node) else { return false };
+            let is_admitted = peer.has_disk(voter.disk) && !peer.is_awaited(now);
+            let is_in_touch = peer.is_in_touch(now) || self.connected_peers.contains(&voter.node);
+            !is_admitted && is_in_touch
+        })
+    }
+
     /// Whether voters are missing and there are learners that may become voters.
     fn awaits_promotion(&self, leadership: &Leadership, voters: &VoterSet, now: Instant) -> bool {
         let desired_count = self.settings.desired_voter_count.unwrap_or(0);
@@ -87,18 +97,10 @@
         }
         let is_learner = |node: &NodeId| voters.disk_of(*node).is_none();
         let mut peers = leadership.peers.iter();
-        let has_learner =
-            peers.any(|(node, peer)| is_learner(node) && peer.is_expected_to_respond(now));
+        let has_learner = peers.any(|(node, peer)| is_learner(node) && peer.is_in_touch(now));
         // The learners of the last leader, and blank replicas, still send their hellos.
         let is_new = now.since_ms(leadership.started_at) < ELECTION_TIMEOUT_MAX_MS;
-        has_learner || (is_new && self.known_replicas.iter().any(is_learner))
+        let mut candidates = self.known_replicas.intersection(&self.connected_peers);
+        has_learner || (is_new && candidates.any(is_learner))
     }
 }
-
-/// Whether a voter that responds, or may soon, is not known to run with its admitted storage.
-fn awaits_admission(leadership: &Leadership, voters: &VoterSet, now: Instant) -> bool {
-    voters.voters().iter().any(|voter| {
-        let Some(peer) = leadership.peers.get(&voter.node) else { return false };
-        peer.is_awaited(now) || (!peer.has_disk(voter.disk) && peer.is_responsive(now))
-    })
-}
--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
+use crate::time::Instant;
 
 /// Most committed entries that a learner may lack when it becomes a voter.
 pub(super) const MAX_LEARNER_LAG_ENTRIES: u64 = 64;
@@ -41,9 +42,10 @@
     /// Handles the first connection to another process. It may have started anew with another
     /// storage, so the leader requests a response that names it.
     pub fn peer_connected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        self.connected_peers.insert(peer);
         let Role::Leader(leadership) = &mut self.role else { return };
         if let Some(progress) = leadership.peers.get_mut(&peer) {
-            progress.await_response(cx.now);
+            progress.await_response(Instant::NEVER);
             self.send_append(cx, peer, Vec::new(), 0);
         }
     }
@@ -287,7 +289,7 @@
         let peer = leadership.peers.entry(from).or_insert_with(|| Peer::new(next_index, cx.now));
         if peer.disk != Some(disk) {
             peer.set_disk(disk);
-            peer.await_response(cx.now);
+            peer.await_response(cx.now.plus_ms(ELECTION_TIMEOUT_MAX_MS));
             peer.probe(next_index);
             self.send_append(cx, from, Vec::new(), 0);
         }
--- a/crates/core/src/consensus/peer.rs
+++ b/crates/core/src/consensus/peer.rs
@@ -70,9 +70,9 @@
         }
     }
 
-    /// Awaits a response for one election timeout, because its storage may have changed.
-    pub(super) fn await_response(&mut self, now: Instant) {
-        self.awaited_until = now.plus_ms(ELECTION_TIMEOUT_MAX_MS);
+    /// Awaits a response that names its present storage, because that may have changed.
+    pub(super) fn await_response(&mut self, until: Instant) {
+        self.awaited_until = until;
     }
 
     /// Whether a response that names its present storage is awaited.
@@ -87,9 +87,10 @@
         self.awaited_until = now;
     }
 
-    /// Whether the replica responds or may soon.
-    pub(super) fn is_expected_to_respond(&self, now: Instant) -> bool {
-        self.is_awaited(now) || self.is_responsive(now)
+    /// Whether the replica responds, or has said hello and a response is awaited. False for one
+    /// that has sent nothing to this leader.
+    pub(super) fn is_in_touch(&self, now: Instant) -> bool {
+        self.is_awaited(now) || (self.disk.is_some() && self.is_responsive(now))
     }
 
     /// Records the storage. Resets the progress where it was made with another storage or
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -31,6 +31,8 @@
     pub(super) settings: ControlSettings,
     /// Control replicas that membership has recorded and not abandoned.
     pub(super) known_replicas: BTreeSet<NodeId>,
+    /// Processes to which there is a connection.
+    pub(super) connected_peers: BTreeSet<NodeId>,
     /// Results of opening the disk, until the first event handles them.
     pub(super) pending_start: Option<PendingStart>,
     pub(super) disk: DiskId,
@@ -95,6 +97,7 @@
         Self {
             settings,
             known_replicas: BTreeSet::new(),
+            connected_peers: BTreeSet::new(),
             pending_start: Some(PendingStart {
                 owner: recovered.owner,
                 notices: recovered.notices,
@@ -232,12 +235,14 @@
     }
 
     /// Handles the close of the last connection to another process.
-    pub fn peer_disconnected(&mut self, _cx: &mut Context<'_>, peer: NodeId) {
+    pub fn peer_disconnected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        self.connected_peers.remove(&peer);
         // Entries in flight may be lost: search again for the last matching entry.
         if let Role::Leader(leadership) = &mut self.role
             && let Some(peer) = leadership.peers.get_mut(&peer)
         {
             peer.probe(peer.match_index + 1);
+            peer.await_response(cx.now);
         }
     }
 
@@ -264,8 +269,9 @@
         let outputs = self.take_outputs();
         let replica = Self::new(self.settings.clone(), recovered, cx.now);
         let known_replicas = std::mem::take(&mut self.known_replicas);
+        let connected_peers = std::mem::take(&mut self.connected_peers);
         let log_contact_at = self.log_contact_at;
-        *self = Self { known_replicas, outputs, log_contact_at, ..replica };
+        *self = Self { known_replicas, connected_peers, outputs, log_contact_at, ..replica };
         self.ensure_started(cx);
     }
 
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -186,16 +186,28 @@
         self.nodes[node].disk = disk;
     }
 
-    /// Ends the connections of a replica to all others, and opens them again.
-    pub fn reconnect(&mut self, node: usize) {
+    /// Ends the connections of a replica to all others.
+    pub fn disconnect(&mut self, node: usize) {
         let peer = self.id(node);
         for other in (0..self.nodes.len()).filter(|other| *other != node) {
             self.drive(other, |replica, cx| replica.peer_disconnected(cx, peer));
+        }
+    }
+
+    /// Ends the connections of a replica to the others that run, and opens them again.
+    pub fn reconnect(&mut self, node: usize) {
+        self.disconnect(node);
+        let peer = self.id(node);
+        let is_running = |other: &usize| self.nodes[*other].replica.is_some();
+        let running: Vec<_> = (0..self.nodes.len()).filter(is_running).collect();
+        for other in running.into_iter().filter(|other| *other != node) {
+            let other_peer = self.id(other);
             self.drive(other, |replica, cx| replica.peer_connected(cx, peer));
+            self.drive(node, |replica, cx| replica.peer_connected(cx, other_peer));
         }
     }
 
-    /// Makes all replicas known to each other, as the membership does.
+    /// Makes all replicas known and connected to each other.
     pub fn introduce_all(&mut self) {
         let all: Vec<_> = self
             .nodes
@@ -204,6 +216,7 @@
             .collect();
         for node in 0..self.nodes.len() {
             self.drive(node, |replica, cx| replica.set_known_replicas(cx, &all));
+            self.reconnect(node);
         }
     }
 
--- a/crates/core/tests/consensus/repairs.rs
+++ b/crates/core/tests/consensus/repairs.rs
@@ -7,6 +7,9 @@
 
 /// Time for an election and the catch-up of restarted replicas, in milliseconds.
 pub const RECOVERY_MS: u64 = 4_000;
+/// Time for which a replica that started sends nothing, in milliseconds: longer than an election
+/// timeout.
+const SLOW_START_MS: u64 = 800;
 /// Time for a commit, in milliseconds.
 const COMMIT_MS: u64 = 100;
 
@@ -109,8 +112,11 @@
 #[test]
 fn voter_that_is_gone_does_not_delay_an_acceptance() {
     let (mut cluster, leader) = cluster_with_leader(3, 61);
-    cluster.crash((leader + 1) % 3);
-    cluster.run_for(1_000);
+    cluster.introduce_all();
+    cluster.run_for(500);
+    let gone = (leader + 1) % 3;
+    cluster.crash(gone);
+    cluster.disconnect(gone);
 
     let origin = cluster.propose(leader, put_service("seatdesk"));
     cluster.run_for(COMMIT_MS);
@@ -118,6 +124,51 @@
     assert!(cluster.outcomes.get(&origin).is_some_and(is_accepted));
 }
 
+/// Guards against acceptances of a new leader that wait for the one that was lost.
+#[test]
+fn leader_that_is_gone_does_not_delay_an_acceptance_of_the_next() {
+    let (mut cluster, leader) = cluster_with_leader(3, 64);
+    cluster.introduce_all();
+    cluster.run_for(500);
+    cluster.crash(leader);
+    cluster.disconnect(leader);
+    assert!(cluster.run_until(RECOVERY_MS, has_leader_in_touch));
+    let next = cluster.leader().expect("a leader");
+
+    let origin = cluster.propose(next, put_service("seatdesk"));
+    cluster.run_for(COMMIT_MS);
+
+    assert!(cluster.outcomes.get(&origin).is_some_and(is_accepted));
+}
+
+/// The machine was slow, and a voter that had connected again with a wiped storage responded later
+/// than an election timeout: the leader no longer waited for it.
+#[test]
+fn slow_voter_that_connects_again_is_waited_for() {
+    for seed in 0..30 {
+        let (mut cluster, leader) = cluster_with_leader(3, seed);
+        cluster.introduce_all();
+        cluster.run_for(500);
+        let wiped = (leader + 1) % 3;
+        cluster.crash(wiped);
+        cluster.wipe(wiped);
+        cluster.disconnect(wiped);
+        cluster.start(wiped);
+        cluster.isolate(wiped);
+        cluster.reconnect(wiped);
+        cluster.run_for(SLOW_START_MS);
+        let origin = cluster.propose(leader, put_service("seatdesk"));
+        cluster.run_for(COMMIT_MS);
+        cluster.heal();
+
+        let is_reported = wait_for_outcome(&mut cluster, origin);
+        cluster.crash(leader);
+        let is_led = cluster.run_until(RECOVERY_MS, has_leader_in_touch);
+
+        assert!(is_reported && is_led, "seed {seed}: accepted {is_reported}, led {is_led}");
+    }
+}
+
 /// Guards against acceptances that wait without a bound for a storage that cannot be admitted.
 #[test]
 fn voter_that_cannot_be_admitted_delays_an_acceptance_within_the_bound() {
