A voter restarted before it formed the first set adopts it

Cause: a blank voter forms the set once it has received from every other initial voter that it is blank. What it had received went with the process, and the one that formed the set is no longer blank. The others that have not formed it wait for this one.

Change: a voter that is still blank adopts the set that another one reports to have formed with this very storage. It has neither voted nor acknowledged with it, unless the storage is an older copy; so it asks for its lower bounds first, as each restarted voter does.

--- a/crates/core/src/consensus/bootstrap.rs
+++ b/crates/core/src/consensus/bootstrap.rs
@@ -4,7 +4,9 @@
 //! The initial voters form a set only once each of them has received from every
 //! other one that it is blank and has discovered the same storages. A voter that
 //! loses its storage later therefore cannot form a set of its own, because the
-//! others respond that they are not blank. It waits for the leader instead.
+//! others respond that they are not blank. It waits for the leader instead. A voter
+//! that is still blank with a storage that another voter has formed the set with
+//! adopts that set.
 
 use std::collections::BTreeSet;
 
@@ -110,13 +112,14 @@
                 if hello.blank && self.settings.initial_voters.contains(&from) {
                     bootstrap.discovered.insert(from, Voter { node: from, disk: hello.disk });
                 }
-                bootstrap.reported.insert(from, hello.discovered_voters);
+                bootstrap.reported.insert(from, hello.discovered_voters.clone());
                 if let Some(leader) = hello.leader
                     && leader != cx.me.id
                 {
                     self.leader = Some(leader);
                 }
                 self.bootstrap_when_complete(cx);
+                self.adopt_initial_set(cx, hello);
             }
             Role::Leader(_) => {
                 self.handle_hello_as_leader(cx, from, (hello.disk, hello.generation))
@@ -164,6 +167,20 @@
         }
     }
 
+    /// Adopts the initial set that the sender has formed with this storage.
+    ///
+    /// A replica that was restarted before it formed the set itself no longer receives that the
+    /// others are blank. It has neither voted nor acknowledged an entry, unless its storage is an
+    /// older copy; the floors that the other voters recorded show that.
+    fn adopt_initial_set(&mut self, cx: &mut Context<'_>, hello: Hello) {
+        let has_formed_set = !hello.blank && hello.discovered_voters.contains(&self.me(cx));
+        if matches!(self.role, Role::Blank(_)) && has_formed_set {
+            self.bootstrap(cx, VoterSet::new(hello.discovered_voters));
+            self.floors.begin_confirmation();
+            self.hello_at = cx.now;
+        }
+    }
+
     fn bootstrap(&mut self, cx: &mut Context<'_>, voters: VoterSet) {
         let text = format!("Formed the initial set of {} voters.", voters.voters().len());
         cx.log(LogLevel::Info, LogPart::Consensus, text);
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -3,6 +3,7 @@
 mod cases;
 mod cluster;
 mod disk;
+mod first_set;
 mod full_disks;
 mod random;
 mod repairs;
