--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
+use crate::time::Instant;
 
 /// Most committed entries that a learner may lack when it becomes a voter.
 pub(super) const MAX_LEARNER_LAG_ENTRIES: u64 = 64;
@@ -34,9 +35,21 @@
             return;
         }
         self.maintain_voters(cx);
+        self.report_acceptances(cx);
         self.send_heartbeats(cx);
     }
 
+    /// Handles the first connection to another process. It may have started anew with another
+    /// storage, so the leader requests a response that names it.
+    pub fn peer_connected(&mut self, cx: &mut Context<'_>, peer: NodeId) {
+        self.connected_peers.insert(peer);
+        let Role::Leader(leadership) = &mut self.role else { return };
+        if let Some(progress) = leadership.peers.get_mut(&peer) {
+            progress.await_response(Instant::NEVER);
+            self.send_append(cx, peer, Vec::new(), 0);
+        }
+    }
+
     /// Sends pending entries to every peer, or an empty append as a heartbeat.
     pub(super) fn send_heartbeats(&mut self, cx: &mut Context<'_>) {
         let Role::Leader(leadership) = &mut self.role else { return };
@@ -182,8 +195,7 @@
         let Role::Leader(leadership) = &mut self.role else { return };
         let Some(peer) = leadership.peers.get_mut(&from) else { return };
         peer.set_disk((response.disk, response.generation));
-        peer.last_response_at = cx.now;
-        peer.echoed_round = peer.echoed_round.max(response.round);
+        peer.record_response(cx.now, response.round);
         let mut needs_snapshot = false;
         match response.rejected {
             Some(rejected) if rejected.prev_index < peer.match_index => {}
@@ -211,6 +223,7 @@
         self.answer_reads(cx);
         self.send_entries(cx, from);
         self.admit_when_caught_up(cx, from);
+        self.report_acceptances(cx);
     }
 
     /// Advances the commit index to the last entry that a majority has synced.
@@ -232,6 +245,7 @@
         self.commit_index = index;
         self.is_confirmed = true;
         self.apply_committed(cx);
+        self.report_acceptances(cx);
         self.send_heartbeats(cx);
         self.answer_reads(cx);
         let is_removed = self.pending_voters.is_empty() && !self.is_voter(me);
@@ -275,6 +289,7 @@
         let peer = leadership.peers.entry(from).or_insert_with(|| Peer::new(next_index, cx.now));
         if peer.disk != Some(disk) {
             peer.set_disk(disk);
+            peer.await_response(cx.now.plus_ms(ELECTION_TIMEOUT_MAX_MS));
             peer.probe(next_index);
             self.send_append(cx, from, Vec::new(), 0);
         }
