Calls: a stopping process ends no attempt because its target is silent

What callers saw: after the stop signal of a process, a repeatable request that a target had begun to run was broken off when the target was silent for longer than the others (three times the high latency, 50 ms at least), and answered with a failure of the proxy's own long before its deadline, if the targets to which it was moved did not admit it.

Cause: an overdue attempt is cancelled first, and the retry may then be refused; nothing is left to wait for.

Change: a stopping process lets an overdue attempt run to its deadline. It still counts the target as failing. The cost: its last calls to a target that hangs end at their deadline instead of being moved.

Evidence: the new test failed before:

choice.rs:212:5: assertion `left == right` failed left: Some("t3") right: None

--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -253,12 +253,16 @@
     }
 
     /// Handles an overdue attempt. If other targets respond, the call is retried at one of
-    /// them. If none responds, a retry would only add load.
+    /// them. If none responds, a retry would only add load. A stopping process retries none: its
+    /// target may be at work, and the retry may be refused.
     fn check_overdue(&mut self, cx: &mut Context<'_>, id: CallId, attempt: Attempt) {
         let overdue_after_us = self.overdue_after_us(id, attempt.target).unwrap_or(u64::MAX);
         let is_outlier = self.note_overdue(cx, id, attempt);
         let call = &self.calls[&id];
-        let may_retry = is_outlier && call.may_try_again() && self.has_free_slot_elsewhere(cx, id);
+        let may_retry = is_outlier
+            && !self.is_stopping()
+            && call.may_try_again()
+            && self.has_free_slot_elsewhere(cx, id);
         if may_retry && self.take_retry_token(id) {
             self.call_mut(id).has_retry_token = true;
             return self.cancel_attempt(cx, id);
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -246,7 +246,7 @@
     /// Begins a graceful stop. New calls are accepted for the stop notice and refused
     /// afterwards; calls in flight are completed.
     pub fn stop(&mut self, cx: &mut Context<'_>) {
-        if self.refuse_at.is_some() {
+        if self.is_stopping() {
             return;
         }
         let close_at = cx.now.plus_ms(self.settings.stop_notice_ms);
@@ -257,14 +257,18 @@
         cx.emit(Effect::Call(CallEffect::CloseKeepAlive));
     }
 
+    fn is_stopping(&self) -> bool {
+        self.refuse_at.is_some()
+    }
+
     /// Whether the process is stopping and has to announce that to the other proxies.
     pub fn should_announce_stop(&self, now: Instant) -> bool {
-        self.refuse_at.is_some() && self.leave_at.is_none_or(|at| at <= now)
+        self.is_stopping() && self.leave_at.is_none_or(|at| at <= now)
     }
 
     /// Whether no call is in flight and, if the process is stopping, none will be accepted.
     pub fn is_idle(&self) -> bool {
-        let is_notice_over = self.refuse_at.is_none() || self.is_refusing;
+        let is_notice_over = !self.is_stopping() || self.is_refusing;
         is_notice_over && self.calls.is_empty()
     }
 
--- a/crates/core/tests/routing/choice.rs
+++ b/crates/core/tests/routing/choice.rs
@@ -192,6 +192,29 @@
     begun.into_iter().find(|begun| begun.call == call).map(|begun| begun.target)
 }
 
+// Guards against a request that is broken off at a silent target after the stop signal and then
+// refused, because no other target admits it.
+#[test]
+fn a_stopping_process_ends_no_attempt_because_its_target_is_silent() {
+    let mut harness = ingress(&SIX);
+    run(&mut harness, 100, |_| true);
+    let stuck = stuck_call(&mut harness, "t4");
+    harness.stop();
+
+    let mut moved_to = None;
+    for _ in 0..20 {
+        run_at_other_targets(&mut harness, "t4");
+        harness.pass_ms(10);
+        moved_to = moved_to.or_else(|| cancel_and_move(&mut harness, stuck));
+    }
+    harness.complete(stuck, 1);
+
+    assert_eq!(moved_to, None);
+    let relayed =
+        |effect: &CallEffect| matches!(effect, CallEffect::Relay { call, .. } if *call == stuck);
+    assert!(harness.take_effects().iter().any(relayed));
+}
+
 #[test]
 fn overdue_attempts_are_not_retried_in_an_outage() {
     let mut harness = ingress(&SIX);
