Calls: a response that has begun outlives the call for which it was made

What a target saw: when the caller of its call hung up, the kept connection over which the target had made a call of its own was reset in the middle of the response.

Cause: calls made for a cancelled call are refused, and those whose response is being relayed were aborted instead, which resets the connection. They are now relayed to their end. Their deadline, not later than that of the cancelled call, still ends them; the target that answers has done its work.

Evidence: the new test failed before:

limits.rs:239:5: assertion `left == right` failed left: [Abort { call: CallId(2) }] right: []

--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -330,8 +330,12 @@
         }
     }
 
+    /// Refuses a call whose parent call ended. A response that has begun is relayed to its end:
+    /// its target has done its work, and a cut would reset the connection of the caller.
     fn cancel_orphan(&mut self, cx: &mut Context<'_>, id: CallId) {
-        self.caller_failed(cx, id, RefusalCode::ChainCancelled);
+        if !matches!(self.calls[&id].stage, Stage::Relaying(_) | Stage::RelayingEarlier) {
+            self.caller_failed(cx, id, RefusalCode::ChainCancelled);
+        }
     }
 
     /// A call at a target succeeded.
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -221,6 +221,25 @@
     assert!(harness.routing.is_idle());
 }
 
+// Guards against a kept connection of a target that is reset in the middle of a response, because
+// the call for which the target made its own call has ended.
+#[test]
+fn a_response_to_a_call_made_for_a_cancelled_one_is_relayed_to_its_end() {
+    let mut harness = owner();
+    let parent = harness.arrive_forwarded("seatdesk", "one", 400);
+    let chain = harness.take_attempts()[0].chain;
+    let child = harness.arrive_with("/seats", |head| head.chain = chain);
+    harness.answer(child, 1, 200);
+    harness.take_effects();
+
+    harness.step(CallEvent::CallerGone { call: parent });
+    let after_the_cancellation = harness.take_effects();
+    harness.step(CallEvent::Ended { call: child, attempt: 1, is_complete: true });
+
+    assert_eq!(after_the_cancellation, []);
+    assert!(harness.routing.is_idle());
+}
+
 /// Guards against a response without end: once its head had arrived, no timer ended its call, and it
 /// held a slot of its target until the caller gave up.
 #[rstest]
