--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -253,12 +253,16 @@
     }
 
     /// Handles an overdue attempt. If other targets respond, the call is retried at one of
-    /// them. If none responds, a retry would only add load.
+    /// them. If none responds, a retry would only add load. A stopping process retries none: its
+    /// target may be at work, and the retry may be refused.
     fn check_overdue(&mut self, cx: &mut Context<'_>, id: CallId, attempt: Attempt) {
         let overdue_after_us = self.overdue_after_us(id, attempt.target).unwrap_or(u64::MAX);
         let is_outlier = self.note_overdue(cx, id, attempt);
         let call = &self.calls[&id];
-        let may_retry = is_outlier && call.may_try_again() && self.has_free_slot_elsewhere(cx, id);
+        let may_retry = is_outlier
+            && !self.is_stopping()
+            && call.may_try_again()
+            && self.has_free_slot_elsewhere(cx, id);
         if may_retry && self.take_retry_token(id) {
             self.call_mut(id).has_retry_token = true;
             return self.cancel_attempt(cx, id);
@@ -326,8 +330,12 @@
         }
     }
 
+    /// Refuses a call whose parent call ended. A response that has begun is relayed to its end:
+    /// its target has done its work, and a cut would reset the connection of the caller.
     fn cancel_orphan(&mut self, cx: &mut Context<'_>, id: CallId) {
-        self.caller_failed(cx, id, RefusalCode::ChainCancelled);
+        if !matches!(self.calls[&id].stage, Stage::Relaying(_) | Stage::RelayingEarlier) {
+            self.caller_failed(cx, id, RefusalCode::ChainCancelled);
+        }
     }
 
     /// A call at a target succeeded.
