Consensus: a voter that was replaced while it was away answers again

Cause: the host's log still names it as a voter. A leader has room for 8 learners; where others have taken it, nobody tells the host that it was replaced. It campaigns for ever, counts as a member without a leader, and refuses reads at itself in place of forwarding them.

Change: where others name a leader that has not reached this replica for an election timeout, it is a standby and forwards. Its votes and its log are as before. This ends with a message of a leader, or once nobody has named one for two election timeouts.

--- a/crates/core/src/consensus/bootstrap.rs
+++ b/crates/core/src/consensus/bootstrap.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeSet;
 
+use super::ELECTION_TIMEOUT_MAX_MS;
 use super::disk::DiskWrite;
 use super::entry::{Voter, VoterSet};
 use super::message::{ConsensusMessage, Floor, Hello};
@@ -142,6 +143,10 @@
             return;
         }
         self.reported_leader = leader;
+        self.leader_reported_at = cx.now;
+        let has_no_contact =
+            cx.now.since_ms(self.last_leader_contact_at) >= ELECTION_TIMEOUT_MAX_MS;
+        self.is_passed_over = self.leader.is_none() && has_no_contact;
         if self.participation(cx.me.id).is_standby() {
             self.log_contact_at = cx.now;
         }
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -9,7 +9,7 @@
 use super::peer::Peer;
 use super::replica::ControlReplica;
 use super::role::{Leadership, Role};
-use super::{ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_INTERVAL_MS};
+use super::{ELECTION_TIMEOUT_MAX_MS, ELECTION_TIMEOUT_MIN_MS, HEARTBEAT_INTERVAL_MS};
 use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
 use crate::ids::NodeId;
@@ -18,6 +18,10 @@
 /// milliseconds: long enough for a vote to reach another availability zone.
 const FIRST_CAMPAIGN_STAGGER_MS: u64 = 20;
 
+/// Time after which the leader that another replica named may be gone, in milliseconds. The other
+/// replica stops naming it after an election timeout, and a hello is sent with each campaign.
+const REPORTED_LEADER_EXPIRES_MS: u64 = 2 * ELECTION_TIMEOUT_MAX_MS;
+
 impl ControlReplica {
     /// Starts a pre-vote after an election timeout without contact from a leader.
     pub(super) fn campaign(&mut self, cx: &mut Context<'_>) {
@@ -25,6 +29,9 @@
             let text = format!("Lost contact with the leader, {leader}.");
             cx.log(LogLevel::Warn, LogPart::Consensus, text);
         }
+        if cx.now.since_ms(self.leader_reported_at) >= REPORTED_LEADER_EXPIRES_MS {
+            self.is_passed_over = false;
+        }
         let me = self.me(cx);
         if !self.is_voter(me) || !self.floors.is_confirmed() {
             self.role = Role::Follower;
@@ -243,6 +250,7 @@
         cx.log(LogLevel::Info, LogPart::Consensus, text);
         let next_index = self.log.last_index() + 1;
         self.leader = Some(cx.me.id);
+        self.is_passed_over = false;
         self.role = Role::Leader(Leadership {
             peers: BTreeMap::new(),
             first_index: next_index,
--- a/crates/core/tests/fuzz/control_hosts.rs
+++ b/crates/core/tests/fuzz/control_hosts.rs
@@ -21,6 +21,9 @@
 /// Time after the end of all faults within which the mesh has recovered, in milliseconds.
 const RECOVERY_MS: u64 = 15_000;
 
+/// Time after which the leader has forgotten a host that is down, in milliseconds.
+const AWAY_MS: u64 = 15_000;
+
 /// Time for the hosts to join and for the leader to promote the voters, in milliseconds.
 const JOIN_MS: u64 = 10_000;
 
@@ -133,6 +136,27 @@
     assert_eq!(world.serving().len(), world.hosts.len());
 }
 
+/// A voter that was replaced while it was down, and to which no leader replicated when it was back,
+/// took itself for a voter for ever: it answered no read and no change.
+#[rstest]
+fn voter_replaced_while_it_was_down_answers_once_it_is_back(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut world = started_world(24, true, seed);
+    let replaced = world.voters()[1];
+
+    world.crash(replaced);
+    world.run_ms(AWAY_MS);
+    world.start(replaced);
+    world.run_ms(RECOVERY_MS);
+    world.put(replaced, 1, None);
+    world.read(replaced);
+    world.run_ms(CLIENT_TIMEOUT_MS);
+
+    let voters = world.voters_of_leader().expect("a leader");
+    assert!(!voters.contains(&replaced), "voters: {voters:?}");
+    assert_eq!(world.open_requests(replaced), 0, "open requests at host {replaced}");
+    assert_eq!(world.control_role(replaced), Some(ControlRole::Standby));
+}
+
 /// A proxy restarted below a relay without the log could ask it for a contact with the control
 /// plane once only, and then wait for the next refresh.
 #[rstest]
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -10,6 +10,7 @@
 mod control_hosts;
 mod crashing_calls;
 mod disk;
+mod final_faults;
 mod machine;
 mod network;
 mod oracle;
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -110,6 +110,12 @@
     pending_requests: BTreeMap<(usize, u64, RequestId), PendingRequest>,
     next_request: u64,
     is_traced: bool,
+    /// Whether a data folder that is opened again is synced before its content is used.
+    pub recovery_syncs_log: bool,
+    /// Maximum time of a sync, in microseconds.
+    pub max_sync_us: u64,
+    /// Whether processes that start join an existing voter set only.
+    pub joins_only: bool,
 }
 
 impl World {
@@ -134,6 +140,9 @@
             pending_requests: BTreeMap::new(),
             next_request: 0,
             is_traced: std::env::var_os("FIREFLYLUG_FUZZ_TRACE").is_some(),
+            recovery_syncs_log: true,
+            max_sync_us: 5_000,
+            joins_only: false,
         };
         for (index, zone) in layout.zones.iter().enumerate() {
             let host = world.make_host(index, *zone, index < layout.control_hosts);
@@ -163,7 +172,8 @@
     pub fn start(&mut self, host: usize) {
         // A start takes time, so that two processes of a host never share an incarnation.
         self.run_ms(2);
-        let recovered = self.hosts[host].disk.as_mut().map(FakeDisk::open);
+        let syncs_log = self.recovery_syncs_log;
+        let recovered = self.hosts[host].disk.as_mut().map(|disk| disk.open(syncs_log));
         let settings = self.settings(recovered.is_some());
         let me = self.identity(host);
         let state = State::new(me, settings, recovered.unwrap_or_default(), self.rng.random());
@@ -184,6 +194,7 @@
             control: control.then_some(ControlSettings {
                 initial_voters: voters,
                 desired_voter_count: self.desired_voter_count,
+                joins_only: self.joins_only,
                 ..ControlSettings::default()
             }),
             ..CoreSettings::default()
@@ -214,11 +225,36 @@
         }
     }
 
-    /// Ends a process without warning. Commands that its disk has not synced may be lost.
+    /// Ends a process by a loss of power. Commands that its disk has not synced may be lost.
     pub fn crash(&mut self, host: usize) {
         self.end_process(host);
         if let Some(disk) = &mut self.hosts[host].disk {
-            disk.crash(&mut self.rng);
+            disk.lose_power(&mut self.rng);
+        }
+    }
+
+    /// Ends a process by a loss of power. Every command that its disk has not synced is lost.
+    pub fn crash_and_lose_unsynced(&mut self, host: usize) {
+        self.end_process(host);
+        if let Some(disk) = &mut self.hosts[host].disk {
+            disk.lose_all_unsynced();
+        }
+    }
+
+    /// A host that is down loses power: what its disk has not synced may be lost, or all of it is.
+    pub fn lose_power_while_down(&mut self, host: usize, loses_all_unsynced: bool) {
+        match &mut self.hosts[host].disk {
+            Some(disk) if loses_all_unsynced => disk.lose_all_unsynced(),
+            Some(disk) => disk.lose_power(&mut self.rng),
+            None => {}
+        }
+    }
+
+    /// Ends a process without warning. What it wrote stays in its files, synced or not.
+    pub fn kill(&mut self, host: usize) {
+        self.end_process(host);
+        if let Some(disk) = &mut self.hosts[host].disk {
+            disk.kill(&mut self.rng);
         }
     }
 
--- a/crates/core/tests/fuzz/world/delivery.rs
+++ b/crates/core/tests/fuzz/world/delivery.rs
@@ -29,7 +29,7 @@
                 if let Some(disk) = &mut self.hosts[host].disk {
                     disk.enqueue(command);
                 }
-                let delay_us = self.rng.random_range(500..5_000);
+                let delay_us = self.rng.random_range(500..self.max_sync_us);
                 self.push(delay_us, Item::Synced { host, epoch, sequence });
             }
             Effect::Answer { request, response } => self.handle_response(host, request, response),
--- a/crates/core/tests/fuzz/world/inspect.rs
+++ b/crates/core/tests/fuzz/world/inspect.rs
@@ -25,6 +25,20 @@
         voters
     }
 
+    /// The hosts that vote, by the leader of the newest term, which comes first. None without a leader.
+    pub fn voters_of_leader(&self) -> Option<Vec<usize>> {
+        let statuses = self.hosts.iter().enumerate().filter_map(|(index, host)| {
+            let now = Instant::from_us(self.now_us - host.started_us);
+            Some((index, host.state.as_ref()?.control()?.status(host.id, now)))
+        });
+        let leaders = statuses.filter(|(_, status)| status.role == ControlRole::Leader);
+        let (leader, status) = leaders.max_by_key(|(_, status)| status.term)?;
+        let is_voter = |index: &usize| status.voters.disk_of(self.hosts[*index].id).is_some();
+        let mut voters: Vec<usize> = (0..self.hosts.len()).filter(is_voter).collect();
+        voters.sort_by_key(|index| *index != leader);
+        Some(voters)
+    }
+
     /// Whether a host counts as cut off from the control plane.
     pub fn is_cut_off_from_control(&self, host: usize) -> bool {
         let host = &self.hosts[host];
@@ -43,6 +57,15 @@
         of_host.filter(|(_, pending)| counts(pending)).count()
     }
 
+    /// Changes and reads sent to the present process of a host that have no outcome or answer.
+    pub fn open_requests_of_process(&self, host: usize) -> usize {
+        let epoch = self.hosts[host].epoch;
+        let of_process = self
+            .pending_requests
+            .range((host, epoch, RequestId(0))..(host, epoch + 1, RequestId(0)));
+        of_process.count()
+    }
+
     /// The hosts with an open watch, and the newest version that each reported as accepted.
     pub fn watched_versions(&self) -> Vec<(usize, Version)> {
         let watches =
