Disk thread: says why a data folder does not open again

Operators saw nothing between the failure of a disk and its recovery. Cause: the error of each attempt to open the folder again was dropped.

--- a/crates/daemon/src/disk/mod.rs
+++ b/crates/daemon/src/disk/mod.rs
@@ -7,6 +7,7 @@
 use eyre::WrapErr;
 use fireflylug_core::Event;
 use fireflylug_core::consensus::{DiskCommand, DiskEvent, RecoveredDisk};
+use fireflylug_core::event::{LogLevel, LogPart};
 use fireflylug_store::{Store, StoreError};
 
 use crate::Runtime;
@@ -111,8 +112,12 @@
 fn reopen_with_retries(folder: &Path) -> (Store, RecoveredDisk) {
     loop {
         std::thread::sleep(REOPEN_DELAY);
-        if let Ok(opened) = Store::open(folder) {
-            return opened;
+        match Store::open(folder) {
+            Ok(opened) => return opened,
+            Err(error) => {
+                let text = format!("The data folder cannot be opened again yet: {error}");
+                crate::log::write(LogLevel::Warn, LogPart::Disk, &text);
+            }
         }
     }
 }
