Consensus: a voter does not forward to the leader that it has just lost

After a leader is lost, a voter that was told of it by one that had not noticed yet took itself for replaced: a standby, whose first forward goes to that leader and may wait 1.5 s.

Cause: the voter waited for one election timeout without a leader, and the other one may name the lost leader for as long. It now waits for two.

--- a/crates/core/src/consensus/bootstrap.rs
+++ b/crates/core/src/consensus/bootstrap.rs
@@ -10,8 +10,8 @@
 
 use std::collections::BTreeSet;
 
-use super::ELECTION_TIMEOUT_MAX_MS;
 use super::disk::DiskWrite;
+use super::election::REPORTED_LEADER_EXPIRES_MS;
 use super::entry::{Voter, VoterSet};
 use super::message::{ConsensusMessage, Floor, Hello};
 use super::replica::ControlReplica;
@@ -147,8 +147,9 @@
         }
         self.reported_leader = leader;
         self.leader_reported_at = cx.now;
+        // Until then the other replica may name the leader that both of them have lost.
         let has_no_contact =
-            cx.now.since_ms(self.last_leader_contact_at) >= ELECTION_TIMEOUT_MAX_MS;
+            cx.now.since_ms(self.last_leader_contact_at) >= REPORTED_LEADER_EXPIRES_MS;
         self.is_passed_over = self.leader.is_none() && has_no_contact;
         if self.participation(cx.me.id).is_standby() {
             self.log_contact_at = cx.now;
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -20,7 +20,7 @@
 
 /// Time after which the leader that another replica named may be gone, in milliseconds. The other
 /// replica stops naming it after an election timeout, and a hello is sent with each campaign.
-const REPORTED_LEADER_EXPIRES_MS: u64 = 2 * ELECTION_TIMEOUT_MAX_MS;
+pub(super) const REPORTED_LEADER_EXPIRES_MS: u64 = 2 * ELECTION_TIMEOUT_MAX_MS;
 
 impl ControlReplica {
     /// Starts a pre-vote after an election timeout without contact from a leader.
--- a/crates/core/tests/consensus/confirmation.rs
+++ b/crates/core/tests/consensus/confirmation.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use fireflylug_core::consensus::{
-    ConsensusMessage, ControlReplica, ControlSettings, DiskId, DiskWrite, Entry, Floor, HardState,
-    Hello, InstallSnapshot, Payload, RecoveredDisk, Snapshot, Voter, VoterSet,
+    ConsensusMessage, ControlReplica, ControlSettings, DiskId, DiskWrite, ELECTION_TIMEOUT_MAX_MS,
+    Entry, Floor, HardState, Hello, InstallSnapshot, Participation, Payload, RecoveredDisk,
+    Snapshot, Voter, VoterSet,
 };
 use fireflylug_core::context::{Context, Identity};
 use fireflylug_core::{Effect, Instant};
@@ -54,12 +55,16 @@
 
 /// Response of another voter to a hello, with what the first voter acknowledged.
 fn floor_message(at: usize) -> ConsensusMessage {
+    floor_message_of(at, TERM)
+}
+
+fn floor_message_of(at: usize, term: u64) -> ConsensusMessage {
     ConsensusMessage::Hello(Hello {
         disk: voter(at).disk,
         generation: 1,
         blank: false,
         needs_response: false,
-        floor: Some(Floor { generation: 1, term: TERM, match_index: ACKNOWLEDGED }),
+        floor: Some(Floor { generation: 1, term, match_index: ACKNOWLEDGED }),
         leader: Some(voter(1).node),
         discovered_voters: Vec::new(),
     })
@@ -101,3 +106,34 @@
 
     assert!(is_reset);
 }
+
+/// How a voter takes part that has heard of no leader for some time, and is then told of one.
+fn participation_when_told_of_a_leader_after(ms: u64) -> Participation {
+    let me: Identity = identity(0);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut effects = Vec::new();
+    let started_at = Instant::from_us(1_000_000);
+    let recovered = recovered_disk(ACKNOWLEDGED);
+    let mut replica = ControlReplica::new(ControlSettings::default(), recovered, started_at);
+    let now = started_at.plus_ms(ms);
+    let mut cx = Context { now, rng: &mut rng, me: &me, effects: &mut effects };
+    replica.step(&mut cx, voter(2).node, floor_message(2));
+    replica.participation(me.id)
+}
+
+// Guards against a voter that forwards to the leader that it has just lost, because another voter
+// has not noticed the loss.
+#[test]
+fn voter_is_no_standby_while_others_may_name_a_lost_leader() {
+    let participation = participation_when_told_of_a_leader_after(2 * ELECTION_TIMEOUT_MAX_MS - 1);
+
+    assert!(!participation.is_standby(), "{participation:?}");
+}
+
+// Guards against a replaced voter that refuses reads for ever.
+#[test]
+fn voter_that_a_live_leader_has_passed_over_is_a_standby() {
+    let participation = participation_when_told_of_a_leader_after(2 * ELECTION_TIMEOUT_MAX_MS);
+
+    assert!(participation.is_standby(), "{participation:?}");
+}
