Control replica: overwritten entries of an older copy do not count as held

Operators see nothing; a voter with an older copy of its storage could count as complete.

Cause: the last recovered entry was never lowered, also where an append of a new term overwrites entries or the storage is reset, so that it hid that entries acknowledged in that term are missing.

Evidence, before: older_copy_whose_entries_are_overwritten_is_reset: assertion failed: is_reset (confirmation.rs:131).

--- a/crates/core/src/consensus/storage.rs
+++ b/crates/core/src/consensus/storage.rs
@@ -15,7 +15,7 @@
     /// Unsynced appends and snapshots: the command's sequence and its last entry.
     unsynced: VecDeque<(u64, u64)>,
     durable_index: u64,
-    /// Index of the last entry that was recovered.
+    /// Index of the last entry that was recovered and not overwritten since.
     recovered_index: u64,
     has_failed: bool,
 }
@@ -44,6 +44,7 @@
                 let first = entries.first().map_or(u64::MAX, |entry| entry.index);
                 let last = entries.last().map_or(0, |entry| entry.index);
                 self.truncate_from(first);
+                self.recovered_index = self.recovered_index.min(first.saturating_sub(1));
                 self.unsynced.push_back((sequence, last));
             }
             DiskWrite::Snapshot { snapshot, keep_entries } => {
@@ -55,6 +56,7 @@
             DiskWrite::Reset { .. } => {
                 self.hard_state_sequence = sequence;
                 self.truncate_from(0);
+                self.recovered_index = 0;
             }
             DiskWrite::Owner(_) => {}
         }
--- a/crates/core/tests/consensus/confirmation.rs
+++ b/crates/core/tests/consensus/confirmation.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use fireflylug_core::consensus::{
-    ConsensusMessage, ControlReplica, ControlSettings, DiskId, DiskWrite, ELECTION_TIMEOUT_MAX_MS,
-    Entry, Floor, HardState, Hello, InstallSnapshot, Participation, Payload, RecoveredDisk,
-    Snapshot, Voter, VoterSet,
+    Append, ConsensusMessage, ControlReplica, ControlSettings, DiskId, DiskWrite,
+    ELECTION_TIMEOUT_MAX_MS, Entry, Floor, HardState, Hello, InstallSnapshot, Participation,
+    Payload, RecoveredDisk, Snapshot, Voter, VoterSet,
 };
 use fireflylug_core::context::{Context, Identity};
 use fireflylug_core::{Effect, Instant};
@@ -107,6 +107,30 @@
     assert!(is_reset);
 }
 
+// Guards against entries that were overwritten and count as held: they hid that an older copy lacks
+// entries that it acknowledged in the new term.
+#[test]
+fn older_copy_whose_entries_are_overwritten_is_reset() {
+    let overwritten_from = ACKNOWLEDGED - 1;
+    let entry =
+        Entry { index: overwritten_from, term: TERM + 1, unix_ms: 1, payload: Payload::Noop };
+    let append = ConsensusMessage::Append(Append {
+        term: TERM + 1,
+        prev_index: overwritten_from - 1,
+        prev_term: TERM,
+        commit_index: 0,
+        round: 1,
+        quorum_age_ms: 0,
+        entries: vec![Arc::new(entry)],
+        acknowledged: Vec::new(),
+    });
+    let messages = vec![(1, append), (2, floor_message_of(2, TERM + 1))];
+
+    let is_reset = is_reset_by(recovered_disk(ACKNOWLEDGED + 3), messages);
+
+    assert!(is_reset);
+}
+
 /// How a voter takes part that has heard of no leader for some time, and is then told of one.
 fn participation_when_told_of_a_leader_after(ms: u64) -> Participation {
     let me: Identity = identity(0);
