Consensus: a late response of the last process does not end the wait for the next

A change could be accepted beside a wiped voter that had connected again: a response that its last process had sent was taken for one that names the present storage.

Change: a connection begins a heartbeat round, and only a response that echoes it or a later one ends the wait.

--- a/crates/core/src/consensus/leader.rs
+++ b/crates/core/src/consensus/leader.rs
@@ -45,7 +45,9 @@
         self.connected_peers.insert(peer);
         let Role::Leader(leadership) = &mut self.role else { return };
         if let Some(progress) = leadership.peers.get_mut(&peer) {
-            progress.await_response(Instant::NEVER);
+            // Responses to earlier rounds may still arrive from the process that ran before.
+            leadership.round += 1;
+            progress.await_response(Instant::NEVER, leadership.round);
             self.send_append(cx, peer, Vec::new(), 0);
         }
     }
@@ -289,7 +291,7 @@
         let peer = leadership.peers.entry(from).or_insert_with(|| Peer::new(next_index, cx.now));
         if peer.disk != Some(disk) {
             peer.set_disk(disk);
-            peer.await_response(cx.now.plus_ms(ELECTION_TIMEOUT_MAX_MS));
+            peer.await_response(cx.now.plus_ms(ELECTION_TIMEOUT_MAX_MS), 0);
             peer.probe(next_index);
             self.send_append(cx, from, Vec::new(), 0);
         }
--- a/crates/core/src/consensus/peer.rs
+++ b/crates/core/src/consensus/peer.rs
@@ -53,6 +53,8 @@
     pub(super) echoed_round: u64,
     /// Until when a response is awaited that names its present storage.
     awaited_until: Instant,
+    /// First heartbeat round that such a response echoes.
+    awaited_round: u64,
 }
 
 impl Peer {
@@ -67,12 +69,15 @@
             last_response_at,
             echoed_round: 0,
             awaited_until: Instant::default(),
+            awaited_round: 0,
         }
     }
 
-    /// Awaits a response that names its present storage, because that may have changed.
-    pub(super) fn await_response(&mut self, until: Instant) {
+    /// Awaits a response that names its present storage, because that may have changed. A response
+    /// that echoes an earlier round than `round` may come from before the change.
+    pub(super) fn await_response(&mut self, until: Instant, round: u64) {
         self.awaited_until = until;
+        self.awaited_round = round;
     }
 
     /// Whether a response that names its present storage is awaited.
@@ -84,7 +89,9 @@
     pub(super) fn record_response(&mut self, now: Instant, round: u64) {
         self.last_response_at = now;
         self.echoed_round = self.echoed_round.max(round);
-        self.awaited_until = now;
+        if round >= self.awaited_round {
+            self.awaited_until = now;
+        }
     }
 
     /// Whether the replica responds, or has said hello and a response is awaited. False for one
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -250,7 +250,7 @@
             && let Some(peer) = leadership.peers.get_mut(&peer)
         {
             peer.probe(peer.match_index + 1);
-            peer.await_response(cx.now);
+            peer.await_response(cx.now, 0);
         }
     }
 
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Delivers a message that was sent by an earlier process of `from`.
+    pub fn deliver_late(&mut self, from: usize, to: usize, message: ConsensusMessage) {
+        self.schedule(0, Event::Message { from, to, message });
+    }
+
     pub fn isolate(&mut self, node: usize) {
         for other in (0..self.nodes.len()).filter(|other| *other != node) {
             self.blocked_links.insert((node, other));
--- a/crates/core/tests/consensus/repairs.rs
+++ b/crates/core/tests/consensus/repairs.rs
@@ -1,6 +1,6 @@
 //! Losses of storages right after an accepted change, while voters are admitted or promoted.
 
-use fireflylug_core::consensus::{MAX_WITHHOLD_MS, Origin};
+use fireflylug_core::consensus::{AppendResponse, ConsensusMessage, MAX_WITHHOLD_MS, Origin};
 
 use crate::cases::{cluster_with_leader, is_accepted, propose};
 use crate::cluster::{Cluster, put_service, service_key};
@@ -169,6 +169,42 @@
     }
 }
 
+/// A response of the process that ran before, which came after the connection of a voter with a wiped
+/// storage, ended the wait for that voter.
+#[test]
+fn late_response_of_the_last_process_is_not_taken_for_one_of_the_next() {
+    for seed in 0..30 {
+        let (mut cluster, leader) = cluster_with_leader(3, seed);
+        cluster.introduce_all();
+        cluster.run_for(500);
+        let wiped = (leader + 1) % 3;
+        let late = AppendResponse {
+            term: cluster.status(leader).expect("the leader runs").term,
+            round: 1,
+            match_index: 0,
+            rejected: None,
+            disk: cluster.nodes[wiped].disk.id,
+            generation: 1,
+        };
+        cluster.crash(wiped);
+        cluster.wipe(wiped);
+        cluster.disconnect(wiped);
+        cluster.start(wiped);
+        cluster.isolate(wiped);
+        cluster.reconnect(wiped);
+        cluster.deliver_late(wiped, leader, ConsensusMessage::AppendResponse(late));
+        let origin = cluster.propose(leader, put_service("seatdesk"));
+        cluster.run_for(COMMIT_MS);
+        cluster.heal();
+
+        let is_reported = wait_for_outcome(&mut cluster, origin);
+        cluster.crash(leader);
+        let is_led = cluster.run_until(RECOVERY_MS, has_leader_in_touch);
+
+        assert!(is_reported && is_led, "seed {seed}: accepted {is_reported}, led {is_led}");
+    }
+}
+
 /// Guards against acceptances that wait without a bound for a storage that cannot be admitted.
 #[test]
 fn voter_that_cannot_be_admitted_delays_an_acceptance_within_the_bound() {
