--- a/crates/core/src/consensus/bootstrap.rs
+++ b/crates/core/src/consensus/bootstrap.rs
@@ -11,7 +11,6 @@
 use std::collections::BTreeSet;
 
 use super::disk::DiskWrite;
-use super::election::REPORTED_LEADER_EXPIRES_MS;
 use super::entry::{Voter, VoterSet};
 use super::message::{ConsensusMessage, Floor, Hello};
 use super::replica::ControlReplica;
@@ -146,11 +145,7 @@
             return;
         }
         self.reported_leader = leader;
-        self.leader_reported_at = cx.now;
-        // Until then the other replica may name the leader that both of them have lost.
-        let has_no_contact =
-            cx.now.since_ms(self.last_leader_contact_at) >= REPORTED_LEADER_EXPIRES_MS;
-        self.is_presumed_removed = self.leader.is_none() && has_no_contact;
+        self.leader_reported_at = Some(cx.now);
         if self.participation(cx.me.id).is_standby() {
             self.log_contact_at = cx.now;
         }
--- a/crates/core/src/consensus/election.rs
+++ b/crates/core/src/consensus/election.rs
@@ -29,9 +29,7 @@
             let text = format!("Lost contact with the leader, {leader}.");
             cx.log(LogLevel::Warn, LogPart::Consensus, text);
         }
-        if cx.now.since_ms(self.leader_reported_at) >= REPORTED_LEADER_EXPIRES_MS {
-            self.is_presumed_removed = false;
-        }
+        self.leader_reported_at.take_if(|at| cx.now.since_ms(*at) >= REPORTED_LEADER_EXPIRES_MS);
         let me = self.me(cx);
         if !self.is_voter(me) || !self.floors.is_confirmed() {
             self.role = Role::Follower;
@@ -250,7 +248,6 @@
         cx.log(LogLevel::Info, LogPart::Consensus, text);
         let next_index = self.log.last_index() + 1;
         self.leader = Some(cx.me.id);
-        self.is_presumed_removed = false;
         self.role = Role::Leader(Leadership {
             peers: BTreeMap::new(),
             started_at: cx.now,
--- a/crates/core/src/consensus/follower.rs
+++ b/crates/core/src/consensus/follower.rs
@@ -79,7 +79,6 @@
             self.role_deadline = self.election_deadline(cx);
         }
         self.last_leader_contact_at = cx.now;
-        self.is_presumed_removed = false;
         self.leader_round = self.leader_round.max(round);
         true
     }
--- a/crates/core/src/consensus/mod.rs
+++ b/crates/core/src/consensus/mod.rs
@@ -101,8 +101,8 @@
 /// Outcome of a change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum ChangeOutcome {
-    /// Committed now, or earlier under the same idempotency key. Reported once the voters that
-    /// respond are admitted with their present storages, within [`MAX_WITHHOLD_MS`].
+    /// Committed now, or earlier under the same idempotency key. Reported once the voters in
+    /// touch are admitted with their present storages, within [`MAX_WITHHOLD_MS`].
     Accepted {
         /// Version of the configuration that holds the change.
         version: Version,
--- a/crates/core/src/consensus/pending.rs
+++ b/crates/core/src/consensus/pending.rs
@@ -88,8 +88,8 @@
 impl PendingRequests {
     /// The earliest deadline.
     pub(super) fn next_deadline(&self) -> Instant {
-        // Proposals, acceptances and reads are in order of arrival with one timeout each, so the first is due
-        // first. Remote reads are few, so all are compared.
+        // Proposals, acceptances and reads are in order of arrival with one timeout each, so the
+        // first is due first. Remote reads are few, so all are compared.
         let proposal = self.proposals.values().next().map_or(Instant::NEVER, |p| p.deadline);
         let withheld = self.withheld.front().map_or(Instant::NEVER, |w| w.deadline);
         let read = self.reads.front().map_or(Instant::NEVER, |read| read.deadline);
--- a/crates/core/src/consensus/replica.rs
+++ b/crates/core/src/consensus/replica.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::disk::{DiskEvent, DiskWrite, RecoveredDisk};
+use super::election::REPORTED_LEADER_EXPIRES_MS;
 use super::entry::{DiskId, HardState, Voter, VoterSet};
 use super::floors::Floors;
 use super::log::Log;
@@ -43,11 +44,9 @@
     /// The leader that another replica last named in a response to a hello. Used only while no
     /// leader replicates to this replica.
     pub(super) reported_leader: Option<NodeId>,
-    /// When another replica last named a leader in a response to a hello.
-    pub(super) leader_reported_at: Instant,
-    /// Whether other replicas follow a leader that does not replicate to this replica. If its own
-    /// log names it as a voter, it was replaced.
-    pub(super) is_presumed_removed: bool,
+    /// When another replica last named a leader in a response to a hello; none where that is so
+    /// long ago that the leader may be gone.
+    pub(super) leader_reported_at: Option<Instant>,
     pub(super) log: Log,
     /// Voter sets in the log that are not applied, each with the index of its entry.
     pub(super) pending_voters: VecDeque<(u64, VoterSet)>,
@@ -113,8 +112,7 @@
             role,
             leader: None,
             reported_leader: None,
-            leader_reported_at: now,
-            is_presumed_removed: false,
+            leader_reported_at: None,
             pending_voters: log.voter_sets_after(commit_index),
             commit_index,
             verified_index: commit_index,
@@ -151,7 +149,7 @@
     pub fn participation(&self, me: NodeId) -> Participation {
         let is_blank = matches!(self.role, Role::Blank(_));
         let is_voter =
-            self.is_voter(Voter { node: me, disk: self.disk }) && !self.is_presumed_removed;
+            self.is_voter(Voter { node: me, disk: self.disk }) && !self.is_presumed_removed();
         if self.storage.has_failed() {
             Participation::Standby { leader: None }
         } else if is_blank || (self.leader.is_none() && !is_voter) {
@@ -161,6 +159,17 @@
         }
     }
 
+    /// Whether other replicas follow a leader that does not replicate to this replica. If its own
+    /// log names it as a voter, it was replaced. Shortly after a loss of the leader it proves
+    /// nothing, because the others may not have noticed it yet.
+    pub(super) fn is_presumed_removed(&self) -> bool {
+        let without_contact = |at: Instant| at.since_ms(self.last_leader_contact_at);
+        self.leader.is_none()
+            && self
+                .leader_reported_at
+                .is_some_and(|at| without_contact(at) >= REPORTED_LEADER_EXPIRES_MS)
+    }
+
     /// Records the control replicas that membership lists, with their peer
     /// addresses.
     pub fn set_known_replicas(&mut self, cx: &mut Context<'_>, replicas: &[(NodeId, SocketAddr)]) {
--- a/crates/core/src/consensus/start.rs
+++ b/crates/core/src/consensus/start.rs
@@ -87,7 +87,6 @@
         self.hard_state = HardState::default();
         self.role = Role::Blank(Bootstrap::default());
         self.leader = None;
-        self.is_presumed_removed = false;
         self.log = Log::new(0, 0);
         self.pending_voters.clear();
         self.state_machine = StateMachine::default();
--- a/crates/core/src/consensus/status.rs
+++ b/crates/core/src/consensus/status.rs
@@ -126,7 +126,7 @@
         }
         match &self.role {
             Role::Blank(_) => ControlRole::Blank,
-            _ if self.is_presumed_removed => ControlRole::Standby,
+            _ if self.is_presumed_removed() => ControlRole::Standby,
             // Decided by the committed set: until it is committed, losing an old voter may cost
             // the quorum.
             Role::Follower if self.state_machine.voters().disk_of(node) == Some(self.disk) => {
