--- a/crates/daemon/src/api/requests.rs
+++ b/crates/daemon/src/api/requests.rs
@@ -30,7 +30,7 @@
     }
 
     /// Number of requests without a response, except watches.
-    pub fn pending(&self) -> u64 {
+    pub fn pending_count(&self) -> u64 {
         self.pending.counts().0
     }
 
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -80,7 +80,7 @@
     tokio::select! {
         biased;
         body = BodySource::read(body) => body,
-        () = proxy.handle.refuses_incomplete_requests() => Err(RefusalCode::Stopping),
+        () = proxy.handle.request_grace_elapsed() => Err(RefusalCode::Stopping),
     }
 }
 
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -137,8 +137,8 @@
         self.shared.killed.clone()
     }
 
-    /// Waits until a stopping process no longer waits for the rest of a request.
-    pub async fn refuses_incomplete_requests(&self) {
+    /// Waits until a stopping process refuses requests of which a part is missing.
+    pub async fn request_grace_elapsed(&self) {
         self.reached(Phase::ClosingIdle).await;
         tokio::time::sleep(REQUEST_GRACE).await;
     }
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -85,13 +85,14 @@
 
     /// Accepts connections until the graceful shutdown closes the listeners.
     pub async fn accept(self: Arc<Self>, listener: TcpListener, client: Client) {
+        let mut listeners_closed = std::pin::pin!(self.handle.reached(Phase::ListenersClosed));
         loop {
             tokio::select! {
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.spawn(stream, client),
                     Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
                 },
-                () = self.handle.reached(Phase::ListenersClosed) => break,
+                () = &mut listeners_closed => break,
             }
         }
         // Serves connections in the accept backlog; closing the listener would reset them.
@@ -142,7 +143,7 @@
             connection.as_mut().graceful_shutdown();
         }
         let first_call_timeout = async {
-            self.handle.refuses_incomplete_requests().await;
+            self.handle.request_grace_elapsed().await;
             if caller.is_used() {
                 std::future::pending::<()>().await;
             }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -139,7 +139,7 @@
             calls: self.runtime.inspect(|state| state.routing().stage_counts()),
             callers: self.calls.caller_connections(),
             proxies: self.calls.proxy_connections(),
-            api_requests: self.requests.pending(),
+            api_requests: self.requests.pending_count(),
         }
     }
 
