--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -197,7 +197,7 @@
     /// The caller violated a limit.
     pub(super) fn caller_failed(&mut self, cx: &mut Context<'_>, id: CallId, code: RefusalCode) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let is_relaying = matches!(call.stage, Stage::Relaying(_) | Stage::RelayingEarlier);
+        let is_relaying = call.stage.is_relaying();
         call.may_have_run |= matches!(call.stage, Stage::Running(_) | Stage::Cancelling(_));
         self.drop_attempt(cx, id);
         if is_relaying {
@@ -333,7 +333,7 @@
     /// Refuses a call whose parent call ended. A response that has begun is relayed to its end:
     /// its target has done its work, and a cut would reset the connection of the caller.
     fn cancel_orphan(&mut self, cx: &mut Context<'_>, id: CallId) {
-        if !matches!(self.calls[&id].stage, Stage::Relaying(_) | Stage::RelayingEarlier) {
+        if !self.calls[&id].stage.is_relaying() {
             self.caller_failed(cx, id, RefusalCode::ChainCancelled);
         }
     }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -38,6 +38,13 @@
     RelayingEarlier,
 }
 
+impl Stage {
+    /// Whether a response is being relayed.
+    pub fn is_relaying(&self) -> bool {
+        matches!(self, Self::Relaying(_) | Self::RelayingEarlier)
+    }
+}
+
 /// One attempt of a call at one target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Attempt {
