--- a/crates/store/tests/power_loss/cases.rs
+++ b/crates/store/tests/power_loss/cases.rs
@@ -1,29 +1,19 @@
 //! Single losses of power, at every operation of the command that they follow.
 
-use std::path::Path;
 use std::sync::Arc;
 
-use fireflylug_core::consensus::{
-    DiskCommand, DiskId, DiskWrite, Entry, Payload, RecoveredDisk, Snapshot, VoterSet,
-};
+use fireflylug_core::consensus::{DiskCommand, DiskId, DiskWrite, Entry, Payload, RecoveredDisk};
 use fireflylug_core::ids::NodeId;
-use fireflylug_store::{Store, StoreError};
 
+use crate::fixture::{open, snapshot};
 use crate::simulated_disk::{Fault, SimulatedDisk, Unsynced};
 
-/// Folder of the simulated disk that the store uses.
-const FOLDER: &str = "/data";
-
 /// More operations than one command or one opening takes.
 const OPERATIONS: u32 = 24;
 
 /// Number of seeds, each with other outcomes of kills and losses of power.
 const SEEDS: u64 = 12;
 
-fn open(disk: &SimulatedDisk) -> Result<(Store, RecoveredDisk), StoreError> {
-    Store::open_on(Arc::new(disk.clone()), Path::new(FOLDER))
-}
-
 fn reopen(disk: &SimulatedDisk, case: &str) -> RecoveredDisk {
     open(disk).unwrap_or_else(|error| panic!("{case}: the folder does not open: {error}")).1
 }
@@ -58,15 +48,19 @@
     DiskWrite::Append(indexes.map(entry).collect())
 }
 
-fn snapshot(index: u64, term: u64, keep_entries: bool) -> DiskWrite {
-    let snapshot = Snapshot { index, term, ..Snapshot::initial(VoterSet::default()) };
-    DiskWrite::Snapshot { snapshot: Arc::new(snapshot), keep_entries }
-}
-
 fn last_index(recovered: &RecoveredDisk) -> u64 {
     recovered.entries.last().map_or(0, |entry| entry.index)
 }
 
+/// Asserts that a loss of power takes back nothing that an opening recovered.
+fn assert_what_is_recovered_is_synced(disk: &SimulatedDisk, case: &str) {
+    let reported = reopen(disk, case);
+    disk.lose_power(Unsynced::Gone);
+    let recovered = reopen(disk, case);
+
+    assert_eq!(last_index(&recovered), last_index(&reported), "{case}");
+}
+
 /// Every pair of a number of operations and a seed.
 fn kills() -> impl Iterator<Item = (u32, u64)> {
     (0..OPERATIONS).flat_map(|operations| (0..SEEDS).map(move |seed| (operations, seed)))
@@ -79,12 +73,7 @@
         let disk = disk_with(seed, vec![append(1..=1, 1)]);
         write_with(&disk, append(2..=2, 1), operations, Fault::Kill);
 
-        let reported = reopen(&disk, "after the kill");
-        disk.lose_power(Unsynced::Gone);
-        let recovered = reopen(&disk, "after the loss of power");
-
-        let case = format!("kill at {operations}, seed {seed}");
-        assert_eq!(last_index(&recovered), last_index(&reported), "{case}");
+        assert_what_is_recovered_is_synced(&disk, &format!("kill at {operations}, seed {seed}"));
     }
 }
 
@@ -95,12 +84,7 @@
         let disk = disk_with(seed, vec![append(1..=1, 1)]);
         write_with(&disk, append(2..=2, 1), operations, Fault::Refuse { operations: 1 });
 
-        let reported = reopen(&disk, "after the failed sync");
-        disk.lose_power(Unsynced::Gone);
-        let recovered = reopen(&disk, "after the loss of power");
-
-        let case = format!("failure at {operations}, seed {seed}");
-        assert_eq!(last_index(&recovered), last_index(&reported), "{case}");
+        assert_what_is_recovered_is_synced(&disk, &format!("failure at {operations}, seed {seed}"));
     }
 }
 
--- a/crates/store/tests/power_loss/main.rs
+++ b/crates/store/tests/power_loss/main.rs
@@ -2,6 +2,7 @@
 //! writes and syncs that fail.
 
 mod cases;
+mod fixture;
 mod model;
 mod random;
 mod simulated_disk;
--- a/crates/store/tests/power_loss/random.rs
+++ b/crates/store/tests/power_loss/random.rs
@@ -1,17 +1,15 @@
 //! Random commands, kills, losses of power and faults of the disk.
 
 use std::ops::Range;
-use std::path::Path;
 use std::sync::Arc;
 
-use fireflylug_core::consensus::{
-    DiskCommand, DiskId, DiskWrite, Entry, HardState, Payload, Snapshot, VoterSet,
-};
+use fireflylug_core::consensus::{DiskCommand, DiskId, DiskWrite, Entry, HardState, Payload};
 use fireflylug_core::ids::NodeId;
 use fireflylug_store::{Store, StoreError};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::fixture::{open, snapshot};
 use crate::model::{Content, Model};
 use crate::simulated_disk::{Fault, SimulatedDisk, Unsynced};
 
@@ -24,9 +22,6 @@
 /// Operations before a fault, at most.
 const MAX_OPERATIONS: u32 = 20;
 
-/// Folder of the simulated disk that the store uses.
-const FOLDER: &str = "/data";
-
 /// Guards against acknowledged entries, votes and terms that a loss of power takes back, and
 /// against folders that do not open after one.
 #[test]
@@ -103,7 +98,7 @@
             if self.rng.random_bool(0.3) {
                 self.set_fault();
             }
-            let opened = Store::open_on(Arc::new(self.disk.clone()), Path::new(FOLDER));
+            let opened = open(&self.disk);
             let has_fault = self.disk.clear_fault();
             match opened {
                 Ok((store, recovered)) => {
@@ -203,8 +198,3 @@
         None => DiskWrite::HardState(content.hard_state),
     }
 }
-
-fn snapshot(index: u64, term: u64, keep_entries: bool) -> DiskWrite {
-    let snapshot = Snapshot { index, term, ..Snapshot::initial(VoterSet::default()) };
-    DiskWrite::Snapshot { snapshot: Arc::new(snapshot), keep_entries }
-}
