--- a/crates/core/tests/consensus/cases.rs
+++ b/crates/core/tests/consensus/cases.rs
@@ -8,7 +8,8 @@
 use fireflylug_core::ids::Version;
 use rstest::rstest;
 
-use crate::cluster::{Cluster, put_service, put_service_at, service_key};
+use crate::cluster::Cluster;
+use crate::fixtures::{put_service, put_service_at, service_key};
 
 pub fn cluster_with_leader(count: usize, seed: u64) -> (Cluster, usize) {
     let mut cluster = Cluster::new(count, count, seed);
--- a/crates/core/tests/consensus/cluster.rs
+++ b/crates/core/tests/consensus/cluster.rs
@@ -3,22 +3,20 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fireflylug_core::config::{ChangeRequest, ChangeSet, Configuration, Operation};
+use fireflylug_core::config::{ChangeRequest, Configuration};
 use fireflylug_core::consensus::{
     ChangeOutcome, ConsensusMessage, ControlOutput, ControlReplica, ControlRole, ControlSettings,
     ControlStatus, DiskEvent, DiskWrite, Origin, Voter,
 };
-use fireflylug_core::context::{Addresses, Context, Identity};
-use fireflylug_core::ids::{
-    ContentHash, IdempotencyKey, Locality, Name, NodeId, RequestId, Version,
-};
+use fireflylug_core::context::{Context, Identity};
+use fireflylug_core::ids::{ContentHash, NodeId, RequestId, Version};
 use fireflylug_core::message::PeerMessage;
-use fireflylug_core::resource::{Resource, ResourceKey, ResourceKind, Service};
 use fireflylug_core::{Effect, Instant};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use crate::disk::FakeDisk;
+use crate::fixtures::identity;
 
 /// Faults of the simulated network and disks.
 #[derive(Clone, Copy, Debug)]
@@ -489,47 +487,3 @@
         recovered_version: Version(0),
     }
 }
-
-pub fn identity(at: usize) -> Identity {
-    let host = name(&format!("control-{at}"));
-    let any = "127.0.0.1:1".parse().expect("an address");
-    Identity {
-        id: NodeId::of_host(&host),
-        host,
-        locality: Locality { region: name("kochi"), availability_zone: name("kochi-aluva") },
-        incarnation: 1,
-        started_unix_ms: 1_000_000,
-        addresses: Addresses { peers: any, forward: any, api: any, calls: any },
-        control: true,
-        is_link_slow: false,
-    }
-}
-
-pub fn name(text: &str) -> Name {
-    Name::new(text).expect("a valid name")
-}
-
-/// Change request that puts a service, with the service name as idempotency key.
-pub fn put_service(service: &str) -> ChangeRequest {
-    put_service_at(service, 0, None, service)
-}
-
-/// Change request that puts a service with a distinguishing value, at an expected version and
-/// under an idempotency key.
-pub fn put_service_at(
-    service: &str,
-    slow_start_ms: u32,
-    if_version: Option<Version>,
-    key: &str,
-) -> ChangeRequest {
-    let resource = Resource::Service(Service { slow_start_ms, ..Service::new(name(service)) });
-    let operations = vec![Operation::Put { resource, if_version }];
-    ChangeRequest {
-        key: Some(IdempotencyKey::new(key).expect("a valid key")),
-        changes: ChangeSet { operations },
-    }
-}
-
-pub fn service_key(service: &str) -> ResourceKey {
-    ResourceKey { kind: ResourceKind::Service, name: name(service) }
-}
--- a/crates/core/tests/consensus/confirmation.rs
+++ b/crates/core/tests/consensus/confirmation.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::cluster::identity;
+use crate::fixtures::identity;
 
 /// Term of the leader, of the recovered entries and of the floor.
 const TERM: u64 = 1;
@@ -81,8 +81,10 @@
         let mut cx = Context { now, rng: &mut rng, me: &me, effects: &mut effects };
         replica.step(&mut cx, voter(from).node, message);
     }
-    let is_reset = |effect: &Effect| matches!(effect, Effect::Disk(command) if matches!(command.write, DiskWrite::Reset { .. }));
-    effects.iter().any(is_reset)
+    effects.iter().any(|effect| match effect {
+        Effect::Disk(command) => matches!(command.write, DiskWrite::Reset { .. }),
+        _ => false,
+    })
 }
 
 // Guards against a voter that drops its storage as an older copy while a snapshot of the leader
--- a/crates/core/tests/consensus/failed_disk.rs
+++ b/crates/core/tests/consensus/failed_disk.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use crate::cluster::identity;
+use crate::fixtures::identity;
 
 // Guards against a command of a failed replica that is run on the folder once it is opened again.
 #[test]
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -6,6 +6,7 @@
 mod disk;
 mod failed_disk;
 mod first_set;
+mod fixtures;
 mod full_disks;
 mod random;
 mod repairs;
--- a/crates/core/tests/consensus/random.rs
+++ b/crates/core/tests/consensus/random.rs
@@ -7,7 +7,8 @@
 use rand::Rng;
 use rstest::rstest;
 
-use crate::cluster::{Cluster, Faults, put_service, put_service_at, service_key};
+use crate::cluster::{Cluster, Faults};
+use crate::fixtures::{put_service, put_service_at, service_key};
 
 /// Time during which faults are injected, in milliseconds.
 const FAULT_PERIOD_MS: u64 = 30_000;
--- a/crates/core/tests/consensus/repairs.rs
+++ b/crates/core/tests/consensus/repairs.rs
@@ -3,7 +3,8 @@
 use fireflylug_core::consensus::{AppendResponse, ConsensusMessage, MAX_WITHHOLD_MS, Origin};
 
 use crate::cases::{cluster_with_leader, is_accepted, propose};
-use crate::cluster::{Cluster, put_service, service_key};
+use crate::cluster::Cluster;
+use crate::fixtures::{put_service, service_key};
 
 /// Time for an election and the catch-up of restarted replicas, in milliseconds.
 pub const RECOVERY_MS: u64 = 4_000;
@@ -25,6 +26,14 @@
         .is_some_and(|status| status.is_current && status.last_index == status.commit_index)
 }
 
+/// A leader with two followers, all connected to each other.
+fn connected_cluster(seed: u64) -> (Cluster, usize) {
+    let (mut cluster, leader) = cluster_with_leader(3, seed);
+    cluster.introduce_all();
+    cluster.run_for(500);
+    (cluster, leader)
+}
+
 /// A leader with two followers, of which the first restarts with a wiped storage.
 fn cluster_with_wiped_voter(seed: u64) -> (Cluster, usize, usize) {
     let (mut cluster, leader) = cluster_with_leader(3, seed);
@@ -133,9 +142,7 @@
 /// Guards against acceptances that wait for a voter that is gone.
 #[test]
 fn voter_that_is_gone_does_not_delay_an_acceptance() {
-    let (mut cluster, leader) = cluster_with_leader(3, 61);
-    cluster.introduce_all();
-    cluster.run_for(500);
+    let (mut cluster, leader) = connected_cluster(61);
     let gone = (leader + 1) % 3;
     cluster.crash(gone);
     cluster.disconnect(gone);
@@ -149,9 +156,7 @@
 /// Guards against acceptances of a new leader that wait for the one that was lost.
 #[test]
 fn leader_that_is_gone_does_not_delay_an_acceptance_of_the_next() {
-    let (mut cluster, leader) = cluster_with_leader(3, 64);
-    cluster.introduce_all();
-    cluster.run_for(500);
+    let (mut cluster, leader) = connected_cluster(64);
     cluster.crash(leader);
     cluster.disconnect(leader);
     assert!(cluster.run_until(RECOVERY_MS, has_leader_in_touch));
@@ -168,9 +173,7 @@
 #[test]
 fn slow_voter_that_connects_again_is_waited_for() {
     for seed in 0..30 {
-        let (mut cluster, leader) = cluster_with_leader(3, seed);
-        cluster.introduce_all();
-        cluster.run_for(500);
+        let (mut cluster, leader) = connected_cluster(seed);
         let wiped = (leader + 1) % 3;
         restart_wiped_and_silent(&mut cluster, wiped);
         cluster.run_for(SLOW_START_MS);
@@ -182,14 +185,12 @@
     }
 }
 
-/// A response of the process that ran before, which came after the connection of a voter with a wiped
-/// storage, ended the wait for that voter.
+/// A response of the process that ran before, which came after the connection of a voter with a
+/// wiped storage, ended the wait for that voter.
 #[test]
 fn late_response_of_the_last_process_is_not_taken_for_one_of_the_next() {
     for seed in 0..30 {
-        let (mut cluster, leader) = cluster_with_leader(3, seed);
-        cluster.introduce_all();
-        cluster.run_for(500);
+        let (mut cluster, leader) = connected_cluster(seed);
         let wiped = (leader + 1) % 3;
         let late = AppendResponse {
             term: cluster.status(leader).expect("the leader runs").term,
--- a/crates/core/tests/consensus/replacements.rs
+++ b/crates/core/tests/consensus/replacements.rs
@@ -5,12 +5,14 @@
 use rstest::rstest;
 
 use crate::cases::is_accepted;
-use crate::cluster::{Cluster, put_service, service_key};
+use crate::cluster::Cluster;
+use crate::fixtures::{put_service, service_key};
 use crate::repairs::{RECOVERY_MS, has_leader_in_touch};
 
 /// Control replicas, of which the first three are the initial voters.
 const REPLICAS: usize = 9;
-/// Time for which two voters are without power, in milliseconds: longer than it takes to replace them.
+/// Time for which two voters are without power, in milliseconds: longer than it takes to replace
+/// them.
 const POWER_LOSS_MS: u64 = 7_000;
 /// Longest time after the loss of power at which a disk is lost, in milliseconds.
 const MAX_LOSS_AT_MS: u64 = 4_000;
