--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -206,12 +206,18 @@
     assert!(matches!(effects[1], CallEffect::Dispatch { call, .. } if call == book));
 }
 
-#[test]
-fn a_caller_that_hangs_up_cancels_the_calls_made_for_its_call() {
+/// The owner of a target with a call that it runs, and a call made for that one.
+fn owner_with_a_call_made_for_another() -> (Harness, CallId, CallId) {
     let mut harness = owner();
     let parent = harness.arrive_forwarded("seatdesk", "one", 400);
     let chain = harness.take_attempts()[0].chain;
     let child = harness.arrive_with("/seats", |head| head.chain = chain);
+    (harness, parent, child)
+}
+
+#[test]
+fn a_caller_that_hangs_up_cancels_the_calls_made_for_its_call() {
+    let (mut harness, parent, child) = owner_with_a_call_made_for_another();
     harness.take_effects();
 
     harness.step(CallEvent::CallerGone { call: parent });
@@ -225,10 +231,7 @@
 // the call for which the target made its own call has ended.
 #[test]
 fn a_response_to_a_call_made_for_a_cancelled_one_is_relayed_to_its_end() {
-    let mut harness = owner();
-    let parent = harness.arrive_forwarded("seatdesk", "one", 400);
-    let chain = harness.take_attempts()[0].chain;
-    let child = harness.arrive_with("/seats", |head| head.chain = chain);
+    let (mut harness, parent, child) = owner_with_a_call_made_for_another();
     harness.answer(child, 1, 200);
     harness.take_effects();
 
--- a/crates/daemon/tests/calls/closes.rs
+++ b/crates/daemon/tests/calls/closes.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use crate::fixture::{HeldTarget, mesh, target, until};
 
@@ -43,6 +44,16 @@
     Ok((answer.status.as_u16(), answer.text()))
 }
 
+/// Sends a call, and waits until its target holds it.
+async fn call_in_flight(
+    address: SocketAddr,
+    held: &HeldTarget,
+) -> JoinHandle<std::io::Result<(u16, String)>> {
+    let call = tokio::spawn(look(address));
+    until("the call runs", || held.has_call()).await;
+    call
+}
+
 // Guards against a stop that waits for a request body until the time limit.
 #[tokio::test]
 async fn a_request_body_without_end_does_not_delay_a_stop() {
@@ -65,8 +76,7 @@
 async fn open_work_lists_a_call_at_its_ingress_and_at_its_owner() {
     let held = HeldTarget::start(HELD_ANSWER).await;
     let mesh = mesh(&[held.address]).await;
-    let call = tokio::spawn(look(mesh.calls(0)));
-    until("the call runs", || held.has_call()).await;
+    let call = call_in_flight(mesh.calls(0), &held).await;
 
     let [ingress, owner] = [0, 1].map(|index| mesh.daemon(index).open_work());
     held.answer();
@@ -116,8 +126,7 @@
     let held = HeldTarget::start(HELD_ANSWER).await;
     let mut mesh = mesh(&[held.address]).await;
     let address = mesh.calls(0);
-    let call = tokio::spawn(look(address));
-    until("the call runs", || held.has_call()).await;
+    let call = call_in_flight(address, &held).await;
 
     mesh.configure([]);
     let after = look(address).await.expect("a response");
@@ -134,8 +143,7 @@
     let mut mesh = mesh(&[held.address]).await;
     mesh.configure(with_deadline(20_000));
     let address = mesh.calls(0);
-    let call = tokio::spawn(look(address));
-    until("the call runs", || held.has_call()).await;
+    let call = call_in_flight(address, &held).await;
 
     mesh.configure(with_deadline(200));
     let after = look(address).await.expect("a response");
@@ -150,8 +158,7 @@
 async fn a_reload_and_a_change_of_targets_end_no_call_in_flight() {
     let held = HeldTarget::start(HELD_ANSWER).await;
     let mesh = mesh(&[held.address]).await;
-    let call = tokio::spawn(look(mesh.calls(0)));
-    until("the call runs", || held.has_call()).await;
+    let call = call_in_flight(mesh.calls(0), &held).await;
 
     for daemon in mesh.running() {
         let mut settings = fireflylug_settings::Settings::mesh_of_one();
--- a/tests/processes/stops.rs
+++ b/tests/processes/stops.rs
@@ -1,8 +1,8 @@
 //! Stops, reloads and changes in series beside callers that keep their connections.
 //!
 //! A request that a target ran must be answered completely. A request that no target ran may have
-//! crossed the close of its connection, which does not count. `FIREFLYLUG_STOP_SEEDS` holds the seeds to run,
-//! separated by commas, and `FIREFLYLUG_STOP_ROUNDS` the stops in each run.
+//! crossed the close of its connection, which does not count. `FIREFLYLUG_STOP_SEEDS` holds the
+//! seeds to run, separated by commas, and `FIREFLYLUG_STOP_ROUNDS` the stops in each run.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
