Tests of final faults: shared times, one way to list the voters, names

The times and the number of voters of control_hosts.rs stood again in final_faults.rs, and that of a join in control_cuts.rs; two functions listed the voters by the same lines; the enum of what happens to the other hosts is an outage.

--- a/crates/core/tests/fuzz/control_cuts.rs
+++ b/crates/core/tests/fuzz/control_cuts.rs
@@ -5,14 +5,12 @@
 use fireflylug_core::membership::CUT_OFF_AFTER_MS;
 use rstest::rstest;
 
+use crate::control_hosts::JOIN_MS;
 use crate::world::{Layout, World};
 
 /// Proxies in each availability zone.
 const PROXIES_PER_ZONE: usize = 4;
 
-/// Time for the hosts to join and for the leader to promote the voters, in milliseconds.
-const JOIN_MS: u64 = 10_000;
-
 /// The users' bound for a host to be in touch again after the beginning of a cut, in milliseconds.
 const IN_TOUCH_WITHIN_MS: u64 = 4_000;
 
--- a/crates/core/tests/fuzz/control_hosts.rs
+++ b/crates/core/tests/fuzz/control_hosts.rs
@@ -8,24 +8,24 @@
 use crate::world::{Layout, World};
 
 /// Number of voters that the leader maintains.
-const VOTERS: usize = 5;
+pub const VOTERS: usize = 5;
 
 /// Time within which an operator's client expects an answer, in milliseconds. It then
 /// sends the request to another host.
-const CLIENT_TIMEOUT_MS: u64 = 1_000;
+pub const CLIENT_TIMEOUT_MS: u64 = 1_000;
 
 /// Time within which a restarted proxy of a mesh without faults serves, in milliseconds. Shorter than
 /// the interval at which a process refreshes the status of its parent.
 const SERVES_AFTER_START_MS: u64 = 3_000;
 
 /// Time after the end of all faults within which the mesh has recovered, in milliseconds.
-const RECOVERY_MS: u64 = 15_000;
+pub const RECOVERY_MS: u64 = 15_000;
 
 /// Time after which the leader has forgotten a host that is down, in milliseconds.
 const AWAY_MS: u64 = 15_000;
 
 /// Time for the hosts to join and for the leader to promote the voters, in milliseconds.
-const JOIN_MS: u64 = 10_000;
+pub const JOIN_MS: u64 = 10_000;
 
 /// A mesh in eight availability zones with `control_hosts` control hosts and eight proxies, whose
 /// leader maintains five voters. With slow proxies, control hosts are the relays of the zones.
--- a/crates/core/tests/fuzz/final_faults.rs
+++ b/crates/core/tests/fuzz/final_faults.rs
@@ -11,6 +11,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 
+use crate::control_hosts::{CLIENT_TIMEOUT_MS, JOIN_MS, RECOVERY_MS, VOTERS};
 use crate::network::FaultRates;
 use crate::oracle::UNITS;
 use crate::world::{Layout, World};
@@ -22,24 +23,12 @@
 /// Number of hosts without a disk.
 const PROXIES: usize = 8;
 
-/// Number of voters that the leader maintains. The set is formed by fewer, and grows.
-const VOTERS: usize = 5;
-
 /// Number of disks that may be lost at the same time.
 const TOLERATED_DISKS: usize = 2;
 
 /// Time for which a disk counts as lost after its host is back, in milliseconds.
 const CATCH_UP_MS: u64 = 6_000;
 
-/// Time after the last start within which the mesh has recovered, in milliseconds.
-const RECOVERY_MS: u64 = 15_000;
-
-/// Time within which a read and a change are answered after the recovery, in milliseconds.
-const CLIENT_TIMEOUT_MS: u64 = 1_000;
-
-/// Time for the hosts to join and for the leader to promote the voters, in milliseconds.
-const JOIN_MS: u64 = 10_000;
-
 /// Step in which a case lets time pass, in milliseconds.
 const STEP_MS: u64 = 1;
 
@@ -75,11 +64,11 @@
     Trouble { after_ms: u64 },
 }
 
-/// How the hosts that keep their disks take part in the final fault.
+/// What happens to the process of a host that keeps its disk.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Others {
-    KeepRunning,
-    AreKilled,
+enum Outage {
+    None,
+    Kill,
     LosePower,
     LoseAllUnsynced,
 }
@@ -143,7 +132,8 @@
         self.world.network.set_fault_rates(fault_rates);
     }
 
-    /// Lets the voter set form and grow. All hosts may lose power meanwhile, but no disk may be lost.
+    /// Lets the voter set form and grow. All hosts may lose power meanwhile, but no disk may be
+    /// lost.
     fn grow(&mut self) {
         if self.rng.random_bool(0.3) {
             let at_ms = self.rng.random_range(0..3_000);
@@ -180,7 +170,7 @@
                 let count = self.rng.random_range(1..=TOLERATED_DISKS);
                 for host in self.some_control_hosts(count) {
                     let down_ms = self.rng.random_range(50..6_000);
-                    self.end(host, Others::AreKilled, down_ms);
+                    self.end(host, Outage::Kill, down_ms);
                 }
             }
             Trouble::LostDisks => {
@@ -197,8 +187,8 @@
                 let cut_ms = self.rng.random_range(500..6_000);
                 self.heals_at_us = Some(self.world.now_us + cut_ms * 1_000);
             }
-            Trouble::KillAll => self.restart_all(Others::AreKilled),
-            Trouble::LosePower => self.restart_all(Others::LosePower),
+            Trouble::KillAll => self.restart_all(Outage::Kill),
+            Trouble::LosePower => self.restart_all(Outage::LosePower),
         }
     }
 
@@ -237,24 +227,26 @@
     fn strike(&mut self) {
         let disks = self.disks_to_lose();
         let disks = if self.rng.random_bool(0.8) { disks } else { Vec::new() };
-        let others = [
-            Others::KeepRunning,
-            Others::AreKilled,
-            Others::LosePower,
-            Others::LosePower,
-            Others::LoseAllUnsynced,
-            Others::LoseAllUnsynced,
-            Others::LoseAllUnsynced,
+        let outages = [
+            Outage::None,
+            Outage::Kill,
+            Outage::LosePower,
+            Outage::LosePower,
+            Outage::LoseAllUnsynced,
+            Outage::LoseAllUnsynced,
+            Outage::LoseAllUnsynced,
         ];
-        let others = *others.choose(&mut self.rng).expect("some");
+        let outage = *outages.choose(&mut self.rng).expect("some");
         let voters = self.world.voters_of_leader();
-        self.log(&format!("strike: disks of {disks:?}, voters {voters:?}, others {others:?}"));
+        self.log(&format!(
+            "strike: disks of {disks:?}, voters {voters:?}, outage of the others: {outage:?}"
+        ));
         for host in disks {
             let down_ms = self.rng.random_range(300..2_000);
             self.lose_disk(host, down_ms);
         }
-        if others != Others::KeepRunning {
-            self.restart_all(others);
+        if outage != Outage::None {
+            self.restart_all(outage);
         }
         self.end_troubles();
     }
@@ -284,28 +276,28 @@
     }
 
     /// Ends every process at the same moment. They start anew in any order.
-    fn restart_all(&mut self, others: Others) {
+    fn restart_all(&mut self, outage: Outage) {
         let down_ms = self.rng.random_range(0..1_000);
         let longest_start_ms = *[100, 500, 4_000].choose(&mut self.rng).expect("some");
         let mut hosts: Vec<usize> = (0..self.world.hosts.len()).collect();
         hosts.shuffle(&mut self.rng);
         for host in hosts {
             let start_ms = down_ms + self.rng.random_range(0..longest_start_ms);
-            self.end(host, others, start_ms);
+            self.end(host, outage, start_ms);
         }
     }
 
     /// Ends the process of a host, unless it is down, and lets it start after a while.
-    fn end(&mut self, host: usize, how: Others, down_ms: u64) {
+    fn end(&mut self, host: usize, outage: Outage, down_ms: u64) {
         if self.world.is_up(host) {
-            match how {
-                Others::KeepRunning => return,
-                Others::AreKilled => self.world.kill(host),
-                Others::LosePower => self.world.crash(host),
-                Others::LoseAllUnsynced => self.world.crash_and_lose_unsynced(host),
+            match outage {
+                Outage::None => return,
+                Outage::Kill => self.world.kill(host),
+                Outage::LosePower => self.world.crash(host),
+                Outage::LoseAllUnsynced => self.world.crash_and_lose_unsynced(host),
             }
-        } else if how != Others::AreKilled {
-            self.world.lose_power_while_down(host, how == Others::LoseAllUnsynced);
+        } else if outage != Outage::Kill {
+            self.world.lose_power_while_down(host, outage == Outage::LoseAllUnsynced);
         }
         let start_us = self.world.now_us + down_ms * 1_000;
         let planned = self.starts_us.entry(host).or_insert(start_us);
@@ -313,7 +305,7 @@
     }
 
     fn lose_disk(&mut self, host: usize, down_ms: u64) {
-        self.end(host, Others::AreKilled, down_ms);
+        self.end(host, Outage::Kill, down_ms);
         self.world.install_blank_disk(host);
         self.lost_until_us.insert(host, u64::MAX);
     }
--- a/crates/core/tests/fuzz/world/inspect.rs
+++ b/crates/core/tests/fuzz/world/inspect.rs
@@ -1,7 +1,7 @@
 //! What the processes show of their state.
 
-use fireflylug_core::consensus::ControlRole;
-use fireflylug_core::ids::{RequestId, Version};
+use fireflylug_core::consensus::{ControlRole, VoterSet};
+use fireflylug_core::ids::{NodeId, RequestId, Version};
 use fireflylug_core::{Instant, State};
 
 use super::{PendingRequest, World};
@@ -19,13 +19,11 @@
         let host = &self.hosts[0];
         let control = host.state.as_ref().and_then(State::control).expect("a control host");
         let status = control.status(host.id, Instant::from_us(self.now_us - host.started_us));
-        let is_voter = |index: &usize| status.voters.disk_of(self.hosts[*index].id).is_some();
-        let mut voters: Vec<usize> = (0..self.hosts.len()).filter(is_voter).collect();
-        voters.sort_by_key(|index| status.leader != Some(self.hosts[*index].id));
-        voters
+        self.voting_hosts(&status.voters, status.leader)
     }
 
-    /// The hosts that vote, by the leader of the newest term, which comes first. None without a leader.
+    /// The hosts that vote, by the leader of the newest term, which comes first. None without a
+    /// leader.
     pub fn voters_of_leader(&self) -> Option<Vec<usize>> {
         let statuses = self.hosts.iter().enumerate().filter_map(|(index, host)| {
             let now = Instant::from_us(self.now_us - host.started_us);
@@ -33,10 +31,15 @@
         });
         let leaders = statuses.filter(|(_, status)| status.role == ControlRole::Leader);
         let (leader, status) = leaders.max_by_key(|(_, status)| status.term)?;
-        let is_voter = |index: &usize| status.voters.disk_of(self.hosts[*index].id).is_some();
-        let mut voters: Vec<usize> = (0..self.hosts.len()).filter(is_voter).collect();
-        voters.sort_by_key(|index| *index != leader);
-        Some(voters)
+        Some(self.voting_hosts(&status.voters, Some(self.hosts[leader].id)))
+    }
+
+    /// The hosts of a voter set, the leader first.
+    fn voting_hosts(&self, voters: &VoterSet, leader: Option<NodeId>) -> Vec<usize> {
+        let is_voter = |index: &usize| voters.disk_of(self.hosts[*index].id).is_some();
+        let mut voting: Vec<usize> = (0..self.hosts.len()).filter(is_voter).collect();
+        voting.sort_by_key(|index| leader != Some(self.hosts[*index].id));
+        voting
     }
 
     /// Whether a host counts as cut off from the control plane.
