--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -230,6 +230,10 @@
         if requested_at
             .is_some_and(|requested_at| cx.now >= requested_at.plus_ms(ANSWER_TIMEOUT_MS))
         {
+            if let Some(parent) = self.upstream.parent {
+                let text = format!("Its parent {} does not answer.", host_label(membership, parent));
+                cx.log(LogLevel::Info, LogPart::Distribution, text);
+            }
             self.try_next_parent(cx, membership);
         } else if cx.now >= self.upstream.next_request_at {
             if self.upstream.attempt > 0 && cx.now >= self.upstream.retry_preferred_at {
