--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -231,7 +231,8 @@
             .is_some_and(|requested_at| cx.now >= requested_at.plus_ms(ANSWER_TIMEOUT_MS))
         {
             if let Some(parent) = self.upstream.parent {
-                let text = format!("Its parent {} does not answer.", host_label(membership, parent));
+                let text =
+                    format!("Its parent {} does not answer.", host_label(membership, parent));
                 cx.log(LogLevel::Info, LogPart::Distribution, text);
             }
             self.try_next_parent(cx, membership);
--- a/crates/core/tests/distribution/main.rs
+++ b/crates/core/tests/distribution/main.rs
@@ -4,6 +4,7 @@
 mod mesh;
 mod random_failures;
 mod restarts;
+mod silence;
 mod splits;
 mod updates;
 
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -63,6 +63,8 @@
     seeds: Vec<SocketAddr>,
     process: Option<Process>,
     starts: u64,
+    /// While the process is frozen, the events that wait for it, in their order.
+    frozen_events: Option<Vec<SimEvent>>,
 }
 
 /// Outgoing network link of a host.
@@ -217,13 +219,40 @@
         self.hosts[host].process = None;
         self.dialing.retain(|(dialer, _)| *dialer != host);
         self.tick_at_us[host] = u64::MAX;
-        let peers: Vec<usize> =
-            self.connected.iter().filter(|(a, _)| *a == host).map(|(_, b)| *b).collect();
-        for peer in peers {
+        self.hosts[host].frozen_events = None;
+        for peer in self.peers_connected_to(host) {
             self.disconnect(host, peer);
         }
     }
 
+    /// Stops a host's process without ending it. Its connections stay open until their other
+    /// ends time out, and what arrives meanwhile waits for it.
+    pub fn freeze(&mut self, host: usize) {
+        self.hosts[host].frozen_events = Some(Vec::new());
+        let at_us = self.now_us + BROKEN_AFTER_US;
+        for peer in self.peers_connected_to(host) {
+            self.schedule(at_us, peer, SimEvent::Break { peer: host });
+        }
+    }
+
+    /// Lets a frozen process run on.
+    pub fn thaw(&mut self, host: usize) {
+        let waiting = self.hosts[host].frozen_events.take().expect("the host is frozen");
+        for event in waiting {
+            self.schedule(self.now_us, host, event);
+        }
+        self.tick_at_us[host] = u64::MAX;
+        self.schedule_tick(host);
+    }
+
+    pub fn is_frozen(&self, host: usize) -> bool {
+        self.hosts[host].frozen_events.is_some()
+    }
+
+    fn peers_connected_to(&self, host: usize) -> Vec<usize> {
+        self.connected.iter().filter(|(a, _)| *a == host).map(|(_, b)| *b).collect()
+    }
+
     /// Sets the addresses through which a host joins at its next start.
     pub fn set_seeds(&mut self, host: usize, seeds: Vec<SocketAddr>) {
         self.hosts[host].seeds = seeds;
@@ -327,7 +356,7 @@
             self.queue.pop().expect("the queue is not empty");
         self.now_us = at_us;
         if let SimEvent::Break { peer } = sim_event {
-            if self.cuts.contains(&(host, peer)) {
+            if self.is_silent(host, peer) {
                 self.disconnect(host, peer);
             }
             return true;
@@ -335,6 +364,12 @@
         if self.hosts[host].process.is_none() || self.hosts[host].starts != start {
             return true;
         }
+        if let Some(waiting) = &mut self.hosts[host].frozen_events {
+            if !matches!(sim_event, SimEvent::Tick) {
+                waiting.push(sim_event);
+            }
+            return true;
+        }
         if let SimEvent::Disconnected { peer } = sim_event {
             self.dialing.remove(&(host, peer));
         }
@@ -387,7 +422,7 @@
                 let peer = self.hosts.iter().position(|h| h.me.addresses.peers == address);
                 if let Some(peer) = peer.filter(|peer| *peer != host) {
                     let dead = self.hosts[peer].process.is_none();
-                    if !dead && !self.cuts.contains(&(host, peer)) {
+                    if !dead && !self.is_silent(host, peer) {
                         self.connect(host, peer);
                     }
                 }
@@ -413,6 +448,6 @@
             control: index < zone.control,
             is_link_slow: false,
         };
-        Self { me, seeds: Vec::new(), process: None, starts: 0 }
+        Self { me, seeds: Vec::new(), process: None, starts: 0, frozen_events: None }
     }
 }
--- a/crates/core/tests/mesh/network.rs
+++ b/crates/core/tests/mesh/network.rs
@@ -32,15 +32,21 @@
         }
     }
 
+    /// Whether a message from `host` to `peer` gets no response while their connection stays open.
+    pub(super) fn is_silent(&self, host: usize, peer: usize) -> bool {
+        self.cuts.contains(&(host, peer)) || self.is_frozen(host) || self.is_frozen(peer)
+    }
+
     /// Connects two hosts unless they are connected. Returns whether they are then; if
     /// not, a failed dial is scheduled.
     pub(super) fn connect(&mut self, host: usize, peer: usize) -> bool {
         if self.connected.contains(&(host, peer)) {
             return true;
         }
-        let cut = self.cuts.contains(&(host, peer));
-        if cut || self.hosts[peer].process.is_none() {
-            let is_silent = cut && !self.has_refusing_cuts;
+        let is_cut = self.cuts.contains(&(host, peer));
+        let is_frozen = self.is_frozen(peer);
+        if is_cut || is_frozen || self.hosts[peer].process.is_none() {
+            let is_silent = is_frozen || is_cut && !self.has_refusing_cuts;
             let wait_us = if is_silent { DIAL_TIMEOUT_US } else { self.latency_us(host, peer) * 2 };
             if self.dialing.insert((host, peer)) {
                 self.schedule(self.now_us + wait_us, host, SimEvent::Disconnected { peer });
