Membership: a zone of which any host is heard is not cut off

Cause: a relay judges other zones by the zone heartbeats of their relays alone. Where relays of several zones fall silent at once, the next ones ask one host after another, and after 6 s report a zone as cut off whose control host answers them. All of its hosts then count as unreachable, and the relay drops that control host as its parent. A relay that was itself stopped for 6 s reports all zones as cut off as soon as it runs again.

Change: a message of any part from a member counts as a contact with its zone, and a relay that did not run between two heartbeat rounds starts all zones anew.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -256,6 +256,13 @@
         self.apply_view_changes(cx);
     }
 
+    /// Records that a message of any part arrived from another process.
+    pub fn record_contact(&mut self, now: Instant, from: NodeId) {
+        if let Some(member) = self.view.member(from) {
+            self.reachability.record_contact(now, &member.locality.availability_zone);
+        }
+    }
+
     /// Handles a message from another process.
     pub fn step(&mut self, cx: &mut Context<'_>, from: NodeId, message: MembershipMessage) {
         self.last_received_at = Some(cx.now);
--- a/crates/core/src/membership/reachability.rs
+++ b/crates/core/src/membership/reachability.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 
 use super::hash::stable_hash;
+use super::health::HEARTBEAT_EVERY_MS;
 use super::message::{ZoneHeartbeat, ZoneReachability};
 use super::topology::Topology;
 use super::view::View;
@@ -26,6 +27,10 @@
 /// forgotten, in milliseconds.
 pub const FORGET_CUT_OFF_AFTER_MS: u64 = 3_600_000;
 
+/// Time between two heartbeat rounds from which this process counts as stopped in between, in
+/// milliseconds.
+const STOPPED_AFTER_MS: u64 = 2 * HEARTBEAT_EVERY_MS;
+
 struct LastHeartbeat {
     number: u64,
     received_at: Instant,
@@ -43,6 +48,7 @@
     last_heartbeats: BTreeMap<Name, LastHeartbeat>,
     reports: BTreeMap<Name, StoredReport>,
     is_relay: bool,
+    advanced_at: Instant,
 }
 
 impl ReachabilityTracker {
@@ -69,6 +75,14 @@
         }
     }
 
+    /// Records a message of any kind from a member of another availability zone: that zone is not
+    /// cut off, even if its relay is silent.
+    pub fn record_contact(&mut self, now: Instant, availability_zone: &Name) {
+        if let Some(last) = self.last_heartbeats.get_mut(availability_zone) {
+            last.received_at = now;
+        }
+    }
+
     /// On a relay, creates the next heartbeat of this zone and returns the
     /// reports on zones whose reachability changed. Does nothing elsewhere.
     pub fn advance(
@@ -80,6 +94,9 @@
         let own = &me.locality.availability_zone;
         let was_relay = self.is_relay;
         self.is_relay = topology.relay(own) == Some(me.id);
+        // A process that was itself stopped has processed no heartbeats, whoever sent them.
+        let was_stopped = now.since_ms(self.advanced_at) >= STOPPED_AFTER_MS;
+        self.advanced_at = now;
         if !self.is_relay {
             return Vec::new();
         }
@@ -88,7 +105,7 @@
         for name in zones {
             let last = self.last_heartbeats.entry(name.clone());
             let last = last.or_insert(LastHeartbeat { number: 0, received_at: now });
-            if !was_relay {
+            if !was_relay || was_stopped {
                 last.received_at = now;
             }
         }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -150,6 +150,7 @@
     now: Instant,
     effects: &mut Vec<Effect>,
 ) {
+    state.membership.record_contact(now, from);
     let mut cx = context!(state, now, effects);
     match message {
         PeerMessage::Consensus(message) => {
--- a/crates/core/tests/mesh/mod.rs
+++ b/crates/core/tests/mesh/mod.rs
@@ -96,6 +96,7 @@
     tick_at_us: Vec<u64>,
     order: u64,
     rng: SmallRng,
+    is_traced: bool,
 }
 
 impl Mesh {
@@ -129,6 +130,7 @@
             queue: BinaryHeap::new(),
             order: 0,
             rng: SmallRng::seed_from_u64(seed),
+            is_traced: std::env::var_os("FIREFLYLUG_MESH_TRACE").is_some(),
         }
     }
 
@@ -170,6 +172,11 @@
         (0..self.len()).filter(is_in_zone).collect()
     }
 
+    /// The relay of an availability zone, by the records of the first host.
+    pub fn relay(&self, zone: &str) -> usize {
+        self.host_of(self.process(0).membership.relay(&name(zone)).expect("a relay"))
+    }
+
     pub fn controls(&self) -> Vec<usize> {
         (0..self.len()).filter(|host| self.hosts[*host].me.control).collect()
     }
@@ -235,14 +242,16 @@
         }
     }
 
-    /// Lets a frozen process run on.
+    /// Lets a frozen process run on. Its overdue timers fire before or after it reads what has
+    /// arrived.
     pub fn thaw(&mut self, host: usize) {
         let waiting = self.hosts[host].frozen_events.take().expect("the host is frozen");
-        for event in waiting {
-            self.schedule(self.now_us, host, event);
-        }
         self.tick_at_us[host] = u64::MAX;
         self.schedule_tick(host);
+        let at_us = if self.rng.random() { self.now_us } else { self.now_us + 2 };
+        for event in waiting {
+            self.schedule(at_us, host, event);
+        }
     }
 
     pub fn is_frozen(&self, host: usize) -> bool {
@@ -307,10 +316,10 @@
         self.with_process(host, |process, cx| process.membership.announce_target(cx, announcement));
     }
 
-    /// Publishes a version at every running control replica.
+    /// Publishes a version at every control replica that runs and is not frozen.
     pub fn publish(&mut self, configuration: &Arc<Configuration>) {
         for host in self.controls() {
-            if self.hosts[host].process.is_some() {
+            if self.hosts[host].process.is_some() && !self.is_frozen(host) {
                 self.publish_at(host, configuration);
             }
         }
@@ -427,6 +436,9 @@
                     }
                 }
             }
+            Effect::Log { part, text, .. } if self.is_traced => {
+                println!("{} {} {part}: {text}", self.now_us / 1_000, self.hosts[host].me.host);
+            }
             _ => {}
         }
     }
--- a/crates/core/tests/mesh/process.rs
+++ b/crates/core/tests/mesh/process.rs
@@ -2,6 +2,7 @@
 
 use fireflylug_core::context::{Context, Identity};
 use fireflylug_core::distribution::{Distribution, Progress};
+use fireflylug_core::ids::NodeId;
 use fireflylug_core::membership::{Membership, MembershipChange};
 use fireflylug_core::message::PeerMessage;
 use fireflylug_core::{Effect, Event, Instant};
@@ -53,13 +54,21 @@
                 self.membership.peer_disconnected(cx, peer);
                 self.distribution.peer_disconnected(cx, &self.membership, peer);
             }
-            Event::PeerMessage { from, message } => match message {
-                PeerMessage::Membership(message) => self.membership.step(cx, from, message),
-                PeerMessage::Distribution(message) => {
-                    self.distribution.step(cx, &self.membership, from, message);
-                }
-                _ => {}
-            },
+            Event::PeerMessage { from, message } => {
+                self.membership.record_contact(cx.now, from);
+
+                self.handle_message(cx, from, message);
+            }
+            _ => {}
+        }
+    }
+
+    fn handle_message(&mut self, cx: &mut Context<'_>, from: NodeId, message: PeerMessage) {
+        match message {
+            PeerMessage::Membership(message) => self.membership.step(cx, from, message),
+            PeerMessage::Distribution(message) => {
+                self.distribution.step(cx, &self.membership, from, message);
+            }
             _ => {}
         }
     }
