Distribution: several parents are asked at once when one does not answer

Cause: a process asked its parent for a status every 5 s and waited 1 s for the answer, so a silent parent was noticed after up to 6 s. Its only other candidates were earlier members of its zone, one after another, and none for the member right behind the relay, before the membership suspected the relay (3 s). Notices of neighbours did not help where both neighbours in the ring were silent.

A parent is kept until another one has answered, also when a better one joins. A status says whether its sender lacks a source (silent or cut-off parent, old contact with control), so an orphan's children search too. A child whose parent is not an earlier member of its zone counts as the root of a tree, so that two processes never count each other. A request is held for 0.25 s instead of 0.4 s, less than the new timeout. Protocol version 2.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -16,7 +16,7 @@
 const MAX_CHILDREN: usize = 128;
 
 /// Time without a report after which a child is removed, in milliseconds.
-const CHILD_TIMEOUT_MS: u64 = 3 * super::REFRESH_EVERY_MS;
+const CHILD_TIMEOUT_MS: u64 = 15_000;
 
 /// Maximum number of concurrent large transfers.
 pub const MAX_TRANSFERS: usize = 8;
@@ -28,8 +28,8 @@
 const TRANSFER_TIMEOUT_MS: u64 = 2_000;
 
 /// Maximum time for which a child's request is held until a newer contact with a control
-/// replica, in milliseconds. Lower than the timeout after which a child replaces its parent.
-const MAX_HOLD_MS: u64 = 400;
+/// replica, in milliseconds. Lower than the timeout after which a child searches for another parent.
+const MAX_HOLD_MS: u64 = 250;
 
 /// Range of the retry delay in a busy answer, in milliseconds.
 const RETRY_AFTER_MS: std::ops::Range<u32> = 50..250;
@@ -38,7 +38,7 @@
 struct Child {
     /// The newest version that it is known to hold.
     version: Version,
-    is_relay: bool,
+    is_root: bool,
     /// The version of its last report, and the processes that held that version then.
     reported_version: Version,
     holders: Holders,
@@ -76,13 +76,13 @@
     /// Adds the holders of `version` or a later one in the subtrees of the children.
     pub fn add_holders_to(&self, holders: &mut Holders, version: Version) {
         let counted =
-            self.children.values().filter(|c| !c.is_relay && c.reported_version >= version);
+            self.children.values().filter(|c| !c.is_root && c.reported_version >= version);
         counted.for_each(|child| holders.add(&child.holders));
     }
 
     /// Whether every counted child reported `version` or a later one.
     pub fn have_all_reported(&self, version: Version) -> bool {
-        self.children.values().all(|child| child.is_relay || child.reported_version >= version)
+        self.children.values().all(|child| child.is_root || child.reported_version >= version)
     }
 
     /// Whether a request waits for a newer contact with a control replica.
@@ -198,7 +198,7 @@
         let in_flight = self.children.children.get(&from).and_then(|child| child.in_flight);
         let child = Child {
             version: report.version,
-            is_relay: report.is_relay,
+            is_root: report.is_root,
             reported_version: report.version,
             holders: report.holders,
             last_report_at: cx.now,
@@ -206,8 +206,8 @@
         };
         self.children.children.insert(from, child);
         self.children.record_held_version(cx.now, from, report.version);
-        // A relay that asks a standby gets its answer at once and tries another parent.
-        let must_hold = report.is_awaiting_control && !(self.is_standby && report.is_relay);
+        // A root that asks a standby gets its answer at once and tries another parent.
+        let must_hold = report.is_awaiting_control && !(self.is_standby && report.is_root);
         if report.is_status_requested && must_hold {
             self.children.held_requests.insert(from, cx.now);
             self.request_control_contact(cx, membership);
@@ -229,13 +229,15 @@
         }
     }
 
-    fn send_status(&self, cx: &mut Context<'_>, to: NodeId, requested_at: Instant) {
+    pub(super) fn send_status(&self, cx: &mut Context<'_>, to: NodeId, requested_at: Instant) {
         let version = self.current.version();
         let newest_known = self.newest_known.max(version);
         let control_age_ms = self.control_age_ms(cx);
         let held_ms = cx.now.since_ms(requested_at);
         let is_standby = self.is_standby;
-        let status = Status { version, newest_known, control_age_ms, held_ms, is_standby };
+        let lacks_source = self.lacks_source(cx);
+        let status =
+            Status { version, newest_known, control_age_ms, held_ms, is_standby, lacks_source };
         cx.send(to, DistributionMessage::Status(status));
     }
 
@@ -243,13 +245,13 @@
     pub(super) fn send_updates(&mut self, cx: &mut Context<'_>) {
         let version = self.current.version();
         self.children.send_updates_at = Instant::NEVER;
-        // Relays go first: each one supplies a whole availability zone.
+        // Roots go first: a relay supplies a whole availability zone.
         let mut lacking: Vec<(bool, NodeId)> = self
             .children
             .children
             .iter()
             .filter(|(_, child)| child.version < version)
-            .map(|(id, child)| (!child.is_relay, *id))
+            .map(|(id, child)| (!child.is_root, *id))
             .collect();
         lacking.sort();
         for (_, id) in lacking {
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -14,9 +14,12 @@
     /// From a child to its parent: what its subtree holds. Subscribes the child to updates.
     #[serde(rename = "R")]
     Report(Report),
-    /// The answer to a report that requested one.
+    /// The answer to a report that requested one, or to a [`DistributionMessage::StatusRequest`].
     #[serde(rename = "S")]
     Status(Status),
+    /// Requests a [`Status`] without a subscription to updates.
+    #[serde(rename = "Q")]
+    StatusRequest,
     /// The sender now receives its updates from another parent.
     #[serde(rename = "X")]
     Unsubscribe,
@@ -68,10 +71,11 @@
     /// The version in force at the child.
     #[serde(rename = "v")]
     pub version: Version,
-    /// Whether the child is a relay. A relay is counted in the report of its own availability
-    /// zone, not in its parent's.
+    /// Whether the child is the root of a tree: a relay, or a process without a parent in the tree
+    /// of its availability zone. The parent does not count it. A relay is counted in the report of
+    /// its own availability zone.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_relay: bool,
+    pub is_root: bool,
     /// Whether the child requests a [`Status`].
     #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_status_requested: bool,
@@ -123,6 +127,9 @@
     /// on the relay that asks.
     #[serde(rename = "s", default, skip_serializing_if = "crate::message::is_zero")]
     pub is_standby: bool,
+    /// Whether the sender receives no versions at the moment.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub lacks_source: bool,
 }
 
 /// A newer version: a delta against an older one, or a full snapshot.
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -15,6 +15,7 @@
 mod ready;
 mod receive;
 mod reports;
+mod search;
 mod upstream;
 
 use std::collections::BTreeMap;
@@ -23,7 +24,6 @@
 pub use children::MAX_TRANSFERS;
 pub use message::{DistributionMessage, HeldVersion, Holders, Report, Status, Update, ZoneReport};
 pub use progress::{Progress, ZoneProgress};
-pub use upstream::REFRESH_EVERY_MS;
 
 use crate::config::Configuration;
 use crate::context::Context;
@@ -41,7 +41,7 @@
 
 /// Age of the last contact with the control plane from which a proxy counts as cut off from
 /// it, in milliseconds. The contact time reaches each level of the tree with a status refresh,
-/// so every level adds up to [`REFRESH_EVERY_MS`].
+/// and every level adds up to the interval between two of these.
 pub const CUT_OFF_FROM_CONTROL_AFTER_MS: u64 = 20_000;
 
 /// Settings of distribution.
@@ -249,6 +249,7 @@
             DistributionMessage::Status(status) => {
                 self.handle_status(cx, membership, from, status);
             }
+            DistributionMessage::StatusRequest => self.send_status(cx, from, cx.now),
             DistributionMessage::Unsubscribe => {
                 self.remove_child(cx, membership, from, "it has another parent");
             }
--- a/crates/core/src/distribution/receive.rs
+++ b/crates/core/src/distribution/receive.rs
@@ -63,11 +63,10 @@
             self.last_control_contact_at = self.last_control_contact_at.max(Some(contact_at));
             self.readiness.record_control_contact(contact_at);
         }
-        if is_parent && status.is_standby && self.needs_other_parent(cx, membership, from) {
-            self.try_next_parent(cx, membership);
-        } else if is_parent && (!self.readiness.is_confirmed() || self.children.has_held_requests())
-        {
-            self.upstream.request_status_soon(cx.now, status.held_ms > 0);
+        if is_parent {
+            self.handle_parent_status(cx, membership, from, &status);
+        } else {
+            self.handle_candidate_status(cx, membership, from, &status);
         }
     }
 
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -9,6 +9,7 @@
 
 use super::message::{DistributionMessage, Holders, Report};
 use super::ready::CONFIRM_AFTER_START_MS;
+use super::search::{Search, is_earlier_in_zone};
 use super::{Distribution, host_label};
 use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
@@ -17,28 +18,20 @@
 use crate::membership::hash::rank;
 use crate::time::Instant;
 
-/// Interval between two reports that request a status, in milliseconds.
-pub const REFRESH_EVERY_MS: u64 = 5_000;
-
-/// The same for a relay, in milliseconds. Shorter, since a whole availability zone waits if the
-/// relay's parent is cut off without closing the connection.
-const RELAY_REFRESH_EVERY_MS: u64 = 1_500;
+/// Interval between two reports that request a status, in milliseconds. Together with the timeout of
+/// the answer it bounds the time for which a process waits for a parent that fell silent.
+const REFRESH_EVERY_MS: u64 = 750;
 
 /// Delay before the next request if the answer did not bring the contact with a control replica
 /// that a started process waits for, in milliseconds.
 const REQUEST_AGAIN_AFTER_MS: u64 = 100;
 
-/// Time after which a parent that did not answer is replaced, in milliseconds.
-const ANSWER_TIMEOUT_MS: u64 = 1_000;
-
-/// Upper bound of the first backoff after every candidate failed, in milliseconds.
-const FIRST_BACKOFF_MS: u64 = 100;
-
-/// Upper bound of every such backoff, in milliseconds.
-const MAX_BACKOFF_MS: u64 = 1_000;
+/// Time after which other candidates are asked if the parent does not answer, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 400;
 
-/// Time after which a process with a substitute parent retries the preferred one, in milliseconds.
-const RETRY_PREFERRED_AFTER_MS: u64 = 10_000;
+/// Time after which a process with a substitute parent asks the preferred one again, in
+/// milliseconds.
+const ASK_PREFERRED_EVERY_MS: u64 = 2_000;
 
 /// Maximum number of members of the own availability zone that are tried as substitute parents.
 const MAX_CANDIDATES: usize = 8;
@@ -49,17 +42,19 @@
     /// Whether this process is the relay of its availability zone.
     pub is_relay: bool,
     /// The possible parents, the preferred one first.
-    candidates: Vec<NodeId>,
+    pub candidates: Vec<NodeId>,
     /// The membership generation from which `candidates` was computed.
     generation: Option<u64>,
-    /// Number of failed candidates in a row. Selects the next candidate.
-    attempt: usize,
-    /// When the open status request was sent.
+    /// When the first status request that the parent has not answered was sent.
     requested_at: Option<Instant>,
     next_request_at: Instant,
-    retry_preferred_at: Instant,
+    /// Whether the parent has no source itself, as its last answer says.
+    pub parent_lacks_source: bool,
+    /// When to ask the preferred candidate, while another one is the parent.
+    ask_preferred_at: Instant,
     /// The version and holders last reported to the parent.
     last_reported: Option<(Version, Holders)>,
+    pub search: Search,
 }
 
 impl Upstream {
@@ -69,19 +64,31 @@
             is_relay: false,
             candidates: Vec::new(),
             generation: None,
-            attempt: 0,
             requested_at: None,
             next_request_at: Instant::NEVER,
-            retry_preferred_at: Instant::NEVER,
+            parent_lacks_source: false,
+            ask_preferred_at: Instant::NEVER,
             last_reported: None,
+            search: Search::new(),
         }
     }
 
     pub fn next_deadline(&self) -> Instant {
-        let timeout_at = self
-            .requested_at
-            .map_or(Instant::NEVER, |requested_at| requested_at.plus_ms(ANSWER_TIMEOUT_MS));
-        self.next_request_at.min(timeout_at)
+        let search_at =
+            if self.search.is_open() { self.search.next_round_at } else { self.answer_due_at() };
+        self.next_request_at.min(search_at).min(self.ask_preferred_at)
+    }
+
+    /// When the parent counts as silent unless it answers.
+    fn answer_due_at(&self) -> Instant {
+        self.requested_at.map_or(Instant::NEVER, |at| at.plus_ms(ANSWER_TIMEOUT_MS))
+    }
+
+    /// Whether there is no parent that answers. A process that was itself stopped for a while has
+    /// not sent its requests in time, and does not know whether its parent answers.
+    pub fn is_parent_silent(&self, now: Instant) -> bool {
+        let is_request_late = now >= self.next_request_at.plus_ms(ANSWER_TIMEOUT_MS);
+        self.parent.is_none() || now >= self.answer_due_at() || is_request_late
     }
 
     /// Records an answer of the parent. Returns when the status was requested.
@@ -123,18 +130,36 @@
         }
         self.upstream.generation = Some(generation);
         self.update_relay_role(cx, membership);
-        let receives_log = cx.me.control && !self.is_standby;
-        let candidates = candidates(cx, membership, receives_log);
+        let candidates = candidates(cx, membership, self.receives_log(cx));
         let has_preferred_changed = candidates.first() != self.upstream.candidates.first();
         self.upstream.candidates = candidates;
         let is_still_candidate =
             self.upstream.parent.is_some_and(|parent| self.upstream.candidates.contains(&parent));
-        if has_preferred_changed || !is_still_candidate {
-            self.upstream.attempt = 0;
-            self.switch_parent(cx, membership);
+        if !is_still_candidate {
+            let preferred = self.upstream.candidates.first().copied();
+            let had_parent = self.upstream.parent.is_some();
+            self.switch_parent(cx, membership, preferred);
+            if had_parent && preferred.is_some() {
+                self.start_search(cx, membership, "the last one is no candidate any more");
+            }
+        } else if has_preferred_changed {
+            self.ask_preferred(cx);
         }
     }
 
+    /// Asks the preferred candidate for its status, unless it is the parent. It becomes the parent
+    /// once it has answered, so that this process never leaves a parent for a silent one.
+    fn ask_preferred(&mut self, cx: &mut Context<'_>) {
+        let preferred = self.upstream.candidates.first().copied();
+        let Some(preferred) = preferred.filter(|_| preferred != self.upstream.parent) else {
+            self.upstream.ask_preferred_at = Instant::NEVER;
+            return;
+        };
+        let jitter_ms = cx.rng.random_range(0..ASK_PREFERRED_EVERY_MS / 5);
+        self.upstream.ask_preferred_at = cx.now.plus_ms(ASK_PREFERRED_EVERY_MS - jitter_ms);
+        cx.send(preferred, DistributionMessage::StatusRequest);
+    }
+
     /// Records, and logs, whether this process is the relay of its availability zone.
     fn update_relay_role(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         let is_relay = membership.relay(&cx.me.locality.availability_zone) == Some(cx.me.id);
@@ -146,10 +171,13 @@
         self.upstream.is_relay = is_relay;
     }
 
-    /// Switches to the candidate of the current attempt.
-    fn switch_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
-        let count = self.upstream.candidates.len();
-        let chosen = (count > 0).then(|| self.upstream.candidates[self.upstream.attempt % count]);
+    /// Switches to another parent, or to none.
+    pub(super) fn switch_parent(
+        &mut self,
+        cx: &mut Context<'_>,
+        membership: &Membership,
+        chosen: Option<NodeId>,
+    ) {
         if let Some(old) = self.upstream.parent.filter(|old| Some(*old) != chosen) {
             cx.send(old, DistributionMessage::Unsubscribe);
         }
@@ -162,8 +190,13 @@
         }
         self.upstream.parent = chosen;
         self.upstream.requested_at = None;
+        self.upstream.parent_lacks_source = false;
         self.upstream.last_reported = None;
         self.upstream.next_request_at = Instant::NEVER;
+        let is_preferred = chosen == self.upstream.candidates.first().copied();
+        self.upstream.ask_preferred_at =
+            if is_preferred { Instant::NEVER } else { cx.now.plus_ms(ASK_PREFERRED_EVERY_MS) };
+        self.upstream.search.close();
         self.request_status(cx, membership);
     }
 
@@ -173,11 +206,10 @@
             self.upstream.next_request_at = Instant::NEVER;
             return;
         };
-        self.upstream.requested_at = Some(cx.now);
-        let every_ms =
-            if self.upstream.is_relay { RELAY_REFRESH_EVERY_MS } else { REFRESH_EVERY_MS };
-        let jitter_ms = cx.rng.random_range(0..every_ms / 5);
-        self.upstream.next_request_at = cx.now.plus_ms(every_ms - jitter_ms);
+        // An answer is dated by the first request that it may answer.
+        self.upstream.requested_at.get_or_insert(cx.now);
+        let jitter_ms = cx.rng.random_range(0..REFRESH_EVERY_MS / 5);
+        self.upstream.next_request_at = cx.now.plus_ms(REFRESH_EVERY_MS - jitter_ms);
         self.send_report(cx, membership, parent, true);
     }
 
@@ -211,39 +243,44 @@
         let holders = self.holders_to_report(cx, membership);
         let version = self.current.version();
         self.upstream.last_reported = Some((version, holders));
-        let is_relay = self.upstream.is_relay;
+        let is_root = self.is_root(cx, membership);
         let has_confirming_age = cx.now >= Instant::from_ms(CONFIRM_AFTER_START_MS);
         let is_awaiting_control = (has_confirming_age && !self.readiness.is_confirmed())
             || self.children.has_held_requests();
-        let report =
-            Report { version, is_relay, is_status_requested, is_awaiting_control, holders };
+        let report = Report { version, is_root, is_status_requested, is_awaiting_control, holders };
         cx.send(parent, DistributionMessage::Report(report));
     }
 
     fn holders_to_report(&mut self, cx: &Context<'_>, membership: &Membership) -> Holders {
-        if self.upstream.is_relay { Holders::default() } else { self.holders(cx, membership) }
+        if self.is_root(cx, membership) { Holders::default() } else { self.holders(cx, membership) }
+    }
+
+    /// Whether the parent does not count the subtree of this process: at a relay, and while no
+    /// earlier member of the availability zone is the parent. A later one may be a child of this
+    /// process, and the two would count each other.
+    fn is_root(&self, cx: &Context<'_>, membership: &Membership) -> bool {
+        let is_in_tree =
+            self.upstream.parent.is_some_and(|parent| is_earlier_in_zone(cx, membership, parent));
+        self.upstream.is_relay || !is_in_tree
+    }
+
+    /// Whether versions come from the log of the control replica of this process.
+    pub(super) fn receives_log(&self, cx: &Context<'_>) -> bool {
+        cx.me.control && !self.is_standby
     }
 
-    /// Requests a status if it is due, and replaces a parent that did not answer.
+    /// Requests a status if it is due, and searches for another parent if this one does not answer.
     pub(super) fn tick_upstream(&mut self, cx: &mut Context<'_>, membership: &Membership) {
-        let requested_at = self.upstream.requested_at;
-        if requested_at
-            .is_some_and(|requested_at| cx.now >= requested_at.plus_ms(ANSWER_TIMEOUT_MS))
-        {
-            if let Some(parent) = self.upstream.parent {
-                let text =
-                    format!("Its parent {} does not answer.", host_label(membership, parent));
-                cx.log(LogLevel::Info, LogPart::Distribution, text);
-            }
-            self.try_next_parent(cx, membership);
-        } else if cx.now >= self.upstream.next_request_at {
-            if self.upstream.attempt > 0 && cx.now >= self.upstream.retry_preferred_at {
-                self.upstream.attempt = 0;
-                self.switch_parent(cx, membership);
-            } else {
-                self.request_status(cx, membership);
-            }
+        if cx.now >= self.upstream.answer_due_at() {
+            self.start_search(cx, membership, "it does not answer");
         }
+        if cx.now >= self.upstream.ask_preferred_at {
+            self.ask_preferred(cx);
+        }
+        if cx.now >= self.upstream.next_request_at {
+            self.request_status(cx, membership);
+        }
+        self.tick_search(cx);
     }
 
     /// Handles a closed or failed connection to the parent.
@@ -251,38 +288,11 @@
         // The first loss may be that of an old connection. A second one without an answer in
         // between is a failed dial.
         if self.upstream.requested_at.is_some() {
-            self.try_next_parent(cx, membership);
+            self.start_search(cx, membership, "the connection to it is lost");
         } else {
             self.request_status(cx, membership);
         }
     }
-
-    /// Whether a parent that is a standby must be replaced: at a relay, since the standby may be its
-    /// own child. The hub has a parent of its own.
-    pub(super) fn needs_other_parent(
-        &self,
-        cx: &Context<'_>,
-        membership: &Membership,
-        parent: NodeId,
-    ) -> bool {
-        self.upstream.is_relay && membership.hub(&cx.me.locality.region) != Some(parent)
-    }
-
-    pub(super) fn try_next_parent(&mut self, cx: &mut Context<'_>, membership: &Membership) {
-        self.upstream.attempt += 1;
-        self.upstream.retry_preferred_at = cx.now.plus_ms(RETRY_PREFERRED_AFTER_MS);
-        let count = self.upstream.candidates.len().max(1);
-        if !self.upstream.attempt.is_multiple_of(count) {
-            self.switch_parent(cx, membership);
-            return;
-        }
-        // Every candidate failed: backs off before the next round.
-        let rounds = (self.upstream.attempt / count).min(10) as u32;
-        let bound_ms = (FIRST_BACKOFF_MS << rounds).min(MAX_BACKOFF_MS);
-        self.upstream.requested_at = None;
-        self.upstream.parent = self.upstream.candidates.first().copied();
-        self.upstream.next_request_at = cx.now.plus_ms(cx.rng.random_range(0..=bound_ms));
-    }
 }
 
 /// The processes from which this one can receive updates, the preferred one first.
@@ -293,25 +303,31 @@
     match order.iter().position(|id| *id == cx.me.id) {
         // A relay that receives versions from the replicated log needs no parent.
         Some(0) if receives_log => Vec::new(),
-        Some(0) => relay_candidates(cx, membership),
+        Some(0) => root_candidates(cx, membership),
         position => {
             let parent =
                 position.and_then(|position| zone.parent_position(position)).map(|at| order[at]);
             // Only earlier members qualify, so that no two are each other's parents.
             let earlier = &order[..position.unwrap_or(order.len())];
             let others = earlier.iter().copied().filter(|id| Some(*id) != parent);
-            parent.into_iter().chain(others.take(MAX_CANDIDATES)).collect()
+            let in_tree = parent.into_iter().chain(others.take(MAX_CANDIDATES));
+            // If all earlier members are silent, this process has to do what a relay does.
+            let roots = if receives_log { Vec::new() } else { root_candidates(cx, membership) };
+            let roots = roots.into_iter().filter(|id| !earlier.contains(id));
+            in_tree.chain(roots).collect()
         }
     }
 }
 
-/// The processes from which a relay can receive updates, the nearest first. Control replicas
-/// without contact to a quorum come last.
-fn relay_candidates(cx: &Context<'_>, membership: &Membership) -> Vec<NodeId> {
+/// The processes from which the root of a tree can receive updates, the nearest first. Control replicas
+/// without contact to a quorum come later, and those that count as unreachable last: they are asked
+/// all the same, since a whole availability zone may count as cut off after the loss of its relay.
+fn root_candidates(cx: &Context<'_>, membership: &Membership) -> Vec<NodeId> {
     let own = &cx.me.locality;
     let hub = membership.hub(&own.region).filter(|hub| *hub != cx.me.id);
     let mut replicas: Vec<_> = membership
-        .control_replicas()
+        .members()
+        .filter(|member| member.control && !member.status.is_dead_or_left())
         .filter(|replica| replica.id != cx.me.id)
         .map(|replica| {
             let locality = &replica.locality;
@@ -320,10 +336,11 @@
                 (true, false) => 1,
                 (false, _) => 3,
             };
-            (replica.lacks_quorum, distance, rank(replica.id), replica.id)
+            let is_unreachable = !replica.status.is_reachable();
+            (is_unreachable, replica.lacks_quorum, distance, rank(replica.id), replica.id)
         })
         .collect();
-    replicas.extend(hub.map(|hub| (false, 2, rank(hub), hub)));
+    replicas.extend(hub.map(|hub| (false, false, 2, rank(hub), hub)));
     replicas.sort();
     replicas.into_iter().map(|(.., id)| id).collect()
 }
--- a/crates/core/tests/distribution/main.rs
+++ b/crates/core/tests/distribution/main.rs
@@ -45,12 +45,18 @@
 /// A mesh whose hosts all hold the first of a series of versions.
 fn mesh_with_first(zones: &[Zone], seed: u64) -> (Mesh, Vec<Arc<Configuration>>) {
     let mut mesh = Mesh::started(zones, seed);
+    let versions = first_in_force(&mut mesh);
+    (mesh, versions)
+}
+
+/// Brings the first of a series of versions into force, and returns the series.
+fn first_in_force(mesh: &mut Mesh) -> Vec<Arc<Configuration>> {
     let versions = versions(600);
     mesh.publish(&versions[0]);
     mesh.run_until("the first version is in force", 30, |mesh| {
         all_hold(mesh, 1) && all_ready(mesh) && all_report_in_force(mesh, 1)
     });
-    (mesh, versions)
+    versions
 }
 
 #[rstest]
--- a/crates/core/tests/mesh/process.rs
+++ b/crates/core/tests/mesh/process.rs
@@ -56,7 +56,6 @@
             }
             Event::PeerMessage { from, message } => {
                 self.membership.record_contact(cx.now, from);
-
                 self.handle_message(cx, from, message);
             }
             _ => {}
--- a/crates/daemon/src/peers/handshake.rs
+++ b/crates/daemon/src/peers/handshake.rs
@@ -15,7 +15,7 @@
 use crate::SharedKey;
 
 /// Version of the protocol between processes. Must be equal at both ends.
-const PROTOCOL_VERSION: u32 = 1;
+const PROTOCOL_VERSION: u32 = 2;
 
 /// Context string for the derivation of the handshake key.
 const KEY_CONTEXT: &str = "fireflylug peer handshake v1";
