Calls: an unknown route is not denied by a proxy that receives no versions

Cause: a proxy answered 404 for each route that it did not know, however old its last word from a control host was.

A control host whose log is 1 s old instead of 1.5 s counts as without a source, so that its children look elsewhere well within 2.5 s.

Tests: an_unknown_route_is_not_denied..., a_host_knows_whether_it_receives_versions (also that no host doubts its version in steady state), hosts_get_versions_in_time_while_their_control_host_lags (24 cases; these pass with 1.5 s too, since hubs tell relays that are behind).

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -235,7 +235,7 @@
         let control_age_ms = self.control_age_ms(cx);
         let held_ms = cx.now.since_ms(requested_at);
         let is_standby = self.is_standby;
-        let lacks_source = self.lacks_source(cx);
+        let lacks_source = self.lacks_source(cx.now, cx.me.control);
         let status =
             Status { version, newest_known, control_age_ms, held_ms, is_standby, lacks_source };
         cx.send(to, DistributionMessage::Status(status));
--- a/crates/core/src/distribution/search.rs
+++ b/crates/core/src/distribution/search.rs
@@ -30,7 +30,7 @@
 const MAX_CONTACT_AGE_MS: u64 = 6_000;
 
 /// The same for a control replica that receives the log, in milliseconds.
-const MAX_LOG_AGE_MS: u64 = 1_500;
+const MAX_LOG_AGE_MS: u64 = 1_000;
 
 /// State of the search. It is open while a round is scheduled.
 pub(super) struct Search {
@@ -56,17 +56,17 @@
 }
 
 impl Distribution {
-    /// Whether this process receives no versions at the moment: its parent does not answer or has
+    /// Whether this process receives no versions at the moment, so that its version may be outdated: its parent does not answer or has
     /// no source itself, or the chain of parents has no contact with a control replica. A control
     /// replica that receives the log needs the contact with a quorum only.
-    pub(super) fn lacks_source(&self, cx: &Context<'_>) -> bool {
+    pub fn lacks_source(&self, now: Instant, is_control: bool) -> bool {
         let contact_at = self.last_control_contact_at.unwrap_or(Instant::ZERO);
-        let contact_age_ms = cx.now.since_ms(contact_at);
-        if self.receives_log(cx) {
+        let contact_age_ms = now.since_ms(contact_at);
+        if is_control && !self.is_standby {
             return contact_age_ms >= MAX_LOG_AGE_MS;
         }
         contact_age_ms >= MAX_CONTACT_AGE_MS
-            || self.upstream.is_parent_silent(cx.now)
+            || self.upstream.is_parent_silent(now)
             || self.upstream.parent_lacks_source
     }
 
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -116,6 +116,8 @@
         }
         Event::ApiClosed { request } => state.api.client_disconnected(&mut cx, request),
         Event::Call(event) => {
+            let may_be_outdated = state.distribution.lacks_source(now, state.me.control);
+            state.routing.set_may_be_outdated(may_be_outdated);
             state.routing.step(&mut cx, &mut state.slo, event);
             for target in state.routing.take_leaving_targets() {
                 state.membership.drain_own_target(&mut cx, &target);
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -72,7 +72,7 @@
             return Err(RefusalCode::Stopping);
         }
         let table = self.table.as_ref().ok_or(RefusalCode::NoConfiguration)?;
-        let rule = table.find(&head.host, &head.path).ok_or(RefusalCode::NoRoute)?;
+        let rule = table.find(&head.host, &head.path).ok_or_else(|| self.missing_route())?;
         let rule = Arc::clone(rule);
         if self.quarantine.contains(head.fingerprint, cx.now) {
             return Err(RefusalCode::Quarantined);
@@ -109,6 +109,10 @@
         Ok((call, None))
     }
 
+    fn missing_route(&self) -> RefusalCode {
+        if self.may_be_outdated { RefusalCode::OutdatedConfiguration } else { RefusalCode::NoRoute }
+    }
+
     fn check_forwarded(
         &mut self,
         cx: &Context<'_>,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -111,6 +111,8 @@
     configuration: Arc<Configuration>,
     /// Absent until the first version is in force.
     table: Option<table::RouteTable>,
+    /// Whether newer versions may be in force elsewhere, since this process receives none.
+    may_be_outdated: bool,
     services: SlotMap<ServiceKey, state::ServiceState>,
     service_keys: HashMap<Name, ServiceKey>,
     targets: SlotMap<TargetKey, target::Target>,
@@ -155,6 +157,7 @@
             settings,
             configuration: Arc::default(),
             table: None,
+            may_be_outdated: false,
             services: SlotMap::with_key(),
             service_keys: HashMap::default(),
             targets: SlotMap::with_key(),
@@ -180,6 +183,12 @@
         }
     }
 
+    /// Records whether newer versions may be in force elsewhere. A route that this process does not
+    /// know may then exist.
+    pub fn set_may_be_outdated(&mut self, may_be_outdated: bool) {
+        self.may_be_outdated = may_be_outdated;
+    }
+
     /// Applies an event of a call and emits the resulting effects.
     pub fn step(&mut self, cx: &mut Context<'_>, slo: &mut Slo, event: CallEvent) {
         match event {
--- a/crates/core/src/routing/refusal.rs
+++ b/crates/core/src/routing/refusal.rs
@@ -55,6 +55,9 @@
     NoConfiguration,
     /// No route matches host and path.
     NoRoute,
+    /// No route matches host and path in the version that this proxy holds, and it receives no
+    /// newer ones at the moment.
+    OutdatedConfiguration,
     /// No target of the service accepts new calls.
     NoTarget,
     /// Slots and queue are full, or the call is not expected to be served in time.
@@ -108,6 +111,7 @@
             Self::Unauthorized => 401,
             Self::BadRequest => 400,
             Self::NoConfiguration
+            | Self::OutdatedConfiguration
             | Self::NoTarget
             | Self::Overloaded
             | Self::ProxyBusy
@@ -123,6 +127,9 @@
         match self {
             Self::NoConfiguration => "this proxy holds no configuration yet",
             Self::NoRoute => "no route matches this host and path",
+            Self::OutdatedConfiguration => {
+                "no route is known, and this proxy receives no configuration at the moment"
+            }
             Self::NoTarget => "no target of the service accepts new calls",
             Self::Overloaded => "the call could not be answered in time",
             Self::ProxyBusy => "this proxy has too many calls in flight",
--- a/crates/core/tests/distribution/silence.rs
+++ b/crates/core/tests/distribution/silence.rs
@@ -4,14 +4,15 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use fireflylug_core::Instant;
 use fireflylug_core::config::Configuration;
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
-use super::mesh::Mesh;
 use super::mesh::fixtures::{Zone, two_regions, zone};
+use super::mesh::{Mesh, Process};
 use super::{first_in_force, mesh_with_first};
 
 /// The users' bound for a configuration to be in force at hosts that are in touch, in milliseconds.
@@ -48,6 +49,8 @@
     /// Number of each version, with the time at which it is due, until it is.
     coming: VecDeque<(u64, u64)>,
     due: u64,
+    /// A control host that does not receive the log.
+    lagging: Option<usize>,
 }
 
 impl Series {
@@ -55,7 +58,17 @@
     fn new(mesh: &Mesh, versions: Vec<Arc<Configuration>>) -> Self {
         let mut versions = versions.into_iter();
         versions.next();
-        Self { versions, next_at_us: mesh.now_us, coming: VecDeque::new(), due: 1 }
+        Self { versions, next_at_us: mesh.now_us, coming: VecDeque::new(), due: 1, lagging: None }
+    }
+
+    fn with_lagging(self, lagging: usize) -> Self {
+        Self { lagging: Some(lagging), ..self }
+    }
+
+    fn publish(&self, mesh: &mut Mesh, version: &Arc<Configuration>) {
+        let receives_log = |host: &usize| Some(*host) != self.lagging && !mesh.is_frozen(*host);
+        let receivers: Vec<usize> = mesh.controls().into_iter().filter(receives_log).collect();
+        receivers.into_iter().for_each(|host| mesh.publish_at(host, version));
     }
 
     /// Runs the mesh and publishes versions. Panics if a host of `watched` lacks one that is due.
@@ -64,7 +77,7 @@
         while mesh.now_us < until_us {
             if mesh.now_us >= self.next_at_us {
                 let next = self.versions.next().expect("a version");
-                mesh.publish(&next);
+                self.publish(mesh, &next);
                 self.next_at_us = mesh.now_us + PUBLISH_EVERY_MS * 1_000;
                 let due_at_us = mesh.now_us + CONFIG_WITHIN_MS * 1_000;
                 self.coming.push_back((next.version().0, due_at_us));
@@ -179,6 +192,31 @@
     assert!(mesh.identity(relay).control, "the relay is a control host");
 }
 
+// Guards against a zone that waits for its control host where that one answers and lags: its disk
+// syncs nothing, or it has lost the leader.
+#[rstest]
+fn hosts_get_versions_in_time_while_their_control_host_lags(
+    #[values(true, false)] has_slow_proxies: bool,
+    #[values("kochi-aluva", "kochi-ernakulam", "kzd-feroke")] zone: &str,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let zones = two_regions(12);
+    let (mut mesh, versions) = match has_slow_proxies {
+        true => mesh_with_slow_proxies(&zones, seed),
+        false => mesh_with_first(&zones, seed),
+    };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    mesh.run_ms(rng.random_range(0..2_000));
+    let lagging = mesh.zone_hosts(zone)[0];
+    let proxies = shuffled_proxies(&mesh, &mut rng);
+    let mut series = Series::new(&mesh, versions).with_lagging(lagging);
+
+    mesh.with_process(lagging, |process, _| process.has_leader = false);
+    series.run_ms(&mut mesh, &proxies, FROZEN_FOR_MS);
+
+    assert!(mesh.identity(lagging).control, "the first host of a zone is a control host");
+}
+
 // Guards against hosts that stay with a parent that answers and has no source itself.
 #[rstest]
 fn hosts_get_versions_in_time_while_their_relay_reaches_only_them(
@@ -224,3 +262,34 @@
     series.run_ms(&mut mesh, &[], IN_TOUCH_WITHIN_MS);
     series.run_ms(&mut mesh, &restarted, FROZEN_FOR_MS);
 }
+
+fn hosts_without_source(mesh: &Mesh) -> Vec<usize> {
+    let lacks_source = |(host, process): (usize, &Process)| {
+        let now = Instant::from_us(mesh.now_us);
+        process.distribution.lacks_source(now, process.me.control).then_some(host)
+    };
+    mesh.running().filter_map(lacks_source).collect()
+}
+
+// Guards against a host that takes its version for current although nobody would tell it of a newer
+// one, and against one that doubts it without a reason.
+#[rstest]
+fn a_host_knows_whether_it_receives_versions(#[values(1, 2, 3, 4)] seed: u64) {
+    let (mut mesh, _) = mesh_with_first(&two_regions(8), seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let alone = shuffled_proxies(&mesh, &mut rng)[0];
+    let others = mesh.hosts_except(&[alone]);
+
+    for _ in 0..FROZEN_FOR_MS / CHECK_EVERY_MS {
+        mesh.run_ms(CHECK_EVERY_MS);
+        assert_eq!(hosts_without_source(&mesh), [0; 0]);
+    }
+    mesh.set_cut(&[alone], &others, true);
+    mesh.run_ms(CONFIG_WITHIN_MS);
+    let cut_off = hosts_without_source(&mesh);
+    mesh.set_cut(&[alone], &others, false);
+    mesh.run_ms(IN_TOUCH_WITHIN_MS);
+
+    assert!(cut_off.contains(&alone), "without a source: {cut_off:?}");
+    assert_eq!(hosts_without_source(&mesh), [0; 0]);
+}
--- a/crates/core/tests/mesh/process.rs
+++ b/crates/core/tests/mesh/process.rs
@@ -17,7 +17,7 @@
     pub(super) rng: SmallRng,
     pub(super) started_us: u64,
     /// Whether a control replica counts as current, as it does under a leader.
-    pub(super) has_leader: bool,
+    pub has_leader: bool,
 }
 
 impl Process {
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -96,10 +96,15 @@
 
 /// The refusal code of a call that arrives at `now_ms`, if the call is refused.
 fn refusal(state: &mut State, call: u64, now_ms: u64) -> Option<RefusalCode> {
+    refusal_at(state, call, "/seats/1", now_ms)
+}
+
+/// The same for a call to any path.
+fn refusal_at(state: &mut State, call: u64, path: &str, now_ms: u64) -> Option<RefusalCode> {
     let head = CallHead {
         origin: CallOrigin::Caller,
         host: "any".into(),
-        path: "/seats/1".into(),
+        path: path.into(),
         is_safe_method: true,
         body_bytes: Some(0),
         is_replayable: true,
@@ -134,3 +139,18 @@
         "the route exists, but no target is announced"
     );
 }
+
+// Guards against a 404 for a route that was added while this process received no versions.
+#[rstest]
+fn an_unknown_route_is_not_denied_by_a_process_that_receives_no_versions() {
+    let mut state = restarted_state();
+    receive(&mut state, remembered_version_report(3), 10);
+    receive(&mut state, snapshot_update(3), 20);
+    reduce(&mut state, Event::Tick, Instant::from_ms(10_000));
+
+    let unknown = refusal_at(&mut state, 1, "/added-since", 10_001);
+    let known = refusal_at(&mut state, 2, "/seats/1", 10_002);
+
+    assert_eq!(unknown, Some(RefusalCode::OutdatedConfiguration));
+    assert_eq!(known, Some(RefusalCode::NoTarget));
+}
