Membership: several hosts of a silent relay's zone are contacted at once

A relay whose contact in another zone is silent asked one other host of it every 3 s. Where the first hosts of several zones fall silent together, the zones count as cut off from each other after 6 s, though two thirds of their hosts run: their targets and control hosts are shown as unreachable.

Change: up to four alternates at once, and the next four if these are silent too.

--- a/crates/core/src/membership/links.rs
+++ b/crates/core/src/membership/links.rs
@@ -25,6 +25,9 @@
 /// A single mismatch is common, because records take some time to spread.
 const MAX_MISMATCHES: u32 = 2;
 
+/// Maximum number of alternates of a silent primary that are contacted at once.
+const MAX_ALTERNATES: usize = 4;
+
 /// State of one link.
 struct Link {
     /// When the last message from the peer arrived, or the link was added.
@@ -41,50 +44,48 @@
 }
 
 /// The members of a group that this process contacts: always the primary, which is
-/// the first candidate, and also an alternate while the primary is silent.
+/// the first candidate, and also some alternates while the primary is silent.
 struct Contact {
     primary: NodeId,
     primary_received_at: Instant,
-    alternate: Option<NodeId>,
-    alternate_received_at: Instant,
-    alternate_index: usize,
+    /// Each alternate, with the time of its last message or of its choice.
+    alternates: BTreeMap<NodeId, Instant>,
+    /// Number of candidates chosen as alternates so far. Selects the next ones.
+    chosen_count: usize,
 }
 
 impl Contact {
     fn new(now: Instant, primary: NodeId) -> Self {
-        Self {
-            primary,
-            primary_received_at: now,
-            alternate: None,
-            alternate_received_at: now,
-            alternate_index: 0,
-        }
+        Self { primary, primary_received_at: now, alternates: BTreeMap::new(), chosen_count: 0 }
     }
 
     fn set_received_at(&mut self, received_at: Instant, peer: NodeId) {
         if self.primary == peer {
             self.primary_received_at = received_at;
         }
-        if self.alternate == Some(peer) {
-            self.alternate_received_at = received_at;
+        if let Some(alternate_received_at) = self.alternates.get_mut(&peer) {
+            *alternate_received_at = received_at;
         }
     }
 
-    /// Removes the alternate when the primary is not silent. Otherwise chooses the next
-    /// candidate as alternate if there is none, or if it is silent too.
-    fn update_alternate(&mut self, now: Instant, candidates: &[NodeId]) {
+    /// Removes the alternates when the primary is not silent. Otherwise chooses the next
+    /// candidates as alternates if there are none, or if all are silent too. Several at once, since
+    /// those that fall silent together would add up their timeouts.
+    fn update_alternates(&mut self, now: Instant, candidates: &[NodeId]) {
         if !is_silent(now, self.primary_received_at) {
-            self.alternate = None;
+            self.alternates.clear();
             return;
         }
-        let is_alternate_usable = self.alternate.is_some_and(|alternate| {
-            candidates.contains(&alternate) && !is_silent(now, self.alternate_received_at)
-        });
-        if !is_alternate_usable && candidates.len() > 1 {
-            self.alternate_index = self.alternate_index % (candidates.len() - 1) + 1;
-            self.alternate = Some(candidates[self.alternate_index]);
-            self.alternate_received_at = now;
+        self.alternates
+            .retain(|id, received_at| candidates.contains(id) && !is_silent(now, *received_at));
+        let others = candidates.get(1..).unwrap_or_default();
+        if !self.alternates.is_empty() {
+            return;
         }
+        let next = others.iter().cycle().skip(self.chosen_count % others.len().max(1));
+        let chosen = next.take(others.len().min(MAX_ALTERNATES));
+        self.alternates.extend(chosen.map(|id| (*id, now)));
+        self.chosen_count += self.alternates.len();
     }
 }
 
@@ -112,7 +113,8 @@
     pub fn update(&mut self, now: Instant, topology: &Topology, me: &Identity) -> Vec<NodeId> {
         self.update_contacts(now, topology, me);
         let contacts = self.contacts.values();
-        let contacts = contacts.flat_map(|c| std::iter::once(c.primary).chain(c.alternate));
+        let contacts =
+            contacts.flat_map(|c| std::iter::once(c.primary).chain(c.alternates.keys().copied()));
         let required: Vec<NodeId> = topology.neighbours().iter().copied().chain(contacts).collect();
         self.links.retain(|peer, _| required.contains(peer));
         let mut added_peers = Vec::new();
@@ -218,7 +220,7 @@
             if contact.primary != primary {
                 *contact = Contact::new(now, primary);
             }
-            contact.update_alternate(now, &candidates);
+            contact.update_alternates(now, &candidates);
         }
     }
 }
