--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -117,6 +117,23 @@
     pub transit: Option<Transit>,
 }
 
+impl CallHead {
+    /// Creates the head of a caller's request with a safe method and no body.
+    pub fn new(host: &str, path: &str) -> Self {
+        Self {
+            origin: CallOrigin::Caller,
+            host: host.into(),
+            path: path.into(),
+            is_safe_method: true,
+            body_bytes: Some(0),
+            is_replayable: true,
+            fingerprint: Fingerprint::default(),
+            chain: Chain::default(),
+            transit: None,
+        }
+    }
+}
+
 /// Something that happened to a call.
 #[derive(Clone, Debug)]
 pub enum CallEvent {
--- a/crates/core/tests/consensus/first_set.rs
+++ b/crates/core/tests/consensus/first_set.rs
@@ -2,8 +2,8 @@
 
 use fireflylug_core::consensus::ControlRole;
 
-use crate::cases::{cluster_with_leader, is_accepted, propose};
 use crate::cluster::Cluster;
+use crate::fixtures::{cluster_with_leader, is_accepted, propose};
 use crate::repairs::{RECOVERY_MS, has_leader_in_touch};
 
 /// Longest time for which a message is on its way, in milliseconds.
--- a/crates/core/tests/consensus/fixtures.rs
+++ b/crates/core/tests/consensus/fixtures.rs
@@ -1,10 +1,13 @@
-//! Identities and change requests of the tests.
+//! Identities, change requests and started clusters of the tests.
 
 use fireflylug_core::config::{ChangeRequest, ChangeSet, Operation};
+use fireflylug_core::consensus::ChangeOutcome;
 use fireflylug_core::context::{Addresses, Identity};
 use fireflylug_core::ids::{IdempotencyKey, Locality, Name, NodeId, Version};
 use fireflylug_core::resource::{Resource, ResourceKey, ResourceKind, Service};
 
+use crate::cluster::Cluster;
+
 /// Identity of a control replica.
 pub fn identity(at: usize) -> Identity {
     let host = name(&format!("control-{at}"));
@@ -49,3 +52,31 @@
 pub fn service_key(service: &str) -> ResourceKey {
     ResourceKey { kind: ResourceKind::Service, name: name(service) }
 }
+
+pub fn cluster_with_leader(count: usize, seed: u64) -> (Cluster, usize) {
+    let mut cluster = Cluster::new(count, count, seed);
+    cluster.run_for(1_500);
+    let leader = wait_for_leader(&mut cluster, None);
+    (cluster, leader)
+}
+
+/// Runs until a replica other than `not` leads.
+pub fn wait_for_leader(cluster: &mut Cluster, not: Option<usize>) -> usize {
+    let leads = |cluster: &Cluster| cluster.leader().is_some_and(|leader| Some(leader) != not);
+    assert!(cluster.run_until(3_000, leads), "no leader within 3 s");
+    cluster.leader().expect("a leader")
+}
+
+pub fn propose(cluster: &mut Cluster, node: usize, service: &str) -> ChangeOutcome {
+    let origin = cluster.propose(node, put_service(service));
+    cluster.run_until(4_000, |cluster| cluster.outcomes.contains_key(&origin));
+    cluster.outcomes[&origin].clone()
+}
+
+pub fn is_accepted(outcome: &ChangeOutcome) -> bool {
+    matches!(outcome, ChangeOutcome::Accepted { .. })
+}
+
+pub fn followers(count: usize, leader: usize) -> Vec<usize> {
+    (0..count).filter(|node| *node != leader).collect()
+}
--- a/crates/core/tests/consensus/full_disks.rs
+++ b/crates/core/tests/consensus/full_disks.rs
@@ -3,9 +3,8 @@
 use fireflylug_core::consensus::Origin;
 use rstest::rstest;
 
-use crate::cases::{cluster_with_leader, is_accepted, propose};
 use crate::cluster::Cluster;
-use crate::fixtures::put_service;
+use crate::fixtures::{cluster_with_leader, is_accepted, propose, put_service};
 
 /// Time for which each disk is full, and between two full disks, in milliseconds.
 const FULL_MS: u64 = 3_500;
--- a/crates/core/tests/consensus/main.rs
+++ b/crates/core/tests/consensus/main.rs
@@ -9,6 +9,8 @@
 mod fixtures;
 mod full_disks;
 mod random;
+mod reads;
 mod repairs;
 mod replacements;
 mod starts;
+mod storages;
--- a/crates/core/tests/consensus/repairs.rs
+++ b/crates/core/tests/consensus/repairs.rs
@@ -2,9 +2,8 @@
 
 use fireflylug_core::consensus::{AppendResponse, ConsensusMessage, MAX_WITHHOLD_MS, Origin};
 
-use crate::cases::{cluster_with_leader, is_accepted, propose};
 use crate::cluster::Cluster;
-use crate::fixtures::{put_service, service_key};
+use crate::fixtures::{cluster_with_leader, is_accepted, propose, put_service, service_key};
 
 /// Time for an election and the catch-up of restarted replicas, in milliseconds.
 pub const RECOVERY_MS: u64 = 4_000;
--- a/crates/core/tests/consensus/replacements.rs
+++ b/crates/core/tests/consensus/replacements.rs
@@ -4,9 +4,8 @@
 use rand::Rng;
 use rstest::rstest;
 
-use crate::cases::is_accepted;
 use crate::cluster::Cluster;
-use crate::fixtures::{put_service, service_key};
+use crate::fixtures::{is_accepted, put_service, service_key};
 use crate::repairs::{RECOVERY_MS, has_leader_in_touch};
 
 /// Control replicas, of which the first three are the initial voters.
--- a/crates/core/tests/consensus/starts.rs
+++ b/crates/core/tests/consensus/starts.rs
@@ -3,7 +3,7 @@
 use fireflylug_core::ids::Version;
 use rstest::rstest;
 
-use crate::cases::{cluster_with_leader, propose};
+use crate::fixtures::{cluster_with_leader, propose};
 
 /// Delay between the first campaigns of two replicas, in milliseconds.
 const CAMPAIGN_STAGGER_MS: u64 = 20;
--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -379,15 +379,6 @@
 }
 
 fn head(origin: CallOrigin, repeatable: bool, fingerprint: Fingerprint, chain: Chain) -> CallHead {
-    CallHead {
-        origin,
-        host: "caller".into(),
-        path: "/unit-0/seat".into(),
-        is_safe_method: repeatable,
-        body_bytes: Some(0),
-        is_replayable: true,
-        fingerprint,
-        chain,
-        transit: None,
-    }
+    let head = CallHead::new("caller", "/unit-0/seat");
+    CallHead { origin, is_safe_method: repeatable, fingerprint, chain, ..head }
 }
--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -14,9 +14,7 @@
 use fireflylug_core::membership::{Membership, MembershipSettings};
 use fireflylug_core::message::PeerMessage;
 use fireflylug_core::resource::{Resource, Route, Service};
-use fireflylug_core::routing::{
-    CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, RefusalCode,
-};
+use fireflylug_core::routing::{CallEffect, CallEvent, CallHead, RefusalCode};
 use fireflylug_core::state::{CoreSettings, State};
 use fireflylug_core::{Effect, Event, Instant, reduce};
 use rand::SeedableRng;
@@ -101,17 +99,7 @@
 
 /// The same for a call to any path.
 fn refusal_at(state: &mut State, call: u64, path: &str, now_ms: u64) -> Option<RefusalCode> {
-    let head = CallHead {
-        origin: CallOrigin::Caller,
-        host: "any".into(),
-        path: path.into(),
-        is_safe_method: true,
-        body_bytes: Some(0),
-        is_replayable: true,
-        fingerprint: Fingerprint::default(),
-        chain: Chain::default(),
-        transit: None,
-    };
+    let head = CallHead::new("any", path);
     let event = Event::Call(CallEvent::Arrived { call: CallId(call), head });
     let effects = reduce(state, event, Instant::from_ms(now_ms));
     effects.into_iter().find_map(|effect| match effect {
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -12,8 +12,8 @@
 };
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
-    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, ForwardHead,
-    Outcome, Refusal, RefusalCode, Routing, RoutingMessage, RoutingSettings, TargetNotice, Transit,
+    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
+    RefusalCode, Routing, RoutingMessage, RoutingSettings, TargetNotice, Transit,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -158,17 +158,7 @@
     }
 
     pub fn arrive_with(&mut self, path: &str, change: impl FnOnce(&mut CallHead)) -> CallId {
-        let mut head = CallHead {
-            origin: CallOrigin::Caller,
-            host: "".into(),
-            path: path.into(),
-            is_safe_method: true,
-            body_bytes: Some(0),
-            is_replayable: true,
-            fingerprint: Fingerprint::default(),
-            chain: Chain::default(),
-            transit: None,
-        };
+        let mut head = CallHead::new("", path);
         change(&mut head);
         let call = CallId(self.next_call);
         self.next_call += 1;
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -14,9 +14,7 @@
     Member, MemberStatus, MembershipChange, TargetRecord, TargetState,
 };
 use fireflylug_core::resource::{Resource, Route, Service};
-use fireflylug_core::routing::{
-    CallEvent, CallHead, CallOrigin, Chain, Fingerprint, Routing, RoutingSettings, TargetLoad,
-};
+use fireflylug_core::routing::{CallEvent, CallHead, Routing, RoutingSettings, TargetLoad};
 use fireflylug_core::slo::Slo;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -47,7 +45,7 @@
     for index in 0..CALLS + IN_FLIGHT {
         now = now.plus_us(PAUSE_US);
         let mut cx = Context { now, rng: &mut rng, me: &me, effects: &mut effects };
-        let head = head(&paths[index as usize % SERVICES]);
+        let head = CallHead::new("seats.example", &paths[index as usize % SERVICES]);
         routing.step(&mut cx, &mut slo, CallEvent::Arrived { call: CallId(index), head });
         if let Some(call) = index.checked_sub(IN_FLIGHT).map(CallId) {
             let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, rate: None, held_ms: 0 };
@@ -62,20 +60,6 @@
     started_at.elapsed().as_secs_f64() * 1e6 / CALLS as f64
 }
 
-fn head(path: &str) -> CallHead {
-    CallHead {
-        origin: CallOrigin::Caller,
-        host: "seats.example".into(),
-        path: path.into(),
-        is_safe_method: true,
-        body_bytes: Some(0),
-        is_replayable: true,
-        fingerprint: Fingerprint::default(),
-        chain: Chain::default(),
-        transit: None,
-    }
-}
-
 pub(super) fn identity(host: &str) -> Identity {
     let any = SocketAddr::from(([127, 0, 0, 1], 1));
     Identity {
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -14,8 +14,8 @@
 use fireflylug_core::membership::{Member, MembershipChange, TargetRecord, TargetState};
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
-    CallEffect, CallEvent, CallHead, CallOrigin, Chain, Fingerprint, Outcome, Refusal, RefusalCode,
-    Routing, RoutingSettings, TargetNotice,
+    CallEffect, CallEvent, CallHead, Outcome, Refusal, RefusalCode, Routing, RoutingSettings,
+    TargetNotice,
 };
 use fireflylug_core::slo::Slo;
 use fireflylug_core::{Effect, Instant};
@@ -301,17 +301,7 @@
             if path == "/one" {
                 self.arrivals.insert(call, self.now);
             }
-            let head = CallHead {
-                origin: CallOrigin::Caller,
-                host: "".into(),
-                path: path.into(),
-                is_safe_method: true,
-                body_bytes: Some(0),
-                is_replayable: true,
-                fingerprint: Fingerprint::default(),
-                chain: Chain::default(),
-                transit: None,
-            };
+            let head = CallHead::new("", path);
             self.step(CallEvent::Arrived { call: CallId(call), head });
         }
     }
