Distribution: a process without a place for a child is not taken as a parent

Cause: a status was given to anybody who asked, a subscription refused beyond 128 children, and the refusal was ignored unless it answered a fetch. A host that had lost its parent could return to the same full control host after each timeout.

Change: without a place the question is answered by Busy, and Busy from the parent starts a search.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -13,7 +13,7 @@
 use crate::time::Instant;
 
 /// Maximum number of children of one process. Further ones receive a busy answer.
-const MAX_CHILDREN: usize = 128;
+pub const MAX_CHILDREN: usize = 128;
 
 /// Time without a report after which a child is removed, in milliseconds.
 const CHILD_TIMEOUT_MS: u64 = 15_000;
@@ -73,6 +73,11 @@
         self.children.len()
     }
 
+    /// Whether a process is a child or can become one.
+    fn has_place_for(&self, id: NodeId) -> bool {
+        self.children.contains_key(&id) || self.children.len() < MAX_CHILDREN
+    }
+
     /// Adds the holders of `version` or a later one in the subtrees of the children.
     pub fn add_holders_to(&self, holders: &mut Holders, version: Version) {
         let counted =
@@ -186,12 +191,11 @@
         report: Report,
     ) {
         self.record_acknowledgement(cx, membership, from, report.version);
-        let is_known = self.children.children.contains_key(&from);
-        if !is_known && self.children.len() >= MAX_CHILDREN {
+        if !self.children.has_place_for(from) {
             self.send_busy(cx, from);
             return;
         }
-        if !is_known {
+        if !self.children.children.contains_key(&from) {
             let text = format!("Sends versions to {}.", host_label(membership, from));
             cx.log(LogLevel::Info, LogPart::Distribution, text);
         }
@@ -220,6 +224,15 @@
         self.holders_changed(cx, membership);
     }
 
+    /// Handles the question of a process that searches for a parent.
+    pub(super) fn handle_status_request(&mut self, cx: &mut Context<'_>, from: NodeId) {
+        if self.children.has_place_for(from) {
+            self.send_status(cx, from, cx.now);
+        } else {
+            self.send_busy(cx, from);
+        }
+    }
+
     /// Answers the held requests that are due.
     pub(super) fn answer_held_requests(&mut self, cx: &mut Context<'_>) {
         for (child, requested_at) in
@@ -229,7 +242,7 @@
         }
     }
 
-    pub(super) fn send_status(&self, cx: &mut Context<'_>, to: NodeId, requested_at: Instant) {
+    fn send_status(&self, cx: &mut Context<'_>, to: NodeId, requested_at: Instant) {
         let version = self.current.version();
         let newest_known = self.newest_known.max(version);
         let control_age_ms = self.control_age_ms(cx);
--- a/crates/core/src/distribution/fetch.rs
+++ b/crates/core/src/distribution/fetch.rs
@@ -115,13 +115,22 @@
         cx.send(peer, DistributionMessage::Fetch { version, needs_snapshot });
     }
 
-    /// The requested peer is busy: requests from a peer again after the delay.
-    pub(super) fn handle_busy(&mut self, cx: &mut Context<'_>, from: NodeId, retry_after_ms: u32) {
+    /// The requested peer is busy: requests from a peer again after the delay. A parent that was not
+    /// requested has no place for this process among its children.
+    pub(super) fn handle_busy(
+        &mut self,
+        cx: &mut Context<'_>,
+        membership: &Membership,
+        from: NodeId,
+        retry_after_ms: u32,
+    ) {
         if self.fetcher.requested_from == Some(from) {
             self.fetcher.requested_from = None;
             let wait_ms = u64::from(retry_after_ms);
             let jitter_ms = cx.rng.random_range(0..=wait_ms);
             self.fetcher.fetch_at = cx.now.plus_ms(wait_ms + jitter_ms);
+        } else if self.upstream.parent == Some(from) {
+            self.start_search(cx, membership, "it has no place for another child");
         }
     }
 
--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -21,7 +21,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-pub use children::MAX_TRANSFERS;
+pub use children::{MAX_CHILDREN, MAX_TRANSFERS};
 pub use message::{DistributionMessage, HeldVersion, Holders, Report, Status, Update, ZoneReport};
 pub use progress::{Progress, ZoneProgress};
 
@@ -249,7 +249,7 @@
             DistributionMessage::Status(status) => {
                 self.handle_status(cx, membership, from, status);
             }
-            DistributionMessage::StatusRequest => self.send_status(cx, from, cx.now),
+            DistributionMessage::StatusRequest => self.handle_status_request(cx, from),
             DistributionMessage::Unsubscribe => {
                 self.remove_child(cx, membership, from, "it has another parent");
             }
@@ -260,7 +260,7 @@
                 self.handle_fetch(cx, from, version, needs_snapshot);
             }
             DistributionMessage::Busy { retry_after_ms } => {
-                self.handle_busy(cx, from, retry_after_ms);
+                self.handle_busy(cx, membership, from, retry_after_ms);
             }
             DistributionMessage::Zones(reports) => {
                 self.handle_zone_reports(cx, membership, from, reports);
