Distribution: an answer is matched with its request by a number

Change: a report's request has a random number, and its answer repeats it; an answer that fits no open request dates nothing. Found by reading; answer_to_another_request_dates_no_contact fails on a version that dates by the last request.

--- a/crates/core/src/distribution/children.rs
+++ b/crates/core/src/distribution/children.rs
@@ -47,14 +47,20 @@
     in_flight: Option<(Version, Instant)>,
 }
 
+/// A request of a status that waits.
+#[derive(Clone, Copy)]
+struct HeldRequest {
+    number: u32,
+    arrived_at: Instant,
+}
+
 /// All children, and the large transfers to children and other processes.
 pub(super) struct Children {
     children: BTreeMap<NodeId, Child>,
     /// When each large transfer in progress counts as lost.
     transfers: BTreeMap<NodeId, Instant>,
-    /// Children whose request waits for a newer contact with a control replica, with the time
-    /// at which the request arrived.
-    held_requests: BTreeMap<NodeId, Instant>,
+    /// Children whose request waits for a newer contact with a control replica.
+    held_requests: BTreeMap<NodeId, HeldRequest>,
     /// When to send updates to the children that lack the current version.
     pub send_updates_at: Instant,
 }
@@ -101,20 +107,20 @@
         let due = self
             .held_requests
             .values()
-            .map(|requested_at| answer_due_at(*requested_at, last_control_contact_at));
+            .map(|request| answer_due_at(request.arrived_at, last_control_contact_at));
         due.min().unwrap_or(Instant::NEVER)
     }
 
-    /// Takes the held requests that are due, with the time at which each arrived.
+    /// Takes the held requests that are due.
     fn take_due_requests(
         &mut self,
         now: Instant,
         contact_at: Option<Instant>,
-    ) -> Vec<(NodeId, Instant)> {
-        let is_due = |requested_at: Instant| now >= answer_due_at(requested_at, contact_at);
-        let due = self.held_requests.iter().filter(|(_, requested_at)| is_due(**requested_at));
-        let due: Vec<_> = due.map(|(id, requested_at)| (*id, *requested_at)).collect();
-        self.held_requests.retain(|_, requested_at| !is_due(*requested_at));
+    ) -> Vec<(NodeId, HeldRequest)> {
+        let is_due = |request: &HeldRequest| now >= answer_due_at(request.arrived_at, contact_at);
+        let due = self.held_requests.iter().filter(|(_, request)| is_due(request));
+        let due: Vec<_> = due.map(|(id, request)| (*id, *request)).collect();
+        self.held_requests.retain(|_, request| !is_due(request));
         due
     }
 
@@ -157,10 +163,10 @@
 }
 
 /// When a held request is due: at once if a newer contact with a control replica was recorded.
-fn answer_due_at(requested_at: Instant, last_control_contact_at: Option<Instant>) -> Instant {
+fn answer_due_at(arrived_at: Instant, last_control_contact_at: Option<Instant>) -> Instant {
     match last_control_contact_at {
-        Some(contact_at) if contact_at >= requested_at => requested_at,
-        _ => requested_at.plus_ms(MAX_HOLD_MS),
+        Some(contact_at) if contact_at >= arrived_at => arrived_at,
+        _ => arrived_at.plus_ms(MAX_HOLD_MS),
     }
 }
 
@@ -212,12 +218,15 @@
         self.children.record_held_version(cx.now, from, report.version);
         // A root that asks a standby gets its answer at once and tries another parent.
         let must_hold = report.is_awaiting_control && !(self.is_standby && report.is_root);
-        if report.is_status_requested && must_hold {
-            self.children.held_requests.insert(from, cx.now);
-            self.request_control_contact(cx, membership);
-        } else if report.is_status_requested {
+        if let Some(number) = report.status_request {
             self.children.held_requests.remove(&from);
-            self.send_status(cx, from, cx.now);
+            if must_hold {
+                let request = HeldRequest { number, arrived_at: cx.now };
+                self.children.held_requests.insert(from, request);
+                self.request_control_contact(cx, membership);
+            } else {
+                self.send_status(cx, from, Some(number), 0);
+            }
         }
         self.record_newer_holder(cx, membership, from, report.version);
         self.send_updates(cx);
@@ -227,7 +236,7 @@
     /// Handles the question of a process that searches for a parent.
     pub(super) fn handle_status_request(&mut self, cx: &mut Context<'_>, from: NodeId) {
         if self.children.has_place_for(from) {
-            self.send_status(cx, from, cx.now);
+            self.send_status(cx, from, None, 0);
         } else {
             self.send_busy(cx, from);
         }
@@ -235,22 +244,29 @@
 
     /// Answers the held requests that are due.
     pub(super) fn answer_held_requests(&mut self, cx: &mut Context<'_>) {
-        for (child, requested_at) in
+        for (child, request) in
             self.children.take_due_requests(cx.now, self.last_control_contact_at)
         {
-            self.send_status(cx, child, requested_at);
+            let held_ms = cx.now.since_ms(request.arrived_at);
+            self.send_status(cx, child, Some(request.number), held_ms);
         }
     }
 
-    fn send_status(&self, cx: &mut Context<'_>, to: NodeId, requested_at: Instant) {
+    fn send_status(&self, cx: &mut Context<'_>, to: NodeId, request: Option<u32>, held_ms: u64) {
         let version = self.current.version();
         let newest_known = self.newest_known.max(version);
         let control_age_ms = self.control_age_ms(cx);
-        let held_ms = cx.now.since_ms(requested_at);
         let is_standby = self.is_standby;
         let lacks_source = self.lacks_source(cx.now, cx.me.control);
-        let status =
-            Status { version, newest_known, control_age_ms, held_ms, is_standby, lacks_source };
+        let status = Status {
+            request,
+            version,
+            newest_known,
+            control_age_ms,
+            held_ms,
+            is_standby,
+            lacks_source,
+        };
         cx.send(to, DistributionMessage::Status(status));
     }
 
--- a/crates/core/src/distribution/message.rs
+++ b/crates/core/src/distribution/message.rs
@@ -76,9 +76,9 @@
     /// its own availability zone.
     #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_root: bool,
-    /// Whether the child requests a [`Status`].
-    #[serde(rename = "a", default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_status_requested: bool,
+    /// Number of the child's request of a [`Status`], if it requests one.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub status_request: Option<u32>,
     /// Whether the child, or a process below it, was started and waits for a contact with a
     /// control replica that is newer than this request. The parent may then hold the answer.
     #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
@@ -107,9 +107,12 @@
     pub membership_sum: u64,
 }
 
-/// The answer of a parent to a report.
+/// The answer to a report that requested one, or to a [`DistributionMessage::StatusRequest`].
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Status {
+    /// Number of the report's request that this answers.
+    #[serde(rename = "q", default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<u32>,
     /// The version in force at the parent.
     #[serde(rename = "v")]
     pub version: Version,
--- a/crates/core/src/distribution/receive.rs
+++ b/crates/core/src/distribution/receive.rs
@@ -49,7 +49,8 @@
         self.readiness.record_version(from, status.newest_known);
         self.newest_known = self.newest_known.max(status.newest_known);
         let is_parent = self.upstream.parent == Some(from);
-        let requested_at = if is_parent { self.upstream.take_requested_at() } else { None };
+        let request = status.request.filter(|_| is_parent);
+        let requested_at = request.and_then(|number| self.upstream.take_request(number));
         // The parent wrote the answer after it had received the request and held it for
         // `held_ms`, so the contact was no earlier than this, however long the answer was
         // under way. A contact from before the start of this process is dropped: forwarded from here
--- a/crates/core/src/distribution/search.rs
+++ b/crates/core/src/distribution/search.rs
@@ -56,9 +56,10 @@
 }
 
 impl Distribution {
-    /// Whether this process receives no versions at the moment, so that its version may be outdated: its parent does not answer or has
-    /// no source itself, or the chain of parents has no contact with a control replica. A control
-    /// replica that receives the log needs the contact with a quorum only.
+    /// Whether this process receives no versions at the moment, so that its version may be outdated:
+    /// its parent does not answer or has no source itself, or the chain of parents has no contact
+    /// with a control replica. A control replica that receives the log needs the contact with a
+    /// quorum only.
     pub fn lacks_source(&self, now: Instant, is_control: bool) -> bool {
         let contact_at = self.last_control_contact_at.unwrap_or(Instant::ZERO);
         let contact_age_ms = now.since_ms(contact_at);
@@ -122,7 +123,7 @@
         if self.is_source(cx, membership, parent, status) {
             self.upstream.search.close();
         } else {
-            self.start_search(cx, membership, "it has no source that is sure to be another one");
+            self.start_search(cx, membership, "it has no source, or may depend on this host");
         }
         if !self.readiness.is_confirmed() || self.children.has_held_requests() {
             self.upstream.request_status_soon(cx.now, status.held_ms > 0);
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -36,6 +36,15 @@
 /// Maximum number of members of the own availability zone that are tried as substitute parents.
 const MAX_CANDIDATES: usize = 8;
 
+/// Maximum number of requests to a parent that are kept while it does not answer.
+const MAX_OPEN_REQUESTS: usize = 8;
+
+/// A status request that the parent has not answered.
+struct OpenRequest {
+    number: u32,
+    sent_at: Instant,
+}
+
 /// The parent of this process and the candidates that can replace it.
 pub(super) struct Upstream {
     pub parent: Option<NodeId>,
@@ -45,8 +54,8 @@
     pub candidates: Vec<NodeId>,
     /// The membership generation from which `candidates` was computed.
     generation: Option<u64>,
-    /// When the first status request that the parent has not answered was sent.
-    requested_at: Option<Instant>,
+    /// The status requests that the parent has not answered, the oldest first.
+    open_requests: Vec<OpenRequest>,
     next_request_at: Instant,
     /// Whether the parent has no source itself, as its last answer says.
     pub parent_lacks_source: bool,
@@ -64,7 +73,7 @@
             is_relay: false,
             candidates: Vec::new(),
             generation: None,
-            requested_at: None,
+            open_requests: Vec::new(),
             next_request_at: Instant::NEVER,
             parent_lacks_source: false,
             ask_preferred_at: Instant::NEVER,
@@ -81,7 +90,8 @@
 
     /// When the parent counts as silent unless it answers.
     fn answer_due_at(&self) -> Instant {
-        self.requested_at.map_or(Instant::NEVER, |at| at.plus_ms(ANSWER_TIMEOUT_MS))
+        let oldest = self.open_requests.first();
+        oldest.map_or(Instant::NEVER, |request| request.sent_at.plus_ms(ANSWER_TIMEOUT_MS))
     }
 
     /// Whether there is no parent that answers. A process that was itself stopped for a while has
@@ -91,9 +101,23 @@
         self.parent.is_none() || now >= self.answer_due_at() || is_request_late
     }
 
-    /// Records an answer of the parent. Returns when the status was requested.
-    pub fn take_requested_at(&mut self) -> Option<Instant> {
-        self.requested_at.take()
+    /// Records a new request, and returns its number. Numbers are random, so that an answer to an
+    /// earlier start of this process fits none.
+    fn open_request(&mut self, cx: &mut Context<'_>) -> u32 {
+        if self.open_requests.len() >= MAX_OPEN_REQUESTS {
+            // The oldest stays: it says how long the parent has been silent.
+            self.open_requests.remove(1);
+        }
+        let number = cx.rng.random();
+        self.open_requests.push(OpenRequest { number, sent_at: cx.now });
+        number
+    }
+
+    /// Records the answer to a request, which ends the earlier ones too. Returns when the request was
+    /// sent.
+    pub fn take_request(&mut self, number: u32) -> Option<Instant> {
+        let index = self.open_requests.iter().position(|request| request.number == number)?;
+        self.open_requests.drain(..=index).next_back().map(|request| request.sent_at)
     }
 
     /// Requests the next status earlier than usual, since a contact with a control replica is
@@ -140,7 +164,11 @@
             let had_parent = self.upstream.parent.is_some();
             self.switch_parent(cx, membership, preferred);
             if had_parent && preferred.is_some() {
-                self.start_search(cx, membership, "the last one is no candidate any more");
+                self.start_search(
+                    cx,
+                    membership,
+                    "it has not answered yet, and the last one is no candidate any more",
+                );
             }
         } else if has_preferred_changed {
             self.ask_preferred(cx);
@@ -189,7 +217,7 @@
             cx.log(LogLevel::Info, LogPart::Distribution, text);
         }
         self.upstream.parent = chosen;
-        self.upstream.requested_at = None;
+        self.upstream.open_requests.clear();
         self.upstream.parent_lacks_source = false;
         self.upstream.last_reported = None;
         self.upstream.next_request_at = Instant::NEVER;
@@ -206,11 +234,10 @@
             self.upstream.next_request_at = Instant::NEVER;
             return;
         };
-        // An answer is dated by the first request that it may answer.
-        self.upstream.requested_at.get_or_insert(cx.now);
+        let request = self.upstream.open_request(cx);
         let jitter_ms = cx.rng.random_range(0..REFRESH_EVERY_MS / 5);
         self.upstream.next_request_at = cx.now.plus_ms(REFRESH_EVERY_MS - jitter_ms);
-        self.send_report(cx, membership, parent, true);
+        self.send_report(cx, membership, parent, Some(request));
     }
 
     /// Requests a newer contact with a control replica from the parent, unless a request is open.
@@ -219,7 +246,7 @@
         cx: &mut Context<'_>,
         membership: &Membership,
     ) {
-        if self.upstream.requested_at.is_none() {
+        if self.upstream.open_requests.is_empty() {
             self.request_status(cx, membership);
         }
     }
@@ -229,7 +256,7 @@
         let Some(parent) = self.upstream.parent else { return };
         let current_report = (self.current.version(), self.holders_to_report(cx, membership));
         if self.upstream.last_reported != Some(current_report) {
-            self.send_report(cx, membership, parent, false);
+            self.send_report(cx, membership, parent, None);
         }
     }
 
@@ -238,7 +265,7 @@
         cx: &mut Context<'_>,
         membership: &Membership,
         parent: NodeId,
-        is_status_requested: bool,
+        status_request: Option<u32>,
     ) {
         let holders = self.holders_to_report(cx, membership);
         let version = self.current.version();
@@ -247,7 +274,7 @@
         let has_confirming_age = cx.now >= Instant::from_ms(CONFIRM_AFTER_START_MS);
         let is_awaiting_control = (has_confirming_age && !self.readiness.is_confirmed())
             || self.children.has_held_requests();
-        let report = Report { version, is_root, is_status_requested, is_awaiting_control, holders };
+        let report = Report { version, is_root, status_request, is_awaiting_control, holders };
         cx.send(parent, DistributionMessage::Report(report));
     }
 
@@ -287,7 +314,7 @@
     pub(super) fn parent_disconnected(&mut self, cx: &mut Context<'_>, membership: &Membership) {
         // The first loss may be that of an old connection. A second one without an answer in
         // between is a failed dial.
-        if self.upstream.requested_at.is_some() {
+        if !self.upstream.open_requests.is_empty() {
             self.start_search(cx, membership, "the connection to it is lost");
         } else {
             self.request_status(cx, membership);
--- a/crates/core/tests/distribution/silence.rs
+++ b/crates/core/tests/distribution/silence.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use fireflylug_core::config::Configuration;
-use fireflylug_core::distribution::{DistributionMessage, Holders, MAX_CHILDREN, Report};
+use fireflylug_core::distribution::{
+    CUT_OFF_FROM_CONTROL_AFTER_MS, DistributionMessage, Holders, MAX_CHILDREN, Report, Status,
+};
 use fireflylug_core::ids::{NodeId, Version};
 use fireflylug_core::message::PeerMessage;
 use fireflylug_core::{Effect, Instant};
@@ -353,7 +355,7 @@
     DistributionMessage::Report(Report {
         version: Version(1),
         is_root: true,
-        is_status_requested: true,
+        status_request: Some(1),
         is_awaiting_control: false,
         holders: Holders::default(),
     })
@@ -405,3 +407,31 @@
 
     assert!(questions > 0, "no other candidate was asked");
 }
+
+// Guards against a contact with a control replica that looks newer than it is: a late answer to an
+// earlier request, or to an earlier start, is taken for the answer to the last request.
+#[rstest]
+fn answer_to_another_request_dates_no_contact(#[values(None, Some(7))] request: Option<u32>) {
+    let (mut mesh, _) = mesh_with_first(&two_regions(4), 1);
+    let host = shuffled_proxies(&mesh, &mut SmallRng::seed_from_u64(1))[0];
+    let others = mesh.hosts_except(&[host]);
+    mesh.set_cut(&[host], &others, true);
+    mesh.run_ms(CUT_OFF_FROM_CONTROL_AFTER_MS + FROZEN_FOR_MS);
+    let parent = mesh.process(host).distribution.parent().expect("a parent");
+
+    mesh.with_process(host, |process, cx| {
+        let status = DistributionMessage::Status(Status {
+            request,
+            version: Version(1),
+            newest_known: Version(1),
+            control_age_ms: Some(0),
+            held_ms: 0,
+            is_standby: false,
+            lacks_source: false,
+        });
+        process.distribution.step(cx, &process.membership, parent, status);
+    });
+
+    let now = Instant::from_us(mesh.now_us);
+    assert!(mesh.process(host).distribution.cut_off_since(now, false).is_some());
+}
