--- a/crates/core/src/distribution/mod.rs
+++ b/crates/core/src/distribution/mod.rs
@@ -6,6 +6,7 @@
 //! same tree. A proxy verifies a version and applies it completely or not at all. If an update
 //! from the parent is late, a process fetches it from any peer that holds it.
 
+mod candidates;
 mod children;
 mod codec;
 mod fetch;
--- a/crates/core/src/distribution/search.rs
+++ b/crates/core/src/distribution/search.rs
@@ -6,6 +6,7 @@
 
 use rand::Rng;
 
+use super::candidates::is_earlier_in_zone;
 use super::message::{DistributionMessage, Status};
 use super::{Distribution, host_label};
 use crate::context::Context;
@@ -167,16 +168,3 @@
         !status.lacks_source && !may_depend_on_this
     }
 }
-
-/// Whether another process stands before this one in the order of its availability zone, so that
-/// its parents are never children of this one.
-pub(super) fn is_earlier_in_zone(cx: &Context<'_>, membership: &Membership, other: NodeId) -> bool {
-    let Some(zone) = membership.topology().zone(&cx.me.locality.availability_zone) else {
-        return false;
-    };
-    let position = |id: NodeId| zone.order.iter().position(|member| *member == id);
-    match (position(other), position(cx.me.id)) {
-        (Some(other), Some(own)) => other < own,
-        (other, _) => other.is_some(),
-    }
-}
--- a/crates/core/src/distribution/upstream.rs
+++ b/crates/core/src/distribution/upstream.rs
@@ -7,15 +7,15 @@
 
 use rand::Rng;
 
+use super::candidates::{candidates, is_earlier_in_zone};
 use super::message::{DistributionMessage, Holders, Report};
 use super::ready::CONFIRM_AFTER_START_MS;
-use super::search::{Search, is_earlier_in_zone};
+use super::search::Search;
 use super::{Distribution, host_label};
 use crate::context::Context;
 use crate::event::{LogLevel, LogPart};
 use crate::ids::{NodeId, Version};
 use crate::membership::Membership;
-use crate::membership::hash::rank;
 use crate::time::Instant;
 
 /// Interval between two reports that request a status, in milliseconds. Together with the timeout of
@@ -33,9 +33,6 @@
 /// milliseconds.
 const ASK_PREFERRED_EVERY_MS: u64 = 2_000;
 
-/// Maximum number of members of the own availability zone that are tried as substitute parents.
-const MAX_CANDIDATES: usize = 8;
-
 /// Maximum number of requests to a parent that are kept while it does not answer.
 const MAX_OPEN_REQUESTS: usize = 8;
 
@@ -321,53 +318,3 @@
         }
     }
 }
-
-/// The processes from which this one can receive updates, the preferred one first.
-fn candidates(cx: &Context<'_>, membership: &Membership, receives_log: bool) -> Vec<NodeId> {
-    let own = &cx.me.locality.availability_zone;
-    let Some(zone) = membership.topology().zone(own) else { return Vec::new() };
-    let order = &zone.order;
-    match order.iter().position(|id| *id == cx.me.id) {
-        // A relay that receives versions from the replicated log needs no parent.
-        Some(0) if receives_log => Vec::new(),
-        Some(0) => root_candidates(cx, membership),
-        position => {
-            let parent =
-                position.and_then(|position| zone.parent_position(position)).map(|at| order[at]);
-            // Only earlier members qualify, so that no two are each other's parents.
-            let earlier = &order[..position.unwrap_or(order.len())];
-            let others = earlier.iter().copied().filter(|id| Some(*id) != parent);
-            let in_tree = parent.into_iter().chain(others.take(MAX_CANDIDATES));
-            // If all earlier members are silent, this process has to do what a relay does.
-            let roots = if receives_log { Vec::new() } else { root_candidates(cx, membership) };
-            let roots = roots.into_iter().filter(|id| !earlier.contains(id));
-            in_tree.chain(roots).collect()
-        }
-    }
-}
-
-/// The processes from which the root of a tree can receive updates, the nearest first. Control replicas
-/// without contact to a quorum come later, and those that count as unreachable last: they are asked
-/// all the same, since a whole availability zone may count as cut off after the loss of its relay.
-fn root_candidates(cx: &Context<'_>, membership: &Membership) -> Vec<NodeId> {
-    let own = &cx.me.locality;
-    let hub = membership.hub(&own.region).filter(|hub| *hub != cx.me.id);
-    let mut replicas: Vec<_> = membership
-        .members()
-        .filter(|member| member.control && !member.status.is_dead_or_left())
-        .filter(|replica| replica.id != cx.me.id)
-        .map(|replica| {
-            let locality = &replica.locality;
-            let distance = match (locality.region == own.region, *locality == *own) {
-                (_, true) => 0,
-                (true, false) => 1,
-                (false, _) => 3,
-            };
-            let is_unreachable = !replica.status.is_reachable();
-            (is_unreachable, replica.lacks_quorum, distance, rank(replica.id), replica.id)
-        })
-        .collect();
-    replicas.extend(hub.map(|hub| (false, false, 2, rank(hub), hub)));
-    replicas.sort();
-    replicas.into_iter().map(|(.., id)| id).collect()
-}
--- a/crates/core/tests/distribution/main.rs
+++ b/crates/core/tests/distribution/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../mesh/mod.rs"]
 mod mesh;
+mod parents;
 mod random_failures;
 mod restarts;
 mod silence;
