Calls: a process that knows no control replica doubts no version

Cause: a process without candidates for a parent counted as without a source, so in a mesh that has no control replica (the daemon's tests of calls) each unknown route got 503 in place of 404.

Change: the parent's silence counts only where there are candidates, and the age of the contact only where there was one. The test of now tells the process of a control replica that is silent, and has a second case without one.

--- a/crates/core/src/distribution/search.rs
+++ b/crates/core/src/distribution/search.rs
@@ -60,16 +60,20 @@
     /// Whether this process receives no versions at the moment, so that its version may be outdated:
     /// its parent does not answer or has no source itself, or the chain of parents has no contact
     /// with a control replica. A control replica that receives the log needs the contact with a
-    /// quorum only.
+    /// quorum only. A process that knows no control replica, and never had contact with one, misses
+    /// none: nobody would have told it of versions.
     pub fn lacks_source(&self, now: Instant, is_control: bool) -> bool {
-        let contact_at = self.last_control_contact_at.unwrap_or(Instant::ZERO);
-        let contact_age_ms = now.since_ms(contact_at);
         if is_control && !self.is_standby {
-            return contact_age_ms >= MAX_LOG_AGE_MS;
+            let contact_at = self.last_control_contact_at.unwrap_or(Instant::ZERO);
+            return now.since_ms(contact_at) >= MAX_LOG_AGE_MS;
         }
-        contact_age_ms >= MAX_CONTACT_AGE_MS
-            || self.upstream.is_parent_silent(now)
-            || self.upstream.parent_lacks_source
+        let is_old = |contact_at| now.since_ms(contact_at) >= MAX_CONTACT_AGE_MS;
+        if self.last_control_contact_at.is_some_and(is_old) {
+            return true;
+        }
+        let has_candidates = !self.upstream.candidates.is_empty();
+        let is_parent_silent = has_candidates && self.upstream.is_parent_silent(now);
+        is_parent_silent || self.upstream.parent_lacks_source
     }
 
     /// Starts a search unless one is open.
