Daemon: start the calls of pipelined requests early

Cause: a connection served one call at a time, so a slow first call delayed all requests that the caller had sent behind it. Change: the socket of a caller frames its requests, holds back those behind the one in progress and starts their calls if they may run more than once; the service function takes them over.

--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -275,6 +275,13 @@
         self.is_stopping() && self.leave_at.is_none_or(|at| at <= now)
     }
 
+    /// Whether calls with a safe method may run more than once, by the policy of their route.
+    /// False if there is no route.
+    pub fn is_repeatable(&self, host: &str, path: &str) -> bool {
+        let rule = self.table.as_ref().and_then(|table| table.find(host, path));
+        rule.is_some_and(|rule| rule.is_repeatable(true))
+    }
+
     /// Whether no call is in flight and, if the process is stopping, none will be accepted.
     pub fn is_idle(&self) -> bool {
         let is_notice_over = !self.is_stopping() || self.is_refusing;
--- a/crates/daemon/src/calls/body.rs
+++ b/crates/daemon/src/calls/body.rs
@@ -64,6 +64,11 @@
         Ok(Self::new(buffered, buffered_bytes, unread))
     }
 
+    /// Creates the source of an empty body.
+    pub fn empty() -> Self {
+        Self::new(Vec::new(), 0, None)
+    }
+
     fn new(buffered: Vec<Bytes>, buffered_bytes: usize, unread: Option<Incoming>) -> Self {
         let unread_bytes = match &unread {
             None => Some(0),
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -31,24 +31,48 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
+    serve_parts(proxy, connection, client, parts, Some(body)).await
+}
+
+/// Serves a call that is started before the turn of its request, which has no body.
+pub(super) async fn serve_early(
+    proxy: Arc<Proxy>,
+    connection: Arc<CallerConnection>,
+    parts: Parts,
+) -> Response<AnswerBody> {
+    serve_parts(proxy, connection, Client::Callers, parts, None).await
+}
+
+/// Serves a call. The body is `None` if the call is started early.
+async fn serve_parts(
+    proxy: Arc<Proxy>,
+    connection: Arc<CallerConnection>,
+    client: Client,
+    parts: Parts,
+    body: Option<Incoming>,
+) -> Response<AnswerBody> {
+    let is_early = body.is_none();
     let origin = match origin(&proxy, client, &parts.headers) {
         Ok(origin) => origin,
-        Err(code) => return refuse_not_run(&proxy, &connection, client, code),
+        Err(code) => return refuse_not_run(&proxy, &connection, client, is_early, code),
     };
     let stamp = (client == Client::Proxies).then(|| headers::sent_stamp(&parts.headers)).flatten();
     let transit = stamp.map(SentStamp::received_now);
     let Some(mut chain) = headers::chain(&parts.headers) else {
-        return refuse_not_run(&proxy, &connection, client, RefusalCode::BadRequest);
+        return refuse_not_run(&proxy, &connection, client, is_early, RefusalCode::BadRequest);
     };
     if client == Client::Callers {
         let given_ms = headers::caller_deadline_ms(&parts.headers, &proxy.settings.dialect);
         chain.remaining_ms = chain.remaining_ms.into_iter().chain(given_ms).min();
     }
-    let body = match receive(&proxy, body).await {
-        Ok(body) => body,
-        Err(code) => return refuse_not_run(&proxy, &connection, client, code),
+    let body = match body {
+        None => BodySource::empty(),
+        Some(body) => match receive(&proxy, body).await {
+            Ok(body) => body,
+            Err(code) => return refuse_not_run(&proxy, &connection, client, is_early, code),
+        },
     };
-    let host = host(&parts);
+    let host = headers::host(&parts.uri, &parts.headers);
     let caller_service = caller_service(&proxy, client, &parts.headers);
     let head = CallHead {
         origin,
@@ -67,7 +91,7 @@
     parts.headers.extend(caller_service.map(|service| (name.clone(), service)));
     let request_id = parts.headers.get(&proxy.settings.dialect.request_id);
     let request_id = request_id.and_then(|id| id.to_str().ok()).map(CompactString::from);
-    let (call, entry) = proxy.handle.open(connection, request_id);
+    let (call, entry) = proxy.handle.open(connection, request_id, is_early);
     entry.pause_progress();
     let open = OpenCall { proxy, call, entry, is_open: true };
     open.submit(CallEvent::Arrived { call, head });
@@ -88,9 +112,12 @@
     proxy: &Proxy,
     connection: &CallerConnection,
     client: Client,
+    is_early: bool,
     code: RefusalCode,
 ) -> Response<AnswerBody> {
-    connection.set_stage(ConnectionStage::Responded);
+    if !is_early {
+        connection.set_stage(ConnectionStage::Responded);
+    }
     let refusal = Refusal { code, outcome: Outcome::NotRun };
     answer::refuse(proxy, client, refusal, None, refusal.default_retry_after_ms())
 }
@@ -120,19 +147,6 @@
     }
 }
 
-/// Host of the request in lower case, without port.
-fn host(parts: &Parts) -> CompactString {
-    let of_header = || parts.headers.get(header::HOST)?.to_str().ok();
-    let authority = parts.uri.authority().map(|a| a.as_str()).or_else(of_header).unwrap_or("");
-    let host = match authority.rsplit_once(':') {
-        Some((host, port)) if port.bytes().all(|b| b.is_ascii_digit()) => host,
-        _ => authority,
-    };
-    let mut host = CompactString::from(host);
-    host.make_ascii_lowercase();
-    host
-}
-
 /// Prepares a request head for forwarding: keeps path and query, removes hop-by-hop headers
 /// and headers of the mesh.
 fn forwarded_head(mut parts: Parts) -> Parts {
--- a/crates/daemon/src/calls/handle.rs
+++ b/crates/daemon/src/calls/handle.rs
@@ -1,7 +1,7 @@
 //! Delivers effects of the reducer to the tasks of calls.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 use fireflylug_core::collections::HashMap;
 use fireflylug_core::ids::CallId;
 use fireflylug_core::routing::{CallEffect, Decision};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -22,6 +22,9 @@
 /// refuse calls.
 const REQUEST_GRACE: Duration = Duration::from_millis(500);
 
+/// Maximum number of calls of this process that are started early and wait for their turn.
+const MAX_EARLY_CALLS: usize = 512;
+
 /// Accepts effects on calls without blocking.
 #[derive(Clone, Debug, Default)]
 pub struct CallHandle {
@@ -38,6 +41,9 @@
     killed: CancellationToken,
     started: Instant,
     decisions: DecisionLog,
+    /// Limits the calls that are started early and wait for their turn.
+    early_call_permits: Arc<Semaphore>,
+    early_calls: AtomicU64,
 }
 
 impl Default for Shared {
@@ -52,6 +58,8 @@
             killed: CancellationToken::new(),
             started: Instant::now(),
             decisions: DecisionLog::default(),
+            early_call_permits: Arc::new(Semaphore::new(MAX_EARLY_CALLS)),
+            early_calls: AtomicU64::new(0),
         }
     }
 }
@@ -123,6 +131,20 @@
         self.shared.open_connections.counts(Client::Proxies)
     }
 
+    /// Number of calls that were started before the turn of their requests.
+    pub fn early_calls(&self) -> u64 {
+        self.shared.early_calls.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn count_early_call(&self) {
+        self.shared.early_calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns a permit to start a call early, unless the limit of the process is reached.
+    pub(super) fn early_call_permit(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.shared.early_call_permits).try_acquire_owned().ok()
+    }
+
     /// Counts a new connection until the result is dropped.
     pub(super) fn open_connection(&self, client: Client) -> OpenConnection {
         self.shared.open_connections.open(client)
@@ -166,6 +188,7 @@
         &self,
         caller: Arc<CallerConnection>,
         request_id: Option<CompactString>,
+        is_early: bool,
     ) -> (CallId, Arc<CallEntry>) {
         let call = CallId(self.shared.next_call.fetch_add(1, Ordering::Relaxed));
         let entry = Arc::new(CallEntry {
@@ -174,14 +197,21 @@
             caller,
             progress_ms: AtomicU64::new(self.now_ms()),
             request_id,
+            is_early: AtomicBool::new(is_early),
+            is_aborted: AtomicBool::new(false),
+            early_abort: Notify::new(),
         });
-        entry.caller.set_stage(ConnectionStage::Calling);
+        if !is_early {
+            entry.caller.set_stage(ConnectionStage::Calling);
+        }
         self.entries().insert(call, Arc::clone(&entry));
         (call, entry)
     }
 
     pub(super) fn close(&self, call: CallId) {
-        if let Some(entry) = self.entries().remove(&call) {
+        if let Some(entry) = self.entries().remove(&call)
+            && !entry.is_early.load(Ordering::SeqCst)
+        {
             entry.caller.set_stage(ConnectionStage::Responded);
         }
     }
@@ -225,6 +255,11 @@
     progress_ms: AtomicU64,
     /// Request id sent by the caller, for the log.
     request_id: Option<CompactString>,
+    /// Whether the call was started early and its turn has not come.
+    is_early: AtomicBool,
+    is_aborted: AtomicBool,
+    /// Notified when the call is aborted before its turn.
+    early_abort: Notify,
 }
 
 impl CallEntry {
@@ -236,9 +271,28 @@
         self.pushed.notify_one();
     }
 
-    /// Cuts off the response.
+    /// Cuts off the response. Before its turn, the connection stays open.
     pub fn abort(&self) {
-        self.caller.abort();
+        self.is_aborted.store(true, Ordering::SeqCst);
+        if self.is_early.load(Ordering::SeqCst) {
+            self.early_abort.notify_one();
+        } else {
+            self.caller.abort();
+        }
+    }
+
+    /// Waits until the call is aborted before its turn.
+    pub async fn early_aborted(&self) {
+        self.early_abort.notified().await;
+    }
+
+    /// Records that the turn of the call has come.
+    pub fn take_turn(&self) {
+        self.is_early.store(false, Ordering::SeqCst);
+        // The call may have been aborted at the same time.
+        if self.is_aborted.load(Ordering::SeqCst) {
+            self.caller.abort();
+        }
     }
 
     /// Returns the next effect if one is queued.
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -16,11 +16,13 @@
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
 //! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; under a rate limit then `.usable_slots.interval_us` |
 
+use compact_str::CompactString;
 use fireflylug_core::ids::{Name, TargetId};
 use fireflylug_core::routing::{
     CallClass, Chain, ClockId, ForwardHead, Outcome, RateLimit, RateReport, RefusalCode,
     TargetLoad, TargetNotice,
 };
+use http::Uri;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 use super::CallDialect;
@@ -79,6 +81,19 @@
     }
 }
 
+/// Host of a request in lower case, without port.
+pub(super) fn host(uri: &Uri, headers: &HeaderMap) -> CompactString {
+    let of_header = || headers.get(header::HOST)?.to_str().ok();
+    let authority = uri.authority().map(|a| a.as_str()).or_else(of_header).unwrap_or("");
+    let host = match authority.rsplit_once(':') {
+        Some((host, port)) if port.bytes().all(|b| b.is_ascii_digit()) => host,
+        _ => authority,
+    };
+    let mut host = CompactString::from(host);
+    host.make_ascii_lowercase();
+    host
+}
+
 /// Adds the headers of a request to a target.
 pub(super) fn add_for_target(
     headers: &mut HeaderMap,
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -16,6 +16,7 @@
 mod handle;
 mod headers;
 mod open_connections;
+pub mod pipeline;
 mod pool;
 mod proxy;
 mod socket;
--- a/crates/daemon/src/calls/proxy.rs
+++ b/crates/daemon/src/calls/proxy.rs
@@ -15,6 +15,7 @@
 use super::bulk_limiter::BulkLimiter;
 use super::handle::{CallHandle, Phase};
 use super::open_connections::ConnectionStage;
+use super::pipeline::{CallerSocket, Pipeline, TurnBody};
 use super::pool::{MAX_IDLE, Pool};
 use super::socket::CallerConnection;
 use super::{CallSettings, call, headers};
@@ -113,23 +114,35 @@
         // A failure means that the connection is already closed.
         let _ = stream.set_nodelay(true);
         let caller = Arc::new(CallerConnection::new(self.handle.open_connection(client)));
+        let pipeline = (client == Client::Callers)
+            .then(|| Pipeline::new(Arc::clone(&self), Arc::clone(&caller)));
         let service = {
             let (proxy, caller) = (Arc::clone(&self), Arc::clone(&caller));
+            let pipeline = pipeline.clone();
             service_fn(move |request| {
                 caller.set_stage(ConnectionStage::Receiving);
                 let (proxy, caller) = (Arc::clone(&proxy), Arc::clone(&caller));
+                let turn = pipeline.as_ref().map(|pipeline| pipeline.begin_turn(&request));
                 // Boxed so that an idle connection does not reserve memory for a call.
                 Box::pin(async move {
-                    Ok::<_, Infallible>(call::serve(proxy, caller, client, request).await)
+                    let response = match turn {
+                        Some(turn) => turn.serve(request).await,
+                        None => {
+                            let response = call::serve(proxy, caller, client, request).await;
+                            response.map(TurnBody::from)
+                        }
+                    };
+                    Ok::<_, Infallible>(response)
                 })
             })
         };
+        let socket = CallerSocket::new(caller.socket(stream), pipeline.clone());
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .max_headers(MAX_HEADERS)
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(caller.socket(stream), service);
+            .serve_connection(socket, service);
         let mut connection = std::pin::pin!(connection);
         tokio::select! {
             // The peer of a failed connection notices the failure itself.
@@ -140,6 +153,18 @@
         // The HTTP library would close a connection that carried no call at once, although its
         // first call may be in transit. The response to that call closes the connection.
         if caller.is_used() {
+            let early_calls_taken = async {
+                if let Some(pipeline) = &pipeline {
+                    pipeline.early_calls_taken().await;
+                }
+            };
+            tokio::select! {
+                biased;
+                // The HTTP library would close the connection with the next response.
+                () = early_calls_taken => {}
+                _ = connection.as_mut() => return,
+                () = caller.aborted() => return,
+            }
             connection.as_mut().graceful_shutdown();
         }
         let first_call_timeout = async {
--- a/crates/daemon/src/calls/socket.rs
+++ b/crates/daemon/src/calls/socket.rs
@@ -107,6 +107,16 @@
     pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
         Self { io: TokioIo::new(stream), reset }
     }
+
+    /// The connected stream.
+    pub fn stream(&self) -> &TcpStream {
+        self.io.inner()
+    }
+
+    /// The connected stream, to read from it.
+    pub fn stream_mut(&mut self) -> &mut TcpStream {
+        self.io.inner_mut()
+    }
 }
 
 impl Drop for Socket {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -48,6 +48,7 @@
     api_waiting: u64,
     watches: u64,
     resident_bytes: u64,
+    early_calls: u64,
 }
 
 type Rows = Vec<(u64, Vec<KeyValue>)>;
@@ -84,6 +85,7 @@
         let now = runtime.now();
         let mut snapshot = runtime.inspect(|state| Snapshot::take(state, now));
         snapshot.traffic = self.peers.rows();
+        snapshot.early_calls = runtime.early_calls();
         (snapshot.api_waiting, snapshot.watches) = pending_requests.counts();
         snapshot.resident_bytes = resident_bytes();
         *lock(&self.snapshot) = snapshot;
@@ -209,6 +211,11 @@
             }
             rows
         });
+        self.counter(
+            "calls_early",
+            "Calls started before the responses to earlier requests of their connections ended",
+            |s| single_row(s.early_calls),
+        );
         self.counter("attempts", "Attempts at targets started by this process", |s| {
             by_service(s, |counts| counts.attempts)
         });
--- a/crates/daemon/src/runtime.rs
+++ b/crates/daemon/src/runtime.rs
@@ -77,6 +77,12 @@
         self.io_handles.peers.stats()
     }
 
+    /// Number of calls that were started before the responses to earlier requests of their
+    /// connections had ended.
+    pub fn early_calls(&self) -> u64 {
+        self.io_handles.calls.early_calls()
+    }
+
     /// Reads from the state.
     pub fn inspect<T>(&self, read: impl FnOnce(&State) -> T) -> T {
         read(&self.lock().state)
