--- a/crates/daemon/src/calls/pipeline/caller_socket.rs
+++ b/crates/daemon/src/calls/pipeline/caller_socket.rs
@@ -42,7 +42,8 @@
             if ready.and_then(Result::ok).is_some_and(|ready| ready.is_read_closed()) {
                 return Poll::Ready(());
             }
-            let check = self.close_check.get_or_insert_with(|| Box::pin(sleep(CLOSE_CHECK_INTERVAL)));
+            let check =
+                self.close_check.get_or_insert_with(|| Box::pin(sleep(CLOSE_CHECK_INTERVAL)));
             ready!(check.as_mut().poll(cx));
             self.close_check = None;
         }
@@ -68,8 +69,7 @@
             let may_start = pipeline.start_early_calls(&mut state);
             state.read_ahead.set_waker(cx.waker());
             let is_holding = state.read_ahead.is_holding();
-            let limit =
-                if is_holding { state.read_ahead.free_bytes() } else { cursor.remaining() };
+            let limit = if is_holding { state.read_ahead.free_bytes() } else { cursor.remaining() };
             if !may_start || limit == 0 {
                 return self.poll_closed(cx).map(Ok);
             }
--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -53,8 +53,7 @@
 impl Pipeline {
     /// Creates the state of a new connection.
     pub fn new(proxy: Arc<Proxy>, caller: Arc<CallerConnection>) -> Arc<Self> {
-        let state =
-            PipelineState { read_ahead: ReadAhead::new(), early_calls: VecDeque::new() };
+        let state = PipelineState { read_ahead: ReadAhead::new(), early_calls: VecDeque::new() };
         Arc::new(Self { proxy, caller, state: Mutex::new(state), emptied: Notify::new() })
     }
 
@@ -63,8 +62,7 @@
         let mut state = self.state();
         let number = state.read_ahead.begin_turn();
         let early_call = state.early_calls.pop_front_if(|call| call.number <= number);
-        let is_taken =
-            |call: &EarlyCall| call.number == number && call.is_for(request);
+        let is_taken = |call: &EarlyCall| call.number == number && call.is_for(request);
         if early_call.as_ref().is_some_and(|call| !is_taken(call)) {
             // The HTTP library parses the requests differently.
             state.read_ahead.disable();
--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -5,6 +5,8 @@
 mod crashes;
 mod endless;
 mod fixture;
+mod framing;
+mod pipelining;
 mod resets;
 mod restarts;
 mod stops;
