Daemon: refuse responses with an invalid status as wrong answers

Cause: with a raw target, the statuses 600, 999 and 101 were passed on to the caller with the outcome ran; 600 with the not-run header was reported as not-run. 000, 099 and heads that cannot be parsed were refused as connection-lost, outcome unknown, and 100 or 103 alone likewise. Change: a status outside 200 to 599 and a head that cannot be parsed are wrong-answer, outcome unknown. 100 and 103 without a final response stay connection-lost.

--- a/crates/core/src/routing/refusal.rs
+++ b/crates/core/src/routing/refusal.rs
@@ -72,7 +72,7 @@
     TargetRefused,
     /// The target returned a server error, and the call is retried elsewhere.
     TargetFailed,
-    /// The target's response does not belong to this call.
+    /// The target's response is invalid or does not belong to this call.
     WrongAnswer,
     /// The request's body is larger than the policy allows.
     BodyTooLarge,
@@ -137,7 +137,7 @@
             Self::TargetGone => "the target accepts no new calls",
             Self::TargetRefused => "the target did not run the call",
             Self::TargetFailed => "the target answered with a server error",
-            Self::WrongAnswer => "the target's response does not belong to this call",
+            Self::WrongAnswer => "the target's response is invalid or does not belong to this call",
             Self::BodyTooLarge => "the request's body is larger than its policy allows",
             Self::Quarantined => "targets ended while they ran calls like this one",
             Self::HopLimit => "the call went through too many proxies",
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -63,10 +63,13 @@
         Self { refusal, notice, is_closed_by_peer: false }
     }
 
-    /// The connection was lost after some of the request was written.
-    fn connection_lost(error: &hyper::Error) -> Self {
+    /// No response was received after some of the request was written.
+    fn without_response(error: &hyper::Error) -> Self {
+        if error.is_parse() {
+            return Self::new(RefusalCode::WrongAnswer, Outcome::Unknown);
+        }
         let failure = Self::new(RefusalCode::ConnectionLost, Outcome::Unknown);
-        Self { is_closed_by_peer: !error.is_parse(), ..failure }
+        Self { is_closed_by_peer: true, ..failure }
     }
 
     /// Adds what the other end says about the target.
@@ -146,6 +149,9 @@
     let header_map = answer.response.headers();
     let notice = headers::target_notice(header_map, dialect);
     let status = answer.response.status();
+    if !is_valid_status(status) {
+        return Err(Failure::new(RefusalCode::WrongAnswer, Outcome::Unknown));
+    }
     let echoed = header_map.get(&dialect.request_id);
     if echoed.is_some() && id.is_some() && echoed != id {
         // A late response to an earlier call; the response to this call may still follow.
@@ -168,6 +174,12 @@
     Ok(answer)
 }
 
+/// Whether a status is one of a final response. The HTTP library accepts 100 to 999. It skips
+/// informational responses except 101, which no call requests.
+fn is_valid_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether nobody accepts connections at an address.
 async fn refuses_connections(address: SocketAddr) -> bool {
     // A process that ends may close its listener after its connections.
@@ -221,7 +233,7 @@
         };
         // The connection returns the request only if it has not started to write it.
         let Some(unsent) = failed.take_message() else {
-            return Err(Failure::connection_lost(failed.error()));
+            return Err(Failure::without_response(failed.error()));
         };
         request = unsent;
         connection = pool.acquire(connection_request).await.map_err(unreachable)?;
--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -9,4 +9,5 @@
 mod pipelining;
 mod resets;
 mod restarts;
+mod statuses;
 mod stops;
