Organisations: resource, keys, redaction and identity of calls

Callers of a deployment can now be recognised by the keys of declared organisations. Keys reach only control replicas as text; every other process holds digests. Nothing changes without a declared organisation.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -256,6 +256,7 @@
         "policy" | "policies" => Ok(ResourceKind::Policy),
         "limits" => Ok(ResourceKind::Limits),
         "release" | "releases" => Ok(ResourceKind::Release),
+        "organisation" | "organisations" => Ok(ResourceKind::Organisation),
         _ => Err(CliError::Usage(format!("{text:?} is not a kind; use service, route or policy"))),
     }
 }
--- a/crates/cli/src/read.rs
+++ b/crates/cli/src/read.rs
@@ -20,6 +20,7 @@
         ResourceKind::Policy => "policies",
         ResourceKind::Limits => "limits",
         ResourceKind::Release => "releases",
+        ResourceKind::Organisation => "organisations",
     };
     match name {
         Some(name) => format!("/v1/{plural}/{name}"),
--- a/crates/cli/tests/examples.rs
+++ b/crates/cli/tests/examples.rs
@@ -50,7 +50,9 @@
                 assert!(known(ResourceKind::Service, route.service.as_str()), "{}", route.service);
             }
             Resource::Policy(policy) => assert!(policy.objective.is_some(), "{}", policy.name),
-            Resource::Limits(_) | Resource::Release(_) => panic!("{}", resource.key()),
+            Resource::Limits(_) | Resource::Release(_) | Resource::Organisation(_) => {
+                panic!("{}", resource.key())
+            }
         }
     }
     assert_eq!(names.values().map(Vec::len).collect::<Vec<_>>(), [3, 3, 3]);
--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::organisations::check_keys;
 use super::validate::{check_fields, check_references, check_resource_count, check_routes};
 use super::{ChangeSet, Configuration, Finding, FindingCode, Operation, StoredResource};
 use crate::ids::Version;
+use crate::organisation::redacted_resource;
 use crate::resource::{Release, Resource, ResourceKey};
 
 type Resources = BTreeMap<ResourceKey, StoredResource>;
@@ -27,6 +29,7 @@
         let next = self.apply_operations(changes);
         check_references(changes, &next, &mut findings);
         check_routes(changes, &next, &mut findings);
+        check_keys(changes, &next, &mut findings);
         check_resource_count(&next, &mut findings);
         if !findings.is_empty() {
             return Err(findings);
@@ -122,7 +125,8 @@
                     format!("operations[{index}].if_version"),
                     format!("{state}, not at {expected}; read it again and submit a new change"),
                 );
-                findings.push(finding.with_current(stored.cloned()));
+                // Findings contain no keys.
+                findings.push(finding.with_current(stored.map(redacted_resource)));
             }
         } else if matches!(operation, Operation::Delete { .. }) && stored_version.is_none() {
             findings.push(Finding::new(
--- a/crates/core/src/config/configuration.rs
+++ b/crates/core/src/config/configuration.rs
@@ -7,7 +7,7 @@
 
 use crate::ids::{ContentHash, Name, Version};
 use crate::resource::{
-    Limits, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
+    Limits, Organisation, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
 };
 
 /// A resource with the version that last changed it.
@@ -118,6 +118,17 @@
         })
     }
 
+    /// All organisations, ordered by name.
+    pub fn organisations(&self) -> impl Iterator<Item = &Organisation> {
+        // Organisations are the last kind, so a configuration without one is recognised at once.
+        let declared = self.resources.values().rev();
+        let declared = declared.map_while(|stored| match &*stored.resource {
+            Resource::Organisation(organisation) => Some(organisation),
+            _ => None,
+        });
+        declared.collect::<Vec<_>>().into_iter().rev()
+    }
+
     fn find(&self, kind: ResourceKind, name: &Name) -> Option<&Resource> {
         let key = ResourceKey { kind, name: name.clone() };
         self.resources.get(&key).map(|stored| &*stored.resource)
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -7,6 +7,7 @@
 mod change;
 mod configuration;
 mod finding;
+mod organisations;
 mod replacement;
 mod validate;
 
--- a/crates/core/src/config/validate.rs
+++ b/crates/core/src/config/validate.rs
@@ -39,7 +39,7 @@
 /// Parts per million in 100 percent.
 const PPM: u32 = 1_000_000;
 
-type Resources = BTreeMap<ResourceKey, StoredResource>;
+pub(super) type Resources = BTreeMap<ResourceKey, StoredResource>;
 
 /// Checks the fields of each put resource, independently of other resources.
 pub(super) fn check_fields(changes: &ChangeSet, findings: &mut Vec<Finding>) {
@@ -51,6 +51,7 @@
             Resource::Route(route) => fields.check_route(route),
             Resource::Policy(policy) => fields.check_policy(policy),
             Resource::Limits(limits) => fields.check_limits(limits),
+            Resource::Organisation(organisation) => fields.check_organisation(organisation),
             Resource::Release(_) => {
                 fields.add("kind", "the release number changes only with a replacement".to_owned());
             }
@@ -168,12 +169,15 @@
             });
             std::iter::once(service).chain(parts).chain(policy(&route.policy)).collect()
         }
-        Resource::Policy(_) | Resource::Limits(_) | Resource::Release(_) => Vec::new(),
+        Resource::Policy(_)
+        | Resource::Limits(_)
+        | Resource::Release(_)
+        | Resource::Organisation(_) => Vec::new(),
     }
 }
 
 /// Checks the fields of one put resource and collects the findings.
-struct FieldChecker<'a> {
+pub(super) struct FieldChecker<'a> {
     index: usize,
     findings: &'a mut Vec<Finding>,
 }
@@ -262,7 +266,7 @@
         }
     }
 
-    fn add(&mut self, field: &str, message: String) {
+    pub(super) fn add(&mut self, field: &str, message: String) {
         let place = format!("operations[{}].resource.{field}", self.index);
         self.findings.push(Finding::new(FindingCode::OutOfRange, place, message));
     }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -7,6 +7,7 @@
 use crate::ids::NodeId;
 use crate::membership::MembershipChange;
 use crate::message::PeerMessage;
+use crate::organisation::redact;
 use crate::state::State;
 use crate::time::Instant;
 
@@ -191,10 +192,12 @@
         match output {
             ControlOutput::Committed(configuration) => {
                 state.api.committed(&mut cx, &configuration);
-                state.distribution.publish(&mut cx, configuration);
+                let redacted = redact(&configuration, state.distribution.current());
+                state.distribution.publish(&mut cx, redacted);
             }
             ControlOutput::Recovered(configuration) => {
-                state.distribution.publish(&mut cx, configuration);
+                let redacted = redact(&configuration, state.distribution.current());
+                state.distribution.publish(&mut cx, redacted);
             }
             ControlOutput::Outcome(origin, outcome) => {
                 state.api.outcome(&mut cx, origin, outcome);
--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::Name;
+pub use crate::organisation::Organisation;
 
 /// Kind of a declared resource.
 #[derive(
@@ -35,6 +36,8 @@
     Limits,
     /// The number that operators assign to the whole configuration.
     Release,
+    /// An organisation whose callers are recognised by their keys.
+    Organisation,
 }
 
 /// Kind and name of one resource.
@@ -68,6 +71,8 @@
     Limits(Limits),
     /// The number that operators assign to the whole configuration.
     Release(Release),
+    /// An organisation whose callers are recognised by their keys.
+    Organisation(Organisation),
 }
 
 impl Resource {
@@ -79,6 +84,7 @@
             Self::Policy(policy) => (ResourceKind::Policy, &policy.name),
             Self::Limits(limits) => (ResourceKind::Limits, &limits.name),
             Self::Release(release) => (ResourceKind::Release, &release.name),
+            Self::Organisation(organisation) => (ResourceKind::Organisation, &organisation.name),
         };
         ResourceKey { kind, name: name.clone() }
     }
@@ -166,13 +172,35 @@
     /// Policy of the calls. If absent, the policy of the service.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<Name>,
+    /// Whether calls need no key. Absent means false; it is kept apart from false so that a
+    /// configuration reads back as it was sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub public: Option<bool>,
 }
 
 impl Route {
     /// Creates a route for any host.
     pub fn new(name: Name, path_prefix: &str, service: Name) -> Self {
-        let split = Vec::new();
-        Self { name, host: None, path_prefix: path_prefix.into(), service, split, policy: None }
+        Self {
+            name,
+            host: None,
+            path_prefix: path_prefix.into(),
+            service,
+            split: Vec::new(),
+            policy: None,
+            public: None,
+        }
+    }
+
+    /// Whether calls need no key.
+    pub fn is_public(&self) -> bool {
+        self.public == Some(true)
+    }
+
+    /// Sets whether calls need no key.
+    pub fn with_public(mut self, is_public: bool) -> Self {
+        self.public = Some(is_public);
+        self
     }
 
     /// Splits the calls among services by weight.
--- a/crates/core/src/routing/admit.rs
+++ b/crates/core/src/routing/admit.rs
@@ -60,8 +60,13 @@
         while let Some(admission) = &mut self.targets[target].admission
             && let Some(id) = admission.pop_next(cx.now)
         {
+            let is_verified = self.recheck_key(id);
             let call = &self.calls[&id];
-            if self.quarantine.contains(call.fingerprint, cx.now) {
+            let admission = self.targets[target].admission.as_mut();
+            let Some(admission) = admission else { return };
+            if let Err(code) = is_verified {
+                self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
+            } else if self.quarantine.contains(call.fingerprint, cx.now) {
                 let code = RefusalCode::Quarantined;
                 self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
             } else if admission.admit_queued(cx.now, call.deadline, call.is_bulk) {
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -36,7 +36,10 @@
             }
             Err(code) => {
                 self.refusals.count(code);
-                self.count_refused(&head);
+                // A caller without a key cannot use up the error budget of a service.
+                if !matches!(code, RefusalCode::Unauthenticated | RefusalCode::BadCredential) {
+                    self.count_refused(&head);
+                }
                 let refusal = Refusal { code, outcome: Outcome::NotRun };
                 let retry_after_ms = self.retry_after_ms(cx, refusal, None);
                 let refuse = CallEffect::Refuse { call: id, refusal, load: None, retry_after_ms };
@@ -74,6 +77,7 @@
         let table = self.table.as_ref().ok_or(RefusalCode::NoConfiguration)?;
         let rule = table.find(&head.host, &head.path).ok_or_else(|| self.missing_route())?;
         let rule = Arc::clone(rule);
+        let identity = self.identify(head, &rule)?;
         if self.quarantine.contains(head.fingerprint, cx.now) {
             return Err(RefusalCode::Quarantined);
         }
@@ -97,7 +101,9 @@
         let call = Call {
             is_repeatable: rule.is_repeatable(head.is_safe_method),
             max_queued: rule.policy.max_queued,
-            priority: rule.policy.priority,
+            priority: identity.priority.unwrap_or(rule.policy.priority),
+            organisation: identity.organisation,
+            key: identity.key,
             useful_until,
             class: rule.class,
             is_bulk: rule.policy.bulk,
@@ -134,6 +140,7 @@
             return Err(RefusalCode::TargetGone);
         }
         self.check_call_limit(target.service)?;
+        let identity = self.recheck_forwarded(forward)?;
         let remaining_us = (u64::from(forward.remaining_ms) * 1_000).saturating_sub(delay_us);
         if remaining_us == 0 {
             return Err(RefusalCode::DeadlineExceeded);
@@ -143,7 +150,9 @@
         let call = Call {
             is_repeatable: forward.is_repeatable,
             max_queued: forward.max_queued,
-            priority: forward.priority,
+            priority: identity.priority.unwrap_or(forward.priority),
+            organisation: identity.organisation,
+            key: identity.key,
             useful_until: deadline.min(cx.now.plus_us(useful_us)),
             class: forward.class,
             is_bulk: forward.is_bulk,
@@ -222,6 +231,8 @@
         priority: 0,
         useful_until: deadline,
         class: CallClass::default(),
+        organisation: None,
+        key: None,
         is_bulk: false,
         is_upload: false,
         fingerprint: head.fingerprint,
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -26,6 +26,11 @@
 impl Routing {
     /// Starts the next attempt of a call at this ingress, or refuses the call.
     pub(super) fn try_next(&mut self, cx: &mut Context<'_>, id: CallId) {
+        if let Err(code) = self.recheck_key(id) {
+            let refusal = Refusal { code, outcome: Outcome::NotRun };
+            self.record_attempt_failure(cx, id, refusal);
+            return self.refuse_after_failure(cx, id);
+        }
         loop {
             let Some(target) = self.choose(cx, id) else {
                 return self.refuse_without_target(cx, id);
@@ -84,6 +89,7 @@
         let connections = self.connections_of(key);
         let target = &self.targets[key].record;
         let chain = Chain { parent: Some((cx.me.id, id)), ..outgoing_chain(call, cx.now) };
+        let identity = self.identity_headers(call, true);
         cx.emit(Effect::Call(CallEffect::Dispatch {
             call: id,
             attempt: call.attempt,
@@ -91,6 +97,7 @@
             address: target.address,
             connections,
             is_repeatable: call.is_repeatable,
+            identity,
             chain,
             max_body_bytes: max_body_bytes(call),
         }));
@@ -118,13 +125,17 @@
             class: call.class,
             is_bulk: call.is_bulk,
             rate_limit,
+            organisation: call.organisation.clone(),
+            key: call.key,
         };
+        let identity = self.identity_headers(call, false);
         cx.emit(Effect::Call(CallEffect::Forward {
             call: id,
             attempt: call.attempt,
             owner,
             address,
             head,
+            identity,
             chain,
             max_body_bytes: max_body_bytes(call),
         }));
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -9,7 +9,8 @@
 use super::rate_limit::RateLimit;
 use super::refusal::{Refusal, RefusalCode};
 use super::transit::Transit;
-use crate::ids::{CallId, NodeId, TargetId};
+use crate::ids::{CallId, Name, NodeId, TargetId};
+use crate::organisation::{Credential, IdentityHeaders, VerifiedKey};
 
 /// Load of one target as measured by its owner, reported to the ingress with a response or a
 /// refusal.
@@ -78,6 +79,10 @@
     pub is_bulk: bool,
     /// Rate limit of the target that its owner reported last. The owner may have restarted since.
     pub rate_limit: Option<RateLimit>,
+    /// Organisation of the caller.
+    pub organisation: Option<Name>,
+    /// Key by which the ingress determined the organisation.
+    pub key: Option<VerifiedKey>,
 }
 
 /// Class of calls with similar duration: the calls of one policy.
@@ -115,6 +120,8 @@
     /// Send and receive times of a forwarded call, if the ingress reported when it sent the
     /// call.
     pub transit: Option<Transit>,
+    /// Credential that the caller sent. Absent where another proxy forwarded the call.
+    pub credential: Credential,
 }
 
 impl CallHead {
@@ -130,6 +137,7 @@
             fingerprint: Fingerprint::default(),
             chain: Chain::default(),
             transit: None,
+            credential: Credential::Absent,
         }
     }
 }
@@ -206,6 +214,8 @@
         address: SocketAddr,
         /// Head of the forwarded call.
         head: ForwardHead,
+        /// What is done with the headers that identify the organisation.
+        identity: IdentityHeaders,
         /// Calls that led to this one, including this one.
         chain: Chain,
         /// Maximum size of the request body, in bytes.
@@ -225,6 +235,8 @@
         connections: u32,
         /// Whether the call may run more than once.
         is_repeatable: bool,
+        /// What is done with the headers that identify the organisation.
+        identity: IdentityHeaders,
         /// Calls that led to this one, including this one.
         chain: Chain,
         /// Maximum size of the request body, in bytes.
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -70,6 +70,8 @@
         let is_target_fault = match refusal.code {
             RefusalCode::Overloaded | RefusalCode::ProxyBusy | RefusalCode::Stopping => false,
             RefusalCode::DeadlineExceeded | RefusalCode::Quarantined => false,
+            // The owner has a newer version, in which the key is gone.
+            RefusalCode::Unauthenticated => false,
             _ => !attempt.is_overdue,
         };
         if is_target_fault {
@@ -115,6 +117,7 @@
         let is_possible = call.is_ingress()
             && is_safe
             && !is_quarantined
+            && refusal.code != RefusalCode::Unauthenticated
             && call.is_replayable
             && call.may_try_again()
             && cx.now < call.deadline;
--- a/crates/core/src/routing/metrics.rs
+++ b/crates/core/src/routing/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters of routing, for the metrics endpoint.
 
-use strum::IntoEnumIterator;
+use strum::{EnumCount, IntoEnumIterator};
 
 use super::refusal::{Outcome, RefusalCode};
 use super::state::Stage;
@@ -59,10 +59,7 @@
 
 /// Refusals by code.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RefusalCounts([u64; REFUSAL_CODES]);
-
-/// Number of refusal codes.
-const REFUSAL_CODES: usize = RefusalCode::BadRequest as usize + 1;
+pub(super) struct RefusalCounts([u64; RefusalCode::COUNT]);
 
 impl RefusalCounts {
     pub fn count(&mut self, code: RefusalCode) {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -26,6 +26,7 @@
 mod finish;
 mod health;
 mod hold_times;
+mod identity;
 mod link_share;
 mod message;
 mod metrics;
@@ -68,6 +69,7 @@
 use crate::event::{Effect, LogLevel, LogPart};
 use crate::ids::{CallId, Name, NodeId, TargetId};
 use crate::membership::Member;
+use crate::organisation::OrganisationTable;
 use crate::slo::Slo;
 use crate::time::Instant;
 
@@ -111,6 +113,7 @@
     configuration: Arc<Configuration>,
     /// Absent until the first version is in force.
     table: Option<table::RouteTable>,
+    organisations: OrganisationTable,
     /// Whether newer versions may be in force elsewhere, since this process receives none.
     may_be_outdated: bool,
     services: SlotMap<ServiceKey, state::ServiceState>,
@@ -157,6 +160,7 @@
             settings,
             configuration: Arc::default(),
             table: None,
+            organisations: OrganisationTable::default(),
             may_be_outdated: false,
             services: SlotMap::with_key(),
             service_keys: HashMap::default(),
--- a/crates/core/src/routing/refusal.rs
+++ b/crates/core/src/routing/refusal.rs
@@ -44,6 +44,7 @@
     Serialize,
     Deserialize,
     strum::Display,
+    strum::EnumCount,
     strum::EnumIter,
     strum::EnumString,
     strum::IntoStaticStr,
@@ -55,8 +56,8 @@
     NoConfiguration,
     /// No route matches host and path.
     NoRoute,
-    /// No route matches host and path in the version that this proxy holds, and it receives no
-    /// newer ones at the moment.
+    /// No route matches host and path, or the key of the call is unknown, in the version that this
+    /// proxy holds, and it receives no newer ones at the moment.
     OutdatedConfiguration,
     /// No target of the service accepts new calls.
     NoTarget,
@@ -94,6 +95,10 @@
     Unauthorized,
     /// The request is malformed.
     BadRequest,
+    /// The route requires a key of an organisation, and the call has none or an unknown one.
+    Unauthenticated,
+    /// The route requires a key of an organisation, and the call has a malformed credential.
+    BadCredential,
 }
 
 impl RefusalCode {
@@ -108,8 +113,8 @@
                 502
             }
             Self::CallerStalled => 408,
-            Self::Unauthorized => 401,
-            Self::BadRequest => 400,
+            Self::Unauthorized | Self::Unauthenticated => 401,
+            Self::BadRequest | Self::BadCredential => 400,
             Self::NoConfiguration
             | Self::OutdatedConfiguration
             | Self::NoTarget
@@ -128,7 +133,7 @@
             Self::NoConfiguration => "this proxy holds no configuration yet",
             Self::NoRoute => "no route matches this host and path",
             Self::OutdatedConfiguration => {
-                "no route is known, and this proxy receives no configuration at the moment"
+                "no route or key is known, and this proxy receives no configuration at the moment"
             }
             Self::NoTarget => "no target of the service accepts new calls",
             Self::Overloaded => "the call could not be answered in time",
@@ -148,6 +153,8 @@
             Self::ChainCancelled => "the call for which this one was made has ended",
             Self::Unauthorized => "the shared key is missing or wrong",
             Self::BadRequest => "the request is malformed",
+            Self::Unauthenticated => "the call has no valid key of an organisation",
+            Self::BadCredential => "the credential of the call is malformed",
         }
     }
 }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -13,6 +13,7 @@
 use super::{ServiceKey, TargetKey};
 use crate::collections::HashMap;
 use crate::ids::{CallId, Name, TargetId};
+use crate::organisation::VerifiedKey;
 use crate::time::Instant;
 
 /// Maximum number of attempts of one call, including those that reached no target.
@@ -85,6 +86,10 @@
     /// is of reduced use to the caller.
     pub useful_until: Instant,
     pub class: CallClass,
+    /// Organisation of the caller.
+    pub organisation: Option<Name>,
+    /// Key by which the organisation was determined.
+    pub key: Option<VerifiedKey>,
     /// Whether the response is large.
     pub is_bulk: bool,
     /// Whether the request is large. Set only at the ingress.
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -27,6 +27,8 @@
     pub policy: Policy,
     /// Class of the calls, for latency estimates.
     pub class: CallClass,
+    /// Whether the calls need no key of an organisation.
+    pub is_public: bool,
 }
 
 /// The routes of one configuration version, longest prefix first.
@@ -77,6 +79,7 @@
         split: route.split.clone(),
         class: CallClass(u16::from_le_bytes([hash.as_bytes()[0], hash.as_bytes()[1]])),
         policy,
+        is_public: route.is_public(),
     }
 }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -11,12 +11,14 @@
 use crate::context::Context;
 use crate::ids::{CallId, Name, NodeId};
 use crate::membership::{Member, MemberStatus, MembershipChange, TargetRecord, TargetState};
+use crate::organisation::OrganisationTable;
 use crate::routing::refusal::{Outcome, Refusal, RefusalCode};
 
 impl Routing {
     /// Applies the version that came into force at this process.
     pub fn configure(&mut self, cx: &mut Context<'_>, configuration: Arc<Configuration>) {
         self.table = Some(RouteTable::new(&configuration));
+        self.organisations = OrganisationTable::new(&configuration);
         for service in configuration.services() {
             let key = self.service_key(&service.name);
             let state = &mut self.services[key];
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -268,6 +268,8 @@
         class: CallClass::default(),
         is_bulk: false,
         rate_limit: None,
+        organisation: None,
+        key: None,
     }
 }
 
--- a/crates/daemon/src/api/json.rs
+++ b/crates/daemon/src/api/json.rs
@@ -5,7 +5,7 @@
 use fireflylug_core::ids::{Name, TargetId, Version};
 use fireflylug_core::membership::{MAX_LEASE_MS, TargetAnnouncement};
 use fireflylug_core::resource::{
-    Limits, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
+    Limits, Organisation, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
 };
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -166,7 +166,7 @@
         findings.push(Finding::new(
             FindingCode::Malformed,
             place,
-            "use service, route, policy or limits",
+            "use service, route, policy, limits or organisation",
         ));
         return None;
     };
@@ -195,6 +195,9 @@
         ResourceKind::Release => {
             deserialize_object::<Release>(object, place, findings).map(Resource::Release)
         }
+        ResourceKind::Organisation => {
+            deserialize_object::<Organisation>(object, place, findings).map(Resource::Organisation)
+        }
     }
 }
 
--- a/crates/daemon/src/api/parse.rs
+++ b/crates/daemon/src/api/parse.rs
@@ -221,6 +221,7 @@
         "policies" => Some(ResourceKind::Policy),
         "limits" => Some(ResourceKind::Limits),
         "releases" => Some(ResourceKind::Release),
+        "organisations" => Some(ResourceKind::Organisation),
         _ => None,
     }
 }
@@ -241,6 +242,7 @@
         ErrorCode::NotFound,
         format!(
             "path {shown:?} is not known; use /v1/services, /v1/routes, /v1/policies, \
+             /v1/organisations, \
              /v1/changes, /v1/voters, /v1/targets/SERVICE/ID, /v1/watch, /v1/status, /v1/burn, \
              /metrics, /healthz or /readyz"
         ),
--- a/crates/daemon/src/calls/attempt.rs
+++ b/crates/daemon/src/calls/attempt.rs
@@ -16,6 +16,7 @@
 use super::CallDialect;
 use super::answer::Answer;
 use super::body::BodySource;
+use super::credential::replace_identity;
 use super::headers;
 use super::pool::{ConnectionRequest, Pool};
 use super::proxy::Proxy;
@@ -101,9 +102,11 @@
             chain,
             max_body_bytes,
             target,
+            identity,
             ..
         } => {
             let dialect = &proxy.settings.dialect;
+            replace_identity(&mut head.headers, dialect, &identity);
             headers::add_for_target(&mut head.headers, dialect, &chain, &target);
             let id = head.headers.get(&dialect.request_id).cloned();
             let connection_request =
@@ -116,7 +119,8 @@
                 Err(failure) => Err(failure.with_target_state(address).await),
             }
         }
-        CallEffect::Forward { address, head: forward, chain, max_body_bytes, .. } => {
+        CallEffect::Forward { address, head: forward, identity, chain, max_body_bytes, .. } => {
+            replace_identity(&mut head.headers, &proxy.settings.dialect, &identity);
             let key = proxy.key_value.as_ref();
             let sent = proxy.clock.stamp();
             headers::add_for_owner(&mut head.headers, &chain, &forward, sent, key);
--- a/crates/daemon/src/calls/call.rs
+++ b/crates/daemon/src/calls/call.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use fireflylug_core::organisation::Credential;
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, CallOrigin, Outcome, Refusal, RefusalCode,
 };
@@ -17,6 +18,7 @@
 use super::attempt::{Failure, OutgoingRequest, run_attempt};
 use super::body::BodySource;
 use super::boot_clock::SentStamp;
+use super::credential::credential;
 use super::fingerprint::fingerprint;
 use super::headers;
 use super::open_connections::ConnectionStage;
@@ -84,6 +86,10 @@
         fingerprint: fingerprint(caller_service.as_ref(), &host, &parts, &body),
         chain,
         transit,
+        credential: match client {
+            Client::Callers => credential(&parts.headers, &proxy.settings.dialect),
+            Client::Proxies => Credential::Absent,
+        },
     };
     let mut parts = forwarded_head(parts);
     let name = &proxy.settings.dialect.caller_service;
--- a/crates/daemon/src/calls/dialect.rs
+++ b/crates/daemon/src/calls/dialect.rs
@@ -3,6 +3,7 @@
 //! The default is the product's own. Another dialect can be configured for existing
 //! callers and targets that use different headers and statuses.
 
+use compact_str::CompactString;
 use fireflylug_core::routing::{Outcome, Refusal, RefusalCode};
 use http::header::{HeaderMap, HeaderName};
 
@@ -41,6 +42,11 @@
     /// Header of every response of a target that ran the call; `None` if targets send no
     /// such header. A success response without it does not belong to the call.
     pub stamp: Option<HeaderName>,
+    /// Scheme of the `Authorization` header in which callers send their key. Compared without
+    /// regard to case.
+    pub key_scheme: CompactString,
+    /// Name of the caller's organisation, sent to targets.
+    pub organisation: HeaderName,
     /// Whether the mesh sends its own headers: the call chain to targets and the outcome
     /// to callers.
     pub has_mesh_headers: bool,
@@ -61,6 +67,8 @@
             rate_limit: HeaderName::from_static("fireflylug-rate-limit"),
             leaving: HeaderName::from_static("fireflylug-leaving"),
             stamp: None,
+            key_scheme: CompactString::const_new("Bearer"),
+            organisation: HeaderName::from_static("fireflylug-organisation"),
             has_mesh_headers: true,
             statuses: StatusRule::ByCode,
         }
@@ -86,6 +94,8 @@
                 | RefusalCode::BodyTooLarge
                 | RefusalCode::BadRequest
                 | RefusalCode::Unauthorized
+                | RefusalCode::Unauthenticated
+                | RefusalCode::BadCredential
                 | RefusalCode::HopLimit,
                 Outcome::NotRun,
             ) => by_code,
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -7,17 +7,20 @@
 //! | `fireflylug-chain` | mesh to target, target to mesh | opaque: targets copy it to calls that they make on behalf of this one |
 //! | `fireflylug-deadline-ms` | caller to mesh, mesh to target | remaining time, in milliseconds |
 //! | `fireflylug-caller-service` | mesh to target | service of the caller |
+//! | `fireflylug-organisation` | mesh to target | name of the caller's organisation |
 //! | `fireflylug-target` | mesh to target | id of the target that the call is for |
 //! | `fireflylug-not-run` | target to mesh | the target did not run the call |
 //! | `fireflylug-rate-limit` | target to mesh | calls per second that the target accepts from all proxies together |
 //! | `fireflylug-leaving` | target to mesh | 1: the target is leaving and accepts no new calls |
 //! | `fireflylug-forward` | ingress to owner | parameters of the forwarded call |
+//! | `fireflylug-identity` | ingress to owner | organisation of the caller; digest of its key, version in which it was found, 1 if it is required |
 //! | `fireflylug-sent` | ingress to owner | `clock.time`: id of the ingress's clock and its time in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
 //! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; under a rate limit then `.usable_slots.interval_us` |
 
 use compact_str::CompactString;
-use fireflylug_core::ids::{Name, TargetId};
+use fireflylug_core::ids::{Name, TargetId, Version};
+use fireflylug_core::organisation::{KeyDigest, VerifiedKey};
 use fireflylug_core::routing::{
     CallClass, Chain, ClockId, ForwardHead, Outcome, RateLimit, RateReport, RefusalCode,
     TargetLoad, TargetNotice,
@@ -36,6 +39,7 @@
 /// Calls that led to this one.
 pub(super) const CHAIN: HeaderName = HeaderName::from_static("fireflylug-chain");
 const FORWARD: HeaderName = HeaderName::from_static("fireflylug-forward");
+const IDENTITY: HeaderName = HeaderName::from_static("fireflylug-identity");
 const SENT: HeaderName = HeaderName::from_static("fireflylug-sent");
 const KEY: HeaderName = HeaderName::from_static("fireflylug-key");
 const LOAD: HeaderName = HeaderName::from_static("fireflylug-load");
@@ -137,6 +141,8 @@
         class,
         is_bulk,
         rate_limit,
+        organisation,
+        key: organisation_key,
     } = head;
     let (repeatable, bulk) = (u8::from(*is_repeatable), u8::from(*is_bulk));
     let text = format!(
@@ -148,12 +154,40 @@
         None => text,
     };
     headers.insert(FORWARD, value(text));
+    if let Some(organisation) = organisation {
+        headers.insert(IDENTITY, value(identity_text(organisation, *organisation_key)));
+    }
     headers.insert(SENT, value(format_args!("{:x}.{}", sent.clock.0, sent.sent_us)));
     if let Some(key) = key {
         headers.insert(KEY, key.clone());
     }
 }
 
+fn identity_text(organisation: &Name, key: Option<VerifiedKey>) -> String {
+    match key {
+        Some(VerifiedKey { digest, version, is_required }) => {
+            format!("{organisation} {digest} {version} {}", u8::from(is_required))
+        }
+        None => organisation.to_string(),
+    }
+}
+
+/// Parses the organisation that an ingress determined: `None` if it is malformed.
+fn identity(headers: &HeaderMap) -> Option<(Option<Name>, Option<VerifiedKey>)> {
+    let Some(value) = headers.get(IDENTITY) else { return Some((None, None)) };
+    let mut fields = value.to_str().ok()?.split(' ');
+    let organisation = Name::new(fields.next()?).ok()?;
+    let key = match fields.next() {
+        None => None,
+        Some(digest) => Some(VerifiedKey {
+            digest: KeyDigest::from_hex(digest)?,
+            version: Version(fields.next()?.parse().ok()?),
+            is_required: fields.next()? == "1",
+        }),
+    };
+    Some((Some(organisation), key))
+}
+
 /// Returns the shared key as a header value.
 pub(super) fn key_value(key: &SharedKey) -> HeaderValue {
     let hex: String = key.as_bytes().iter().map(|byte| format!("{byte:02x}")).collect();
@@ -181,6 +215,7 @@
     let text = headers.get(FORWARD)?.to_str().ok()?;
     let mut fields = text.split(' ');
     let (service, id) = fields.next()?.split_once('/')?;
+    let (organisation, key) = identity(headers)?;
     Some(ForwardHead {
         target: TargetId { service: Name::new(service).ok()?, id: Name::new(id).ok()? },
         remaining_ms: fields.next()?.parse().ok()?,
@@ -191,6 +226,8 @@
         class: CallClass(fields.next()?.parse().ok()?),
         is_bulk: fields.next()? == "1",
         rate_limit: fields.next().and_then(interval),
+        organisation,
+        key,
     })
 }
 
--- a/crates/daemon/src/calls/mod.rs
+++ b/crates/daemon/src/calls/mod.rs
@@ -11,6 +11,7 @@
 mod boot_clock;
 mod bulk_limiter;
 mod call;
+mod credential;
 mod dialect;
 mod fingerprint;
 mod handle;
