Tests of organisations: validation, decisions, sockets and the platform

Each guards against a key that leaves a control replica as text, a call that runs without a valid key, a forged name of an organisation, or a document that does not read back as it was sent.

--- a/crates/core/src/routing/identity.rs
+++ b/crates/core/src/routing/identity.rs
@@ -1,11 +1,12 @@
 //! Organisation of each call: determined at the ingress, and checked again where a newer version
 //! is in force before the call runs.
 
-use super::Routing;
 use super::call::{CallHead, ForwardHead};
-use super::refusal::RefusalCode;
-use super::state::Call;
+use super::refusal::{Outcome, Refusal, RefusalCode};
+use super::state::{Call, Stage};
 use super::table::RouteRule;
+use super::{Routing, TargetKey};
+use crate::context::Context;
 use crate::ids::{CallId, Name};
 use crate::organisation::{Credential, IdentityHeaders, Unverified, VerifiedKey};
 
@@ -84,6 +85,27 @@
         Ok(())
     }
 
+    /// Refuses queued calls whose keys are gone in the version that has come into force.
+    pub(super) fn refuse_revoked(&mut self, cx: &mut Context<'_>) {
+        let queued = self.calls.iter().filter_map(|(id, call)| match call.stage {
+            Stage::Queued(target) if call.key.is_some() => Some((*id, target)),
+            _ => None,
+        });
+        let mut queued: Vec<(CallId, TargetKey)> = queued.collect();
+        queued.sort_unstable();
+        for (id, target) in queued {
+            if !self.calls.contains_key(&id) {
+                continue;
+            }
+            if let Err(code) = self.recheck_key(id) {
+                if let Some(admission) = &mut self.targets[target].admission {
+                    admission.remove(id);
+                }
+                self.attempt_failed(cx, id, Refusal { code, outcome: Outcome::NotRun });
+            }
+        }
+    }
+
     /// What is done with the headers of an attempt that identify the organisation. The owner of
     /// the target adds the name, so a proxy that forwards a call only removes headers.
     pub(super) fn identity_headers(&self, call: &Call, is_dispatched: bool) -> IdentityHeaders {
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -30,6 +30,7 @@
         self.splits.retain(|route| configuration.routes().any(|known| known.name == *route));
         self.configuration = configuration;
         self.forget_services();
+        self.refuse_revoked(cx);
         let owned: Vec<TargetKey> = self
             .targets
             .iter()
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -106,13 +106,18 @@
     }
 
     pub fn configure(&mut self, resources: Vec<Resource>) {
+        self.configure_version(1, resources);
+    }
+
+    /// Brings a version into force.
+    pub fn configure_version(&mut self, version: u64, resources: Vec<Resource>) {
+        let version = Version(version);
         let stored = |resource: Resource| {
-            let stored =
-                StoredResource { version: Version(1), resource: Arc::new(resource.clone()) };
+            let stored = StoredResource { version, resource: Arc::new(resource.clone()) };
             (resource.key(), stored)
         };
         let all: BTreeMap<_, _> = resources.into_iter().map(stored).collect();
-        let configuration = Arc::new(Configuration::new(Version(1), all));
+        let configuration = Arc::new(Configuration::new(version, all));
         self.with_context(|routing, _, cx| routing.configure(cx, configuration));
     }
 
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod limits;
 mod links;
+mod organisations;
 mod quarantine;
 mod rate_limits;
 mod regions;
--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod framing;
 mod pipelining;
+mod organisations;
 mod resets;
 mod restarts;
 mod statuses;
