Routing: a repeated call keeps the target latency of its caller's first attempt

Ruled out: the remaining time that callers state; it varies by 15% among first attempts, which is more than the target latency.

A repeated call is ordered by the end of the target latency of the first attempt, so it gets slots that no other call needs.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -35,6 +35,11 @@
                 self.begin(cx, id, call, target);
             }
             Err(code) => {
+                if head.origin == CallOrigin::Caller {
+                    let content = head.fingerprint;
+                    let first_arrived_at = self.unserved_calls.take_first_arrival(content, cx.now);
+                    self.unserved_calls.record(content, first_arrived_at, cx.now);
+                }
                 self.refusals.count(code);
                 // A caller without a key cannot use up the error budget of a service.
                 if !matches!(code, RefusalCode::Unauthenticated | RefusalCode::BadCredential) {
@@ -94,8 +99,9 @@
         let name = self.splits.choose(cx.rng, &rule).clone();
         let service = *self.service_keys.get(&name).ok_or(RefusalCode::NoTarget)?;
         self.check_call_limit(service)?;
+        let first_arrived_at = self.unserved_calls.take_first_arrival(head.fingerprint, cx.now);
         let useful_until = match rule.policy.target_latency_ms {
-            Some(useful_ms) => deadline.min(cx.now.plus_ms(u64::from(useful_ms))),
+            Some(useful_ms) => deadline.min(first_arrived_at.plus_ms(u64::from(useful_ms))),
             None => deadline,
         };
         let call = Call {
@@ -105,6 +111,7 @@
             organisation: identity.organisation,
             key: identity.key,
             useful_until,
+            first_arrived_at,
             class: rule.class,
             is_bulk: rule.policy.bulk,
             is_upload: rule.policy.bulk_requests,
@@ -223,6 +230,7 @@
         service,
         rule: None,
         arrived_at: now,
+        first_arrived_at: now,
         deadline,
         due: deadline,
         is_repeatable: false,
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -113,7 +113,7 @@
         let is_large = call.is_large();
         let tier_percent =
             if is_large { BULK_TIER_COST_PERCENT[tier] } else { TIER_COST_PERCENT[tier] };
-        let useful_us = call.useful_until.since_us(call.arrived_at);
+        let useful_us = call.useful_until.since_us(call.first_arrived_at);
         let jitter_percent = cx.rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
         let answer_us =
             target.cost_us(cx.now, state.slow_start_ms, baseline) * jitter_percent / 100;
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -89,7 +89,7 @@
         cx.log_decision(id, step);
         cx.emit(Effect::Call(refuse));
         self.refusals.count(code);
-        self.remove(id, Some(outcome), CallResult::Refused);
+        self.remove(cx.now, id, Some(outcome), CallResult::Refused);
     }
 
     /// Relays the server error of an earlier attempt, because no later attempt succeeded.
@@ -169,7 +169,7 @@
 
     fn remove_answered(&mut self, cx: &Context<'_>, id: CallId, is_success: bool) {
         let took_us = cx.now.since_us(self.calls[&id].arrived_at);
-        self.remove(id, Some(Outcome::Ran), CallResult::Answered { is_success, took_us });
+        self.remove(cx.now, id, Some(Outcome::Ran), CallResult::Answered { is_success, took_us });
     }
 
     /// Cuts off a response whose end is overdue. Whether bytes still arrive makes no difference:
@@ -190,7 +190,7 @@
             let step = Step::CallerGone { attempts: call.attempt, after_ms };
             cx.log_decision(id, step);
             self.drop_attempt(cx, id);
-            self.remove(id, None, CallResult::Cancelled);
+            self.remove(cx.now, id, None, CallResult::Cancelled);
         }
     }
 
@@ -202,7 +202,7 @@
         self.drop_attempt(cx, id);
         if is_relaying {
             cx.emit(Effect::Call(CallEffect::Abort { call: id }));
-            self.remove(id, None, CallResult::Cancelled);
+            self.remove(cx.now, id, None, CallResult::Cancelled);
         } else {
             self.refuse(cx, id, code);
         }
@@ -299,7 +299,7 @@
     }
 
     /// Removes a call. `outcome` is absent if the caller cancelled it.
-    fn remove(&mut self, id: CallId, outcome: Option<Outcome>, result: CallResult) {
+    fn remove(&mut self, now: Instant, id: CallId, outcome: Option<Outcome>, result: CallResult) {
         let Some(call) = self.calls.remove(&id) else { return };
         self.deadlines.remove(&(call.due, id));
         let service = &mut self.services[call.service];
@@ -309,6 +309,11 @@
             self.orphans.extend(call.children);
         }
         let Some(rule) = call.rule else { return };
+        // A caller that cancelled its call does not repeat it.
+        let is_served = matches!(result, CallResult::Answered { is_success: true, .. });
+        if outcome.is_some() && !is_served {
+            self.unserved_calls.record(call.fingerprint, call.first_arrived_at, now);
+        }
         match outcome {
             Some(outcome) => service.counts.count_ended(outcome),
             None => service.counts.cancelled += 1,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -42,6 +42,7 @@
 mod table;
 mod target;
 mod transit;
+mod unserved_calls;
 mod view;
 
 use std::collections::BTreeSet;
@@ -126,6 +127,8 @@
     /// Estimates the transit delay of calls that other ingresses forward to this process.
     transits: transit::Transits,
     calls: HashMap<CallId, state::Call>,
+    /// Calls that were not served recently and that their callers may repeat.
+    unserved_calls: unserved_calls::UnservedCalls,
     /// The time at which each call is checked next.
     deadlines: BTreeSet<(Instant, CallId)>,
     /// Contents of calls that end their targets.
@@ -170,6 +173,7 @@
             region_links: HashMap::default(),
             transits: transit::Transits::default(),
             calls: HashMap::default(),
+            unserved_calls: unserved_calls::UnservedCalls::default(),
             deadlines: BTreeSet::new(),
             quarantine: quarantine::Quarantine::default(),
             reported_limits: reported_limits::ReportedLimits::default(),
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -73,6 +73,9 @@
     /// Present where this proxy is the ingress.
     pub rule: Option<Arc<RouteRule>>,
     pub arrived_at: Instant,
+    /// When the first attempt of the caller arrived, if this call repeats one that was not served;
+    /// otherwise `arrived_at`.
+    pub first_arrived_at: Instant,
     pub deadline: Instant,
     /// When the call is checked next. Part of its key in `Routing::deadlines`.
     pub due: Instant,
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -8,6 +8,7 @@
 mod quarantine;
 mod rate_limits;
 mod regions;
+mod repeated;
 mod retries;
 mod slow_link;
 mod transit;
