Quotas: accounting of organisations' calls over all hosts

A quota was limited to one process. The relays of the zones now exchange usage and distribute admission fractions. Not yet called by routing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,8 +9,9 @@
 //! Each part of the state has its own module: [`consensus`] (the
 //! replicated log), [`config`] (resources, validation, versions),
 //! [`distribution`] (versions to proxies, acknowledgements from proxies),
-//! [`membership`] (hosts and targets), [`organisation`] (callers and their keys),
-//! [`routing`] (calls) and [`slo`] (service-level burn). [`api`] responds to requests of operators.
+//! [`membership`] (hosts and targets), [`organisation`] (callers and their keys), [`quota`] (quotas
+//! of organisations), [`routing`] (calls) and [`slo`] (service-level burn). [`api`] responds to
+//! requests of operators.
 
 pub mod api;
 pub mod collections;
@@ -23,6 +24,7 @@
 pub mod membership;
 pub mod message;
 pub mod organisation;
+pub mod quota;
 pub mod reducer;
 pub mod resource;
 pub mod routing;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 use crate::consensus::ConsensusMessage;
 use crate::distribution::DistributionMessage;
 use crate::membership::MembershipMessage;
+use crate::quota::QuotaMessage;
 use crate::routing::RoutingMessage;
 use crate::slo::SloMessage;
 
@@ -25,6 +26,8 @@
     Slo(SloMessage),
     /// Contents of calls that end their targets.
     Routing(RoutingMessage),
+    /// Usage and admission fractions of organisations.
+    Quota(QuotaMessage),
 }
 
 macro_rules! into_peer_message {
@@ -44,6 +47,7 @@
     Api(ApiMessage),
     Slo(SloMessage),
     Routing(RoutingMessage),
+    Quota(QuotaMessage),
 }
 
 /// Whether a field has its default value and is left out of a message.
--- /dev/null
+++ b/crates/core/src/quota/proxy.rs
@@ -0,0 +1,309 @@
+//! Admission at a proxy, and its reports to the relay of its availability zone.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+
+use super::link::Outbox;
+use super::message::{Acknowledgement, CounterRow, Counters, Fraction, OrganisationKey};
+use super::peers::Peers;
+use super::relay::PROXY_SILENT_MS;
+use super::{QuotaExceeded, QuotaLimit, QuotaMessage};
+use crate::collections::HashMap;
+use crate::context::Context;
+use crate::ids::{Name, NodeId};
+use crate::membership::hash::stable_hash;
+use crate::time::Instant;
+
+/// Interval of reports while counters change, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 200;
+/// Interval of reports while no counter changes, in milliseconds. Two fit in the time after which
+/// a proxy counts as silent.
+const IDLE_REPORT_INTERVAL_MS: u64 = 400;
+/// Shortest interval between two reports, in milliseconds.
+const MIN_REPORT_INTERVAL_MS: u64 = 20;
+/// Time without an answer after which a proxy reports to the next candidate, in milliseconds.
+const RELAY_TIMEOUT_MS: u64 = 500;
+/// Interval at which a proxy that reports to another candidate probes the first, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+/// Time without a tick after which this process counts as stopped in between, in milliseconds.
+const STOPPED_MS: u64 = 600;
+/// Calls that may always be admitted before the relay acknowledges them.
+const MIN_UNACKNOWLEDGED: f64 = 4.0;
+/// Bounds of `Retry-After`, in milliseconds.
+const RETRY_AFTER_MS: (f64, f64) = (200.0, 3_000.0);
+/// `Retry-After` of calls that are refused until the relay acknowledges others, in milliseconds.
+const RETRY_UNACKNOWLEDGED_MS: u32 = 200;
+
+/// Admission of the calls of one organisation.
+#[derive(Debug)]
+pub(super) struct Organisation {
+    pub key: OrganisationKey,
+    pub limit: QuotaLimit,
+    /// Calls that were admitted and not returned. Wraps around.
+    admitted: u32,
+    /// Calls that were admitted and not returned, or refused by the quota. Wraps around.
+    demanded: u32,
+    /// `admitted` in the last report, and in the last acknowledged one.
+    reported: u32,
+    acknowledged: u32,
+    /// Fraction that the relay distributes.
+    pub fraction: f64,
+    /// Error diffusion: a call is admitted when the sum of the fractions reaches 1.
+    diffusion: f64,
+    /// Calls that may be admitted while no relay answers.
+    credit: f64,
+    credit_at: Instant,
+    pub admitted_calls: u64,
+    pub refused_calls: u64,
+}
+
+impl Organisation {
+    fn new(key: OrganisationKey, limit: QuotaLimit, me: NodeId, now: Instant) -> Self {
+        // The sums of the hosts start spread out. If they all started at 1, a small quota would be
+        // exceeded by one call for each host.
+        let start = stable_hash((me, key)) as f64 / u64::MAX as f64;
+        Self {
+            key,
+            limit,
+            admitted: 0,
+            demanded: 0,
+            reported: 0,
+            acknowledged: 0,
+            fraction: 1.0,
+            diffusion: start,
+            credit: start,
+            credit_at: now,
+            admitted_calls: 0,
+            refused_calls: 0,
+        }
+    }
+
+    /// Most calls that may be admitted without an acknowledgement.
+    fn max_unacknowledged(&self) -> f64 {
+        let QuotaLimit { rate_per_s, burst } = self.limit;
+        MIN_UNACKNOWLEDGED.max(rate_per_s * 0.1).max(burst * 0.25)
+    }
+
+    fn fill_credit(&mut self, now: Instant, members: u32) {
+        let members = f64::from(members.max(1));
+        let elapsed_s = now.since_us(self.credit_at) as f64 / 1e6;
+        self.credit_at = now;
+        let max = (self.limit.burst / members).max(1.0);
+        self.credit = (self.credit + elapsed_s * self.limit.rate_per_s / members).min(max);
+    }
+
+    /// Decides a call by the share of this host alone.
+    fn take_credit(&mut self, now: Instant, members: u32) -> Result<(), QuotaExceeded> {
+        self.fill_credit(now, members);
+        if self.credit >= 1.0 {
+            self.credit -= 1.0;
+            return Ok(());
+        }
+        let rate_per_s = self.limit.rate_per_s / f64::from(members.max(1));
+        Err(QuotaExceeded::after_ms((1.0 - self.credit) / rate_per_s * 1_000.0))
+    }
+
+    /// Decides a call by the fraction of the relay.
+    fn take_fraction(&mut self) -> Result<(), QuotaExceeded> {
+        let unacknowledged = self.admitted.wrapping_sub(self.acknowledged) as i32;
+        if f64::from(unacknowledged) >= self.max_unacknowledged() {
+            return Err(QuotaExceeded { retry_after_ms: RETRY_UNACKNOWLEDGED_MS });
+        }
+        self.diffusion += self.fraction;
+        if self.diffusion >= 1.0 {
+            self.diffusion -= 1.0;
+            return Ok(());
+        }
+        // Time in which the quota serves the calls that exceed it within a second.
+        Err(QuotaExceeded::after_ms((1.0 / self.fraction.max(0.01) - 1.0) * 1_000.0))
+    }
+}
+
+impl QuotaExceeded {
+    fn after_ms(wait_ms: f64) -> Self {
+        Self { retry_after_ms: wait_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1) as u32 }
+    }
+}
+
+/// Admission at this proxy.
+#[derive(Default)]
+pub(super) struct Proxy {
+    pub organisations: BTreeMap<Name, Organisation>,
+    /// The relay to which this proxy reports, and its position among the candidates.
+    relay: Option<NodeId>,
+    position: usize,
+    outbox: Outbox,
+    report_at: Instant,
+    probe_at: Instant,
+    ticked_at: Instant,
+    /// When the newest report was sent that a relay has acknowledged.
+    answered_at: Option<Instant>,
+    /// Number of processes that share the quotas.
+    members: u32,
+}
+
+impl Proxy {
+    /// Replaces the limits. The counters of organisations that stay continue.
+    pub fn configure(
+        &mut self,
+        cx: &mut Context<'_>,
+        limits: &BTreeMap<Name, (OrganisationKey, QuotaLimit)>,
+    ) {
+        if self.organisations.is_empty() {
+            // A random first delay keeps proxies that start together from reporting together.
+            self.report_at = cx.now.plus_ms(cx.rng.random_range(0..REPORT_INTERVAL_MS / 2));
+            self.ticked_at = cx.now;
+        }
+        self.organisations.retain(|name, _| limits.contains_key(name));
+        for (name, (key, limit)) in limits {
+            let new = || Organisation::new(*key, *limit, cx.me.id, cx.now);
+            let organisation = self.organisations.entry(name.clone()).or_insert_with(new);
+            organisation.limit = *limit;
+        }
+    }
+
+    /// When [`Proxy::tick`] is due.
+    pub fn next_deadline(&self) -> Instant {
+        let waiting_since = self.outbox.waiting_since();
+        let timeout_at = waiting_since.map_or(Instant::NEVER, |at| at.plus_ms(RELAY_TIMEOUT_MS));
+        let probe_at = if self.position > 0 { self.probe_at } else { Instant::NEVER };
+        self.report_at.min(timeout_at).min(probe_at)
+    }
+
+    /// Decides whether a call of an organisation is admitted.
+    pub fn try_take(&mut self, now: Instant, name: &Name) -> Result<(), QuotaExceeded> {
+        let is_answered = self.is_answered(now);
+        let Some(organisation) = self.organisations.get_mut(name) else { return Ok(()) };
+        let taken = match is_answered {
+            true => organisation.take_fraction(),
+            false => organisation.take_credit(now, self.members),
+        };
+        organisation.demanded = organisation.demanded.wrapping_add(1);
+        match taken {
+            Ok(()) => {
+                organisation.admitted = organisation.admitted.wrapping_add(1);
+                organisation.admitted_calls += 1;
+            }
+            Err(_) => organisation.refused_calls += 1,
+        }
+        let unreported = organisation.admitted.wrapping_sub(organisation.reported) as i32;
+        let is_early = f64::from(unreported) >= organisation.limit.early_report_calls();
+        let interval_ms = if is_early { MIN_REPORT_INTERVAL_MS } else { REPORT_INTERVAL_MS };
+        self.report_at = self.report_at.min(self.outbox.last_sent_at.plus_ms(interval_ms));
+        taken
+    }
+
+    /// Returns the credit of a call that did not run.
+    pub fn give_back(&mut self, now: Instant, name: &Name) {
+        let is_answered = self.is_answered(now);
+        let Some(organisation) = self.organisations.get_mut(name) else { return };
+        organisation.admitted = organisation.admitted.wrapping_sub(1);
+        organisation.demanded = organisation.demanded.wrapping_sub(1);
+        organisation.admitted_calls = organisation.admitted_calls.saturating_sub(1);
+        if !is_answered {
+            organisation.credit += 1.0;
+        }
+    }
+
+    /// Whether the fractions of a relay are recent enough.
+    fn is_answered(&self, now: Instant) -> bool {
+        self.answered_at.is_some_and(|at| now.since_ms(at) <= PROXY_SILENT_MS)
+    }
+
+    /// Selects the relay and returns it with the next report, if one is due.
+    pub fn tick(&mut self, cx: &mut Context<'_>, peers: &Peers) -> Option<(NodeId, Counters)> {
+        // While no relay answers, members that are forgotten may run, cut off from this process.
+        let is_answered = self.is_answered(cx.now);
+        self.members = if is_answered { peers.members } else { self.members.max(peers.members) };
+        if cx.now.since_ms(self.ticked_at) > STOPPED_MS {
+            self.outbox.clear_pending();
+        }
+        self.ticked_at = cx.now;
+        self.select_relay(cx, peers);
+        if cx.now < self.report_at {
+            return None;
+        }
+        self.report_at = cx.now.plus_ms(IDLE_REPORT_INTERVAL_MS);
+        let relay = self.relay?;
+        let counters = self.outbox.next(cx, rows(&self.organisations));
+        for organisation in self.organisations.values_mut() {
+            organisation.reported = organisation.admitted;
+        }
+        Some((relay, counters))
+    }
+
+    fn select_relay(&mut self, cx: &mut Context<'_>, peers: &Peers) {
+        let is_overdue = |at: Instant| cx.now.since_ms(at) >= RELAY_TIMEOUT_MS;
+        if self.outbox.waiting_since().is_some_and(is_overdue) {
+            self.position += 1;
+            self.probe_at = cx.now.plus_ms(PROBE_INTERVAL_MS);
+            self.outbox.clear_pending();
+        }
+        if self.position >= peers.candidates.len() {
+            self.position = 0;
+        }
+        let relay = peers.candidates.get(self.position).copied();
+        if relay != self.relay {
+            self.relay = relay;
+            self.outbox = Outbox::default();
+            self.report_at = cx.now;
+        }
+        if self.position > 0 && cx.now >= self.probe_at {
+            self.probe_at = cx.now.plus_ms(PROBE_INTERVAL_MS);
+            cx.send(peers.candidates[0], QuotaMessage::Probe);
+        }
+    }
+
+    /// Handles the answer of the first candidate to a probe.
+    pub fn handle_probe_answer(&mut self, cx: &Context<'_>, from: NodeId, peers: &Peers) {
+        if peers.candidates.first() == Some(&from) && self.position > 0 {
+            self.position = 0;
+            self.report_at = cx.now;
+        }
+    }
+
+    /// Handles the fractions that a relay distributes.
+    pub fn handle_fractions(
+        &mut self,
+        cx: &Context<'_>,
+        from: NodeId,
+        acknowledgement: Acknowledgement,
+        fractions: &[(OrganisationKey, Fraction)],
+    ) {
+        if self.relay != Some(from) {
+            return;
+        }
+        if let Some((sent_at, acknowledged)) = self.outbox.acknowledge(acknowledgement) {
+            self.answered_at = self.answered_at.max(Some(sent_at));
+            let acknowledged: HashMap<OrganisationKey, _> = acknowledged.into_iter().collect();
+            for organisation in self.organisations.values_mut() {
+                if let Some(usage) = acknowledged.get(&organisation.key) {
+                    organisation.acknowledged = usage.admitted;
+                }
+            }
+        }
+        if acknowledgement.needs_full {
+            let at = self.outbox.last_sent_at.plus_ms(MIN_REPORT_INTERVAL_MS);
+            self.report_at = self.report_at.min(at);
+        }
+        // Fractions that waited in a stalled connection are outdated.
+        if !self.is_answered(cx.now) {
+            return;
+        }
+        let fractions: HashMap<OrganisationKey, Fraction> = fractions.iter().copied().collect();
+        for organisation in self.organisations.values_mut() {
+            let fraction = fractions.get(&organisation.key);
+            organisation.fraction = fraction.map_or(1.0, |fraction| fraction.share());
+        }
+    }
+}
+
+fn rows(
+    organisations: &BTreeMap<Name, Organisation>,
+) -> impl Iterator<Item = CounterRow> + use<'_> {
+    organisations.values().map(|organisation| {
+        let fraction = Fraction::of(organisation.fraction);
+        (organisation.key, organisation.admitted, organisation.demanded, fraction)
+    })
+}
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -88,6 +88,7 @@
             state.routing.tick(&mut cx, &mut state.slo);
             state.routing.send_suspects(&mut cx, state.membership.linked_peers());
             state.slo.tick(&mut cx, &state.membership);
+            state.quotas.tick(&mut cx, &state.membership);
             state.api.tick(&mut cx, api_parts!(state));
         }
         Event::PeerConnected { peer } => {
@@ -167,6 +168,9 @@
         PeerMessage::Membership(message) => state.membership.step(&mut cx, from, message),
         PeerMessage::Api(message) => state.api.step(&mut cx, api_parts!(state), from, message),
         PeerMessage::Slo(message) => state.slo.step(&mut cx, from, message),
+        PeerMessage::Quota(message) => {
+            state.quotas.step(&mut cx, &state.membership, from, message);
+        }
         PeerMessage::Routing(message) => state.routing.handle_message(&mut cx, from, message),
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -8,6 +8,7 @@
 use crate::context::Identity;
 use crate::distribution::{Distribution, DistributionSettings};
 use crate::membership::{Membership, MembershipSettings};
+use crate::quota::Quotas;
 use crate::routing::{Routing, RoutingSettings};
 use crate::slo::Slo;
 use crate::time::Instant;
@@ -34,6 +35,7 @@
     pub(crate) distribution: Distribution,
     pub(crate) routing: Routing,
     pub(crate) slo: Slo,
+    pub(crate) quotas: Quotas,
     pub(crate) api: Api,
     pub(crate) is_stopping: bool,
     /// Whether the stop was announced to the other processes.
@@ -56,6 +58,7 @@
             distribution: Distribution::new(settings.distribution),
             routing: Routing::new(settings.routing),
             slo: Slo::new(),
+            quotas: Quotas::new(),
             api: Api::new(),
             is_stopping: false,
             is_stop_announced: false,
@@ -71,6 +74,7 @@
             self.distribution.next_deadline(),
             self.routing.next_deadline(),
             self.slo.next_deadline(),
+            self.quotas.next_deadline(),
             self.api.next_deadline(),
         ];
         let control = self.control.as_ref().map_or(Instant::NEVER, ControlReplica::next_deadline);
@@ -97,6 +101,11 @@
         &self.routing
     }
 
+    /// Quotas of organisations.
+    pub fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
     /// The control replica. `None` if this process is not one.
     pub fn control(&self) -> Option<&ControlReplica> {
         self.control.as_ref()
--- a/crates/daemon/src/peers/stats.rs
+++ b/crates/daemon/src/peers/stats.rs
@@ -35,6 +35,8 @@
     Slo,
     /// Contents of calls that end their targets.
     Routing,
+    /// Usage and admission fractions of organisations.
+    Quota,
     /// Keep-alive frames of the connections themselves.
     Transport,
 }
@@ -48,6 +50,7 @@
             PeerMessage::Api(_) => Self::Api,
             PeerMessage::Slo(_) => Self::Slo,
             PeerMessage::Routing(_) => Self::Routing,
+            PeerMessage::Quota(_) => Self::Quota,
         }
     }
 }
