--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -23,9 +23,9 @@
 /// Mean age of the counters of the proxies when they reach the relay, in seconds.
 const REPORT_AGE_S: f64 = 0.1;
 /// Number of calls over which a rate is averaged.
-const AVERAGED_CALLS: f64 = 8.0;
+const AVERAGED_CALLS: f64 = 12.0;
 /// Bounds of the time over which a rate is averaged, in seconds.
-const AVERAGE_S: (f64, f64) = (0.1, 2.0);
+const AVERAGE_S: (f64, f64) = (0.12, 2.0);
 /// Time for which the usage of a source that does not report is unknown before its share is
 /// reserved, in seconds.
 const UNKNOWN_S: f64 = 0.7;
@@ -50,8 +50,6 @@
     pub alone: Option<f64>,
     /// Whether a source still reports.
     pub is_current: &'a dyn Fn(NodeId) -> bool,
-    /// Whether this relay has too few counts of its own and uses the fractions of others.
-    pub adopts: bool,
 }
 
 /// The account of one organisation.
@@ -72,8 +70,6 @@
     sampled_total: Usage,
     /// Calls admitted by the own proxies since totals were last sent.
     pub unsent: f64,
-    /// The lowest fraction that others report.
-    adopted: f64,
     pub fraction: f64,
 }
 
@@ -90,7 +86,6 @@
             total: Usage::default(),
             sampled_total: Usage::default(),
             unsent: 0.0,
-            adopted: 1.0,
             fraction: 1.0,
         };
         // What was used before is unknown, so that the burst is not there at once.
@@ -158,15 +153,9 @@
         rate.sampled_at = now;
     }
 
-    /// Records a fraction that another process applies.
-    pub fn adopt(&mut self, fraction: f64) {
-        self.adopted = self.adopted.min(fraction);
-    }
-
     /// Discards what depends on other processes, after this one was stopped for a while.
     pub fn discard(&mut self, now: Instant) {
         self.rates.clear();
-        self.adopted = self.fraction;
         self.filled_at = now;
     }
 
@@ -176,34 +165,37 @@
         let rate = self.limit.rate_per_s;
         let elapsed_s = now.since_us(self.filled_at) as f64 / 1e6;
         self.filled_at = now;
+        let mut lost_per_s = 0.0;
+        self.rates.retain(|source, rate| {
+            let is_current = (around.is_current)(*source);
+            lost_per_s += if is_current { 0.0 } else { rate.admitted_per_s };
+            is_current
+        });
+        let mut demanded_per_s = 0.0;
+        let mut unreported = 0.0;
+        for source in self.rates.values() {
+            let age_s = now.since_us(source.sampled_at) as f64 / 1e6 + REPORT_AGE_S;
+            demanded_per_s += source.demanded_per_s;
+            unreported += source.admitted_per_s * age_s;
+        }
         let newly_reserved = (around.reserved - self.reserved).max(0.0);
         self.reserved = around.reserved;
         let free_rate = rate * (1.0 - around.reserved);
         let min = -MAX_DEBT_S * rate - 1.0;
         // What the proxies have used that fell silent is unknown until their share is reserved.
-        self.tokens += free_rate * elapsed_s - newly_reserved * rate * UNKNOWN_S;
+        let unknown_per_s = lost_per_s.max(newly_reserved * rate);
+        self.tokens += free_rate * elapsed_s - unknown_per_s * UNKNOWN_S;
         let capacity = self.capacity() * (1.0 - around.doubtful.max(around.reserved));
-        self.tokens = self.tokens.clamp(min, capacity);
+        // The bucket is filled until now, but the usage is older.
+        self.tokens = self.tokens.clamp(min, capacity + unreported);
         let own = around.alone.unwrap_or(1.0 - around.reserved);
         self.own_tokens += rate * own * elapsed_s;
         self.own_tokens = self.own_tokens.clamp(-0.4 * rate * own - 1.0, self.capacity() * own);
         if around.alone.is_some() {
             self.tokens = self.tokens.min(self.own_tokens);
         }
-        self.rates.retain(|source, _| (around.is_current)(*source));
-        let mut demanded_per_s = 0.0;
-        let mut unreported = 0.0;
-        for source in self.rates.values() {
-            let age_s = now.since_us(source.sampled_at) as f64 / 1e6 + REPORT_AGE_S;
-            demanded_per_s += source.demanded_per_s;
-            unreported += source.admitted_per_s * age_s;
-        }
         let left = self.tokens - unreported;
         let allowed_per_s = free_rate + left / if left > 0.0 { SPEND_S } else { REPAY_S };
-        let share = allowed_per_s.max(0.0) / demanded_per_s.max(1e-9);
-        self.fraction = if around.adopts { self.adopted } else { share.min(1.0) };
-        if !around.adopts {
-            self.adopted = 1.0;
-        }
+        self.fraction = (allowed_per_s.max(0.0) / demanded_per_s.max(1e-9)).min(1.0);
     }
 }
--- a/crates/core/src/quota/link.rs
+++ b/crates/core/src/quota/link.rs
@@ -69,7 +69,7 @@
         if is_full {
             self.acknowledged.clear();
         }
-        let is_news = |(key, admitted, demanded, _): &CounterRow| {
+        let is_news = |(key, admitted, demanded): &CounterRow| {
             let usage = Usage { admitted: *admitted, demanded: *demanded };
             self.acknowledged.get(key).copied().unwrap_or_default() != usage
         };
@@ -81,7 +81,7 @@
         }
         let usages = rows
             .iter()
-            .map(|(key, admitted, demanded, _)| {
+            .map(|(key, admitted, demanded)| {
                 (*key, Usage { admitted: *admitted, demanded: *demanded })
             })
             .collect();
@@ -176,7 +176,7 @@
             self.usage.clear();
         }
         let mut changes = Vec::with_capacity(counters.rows.len());
-        for (key, admitted, demanded, _) in &counters.rows {
+        for (key, admitted, demanded) in &counters.rows {
             let usage = Usage { admitted: *admitted, demanded: *demanded };
             let before = self.usage.insert(*key, usage).unwrap_or_default();
             changes.push((*key, usage.since(before)));
--- a/crates/core/src/quota/message.rs
+++ b/crates/core/src/quota/message.rs
@@ -18,6 +18,10 @@
         /// Which reports the relay has received.
         #[serde(rename = "a")]
         acknowledgement: Acknowledgement,
+        /// Whether the relay has counted for long enough. Otherwise `fractions` is empty and the
+        /// receiver continues as before.
+        #[serde(rename = "r")]
+        is_ready: bool,
         /// Admission fractions that are below 1. Every other organisation has 1.
         #[serde(rename = "f")]
         fractions: Vec<(OrganisationKey, Fraction)>,
@@ -64,9 +68,8 @@
     pub rows: Vec<CounterRow>,
 }
 
-/// Counters of one organisation: key, admitted calls, demanded calls, and the admission fraction
-/// that the sender applies.
-pub type CounterRow = (OrganisationKey, u32, u32, Fraction);
+/// Counters of one organisation: key, admitted calls and demanded calls.
+pub type CounterRow = (OrganisationKey, u32, u32);
 
 /// Acknowledges counters.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -190,8 +190,8 @@
                 let answer = relay.receive_report(cx, &self.limits, from, &counters);
                 cx.send(from, answer);
             }
-            QuotaMessage::Fractions { acknowledgement, fractions } => {
-                self.proxy.handle_fractions(cx, from, acknowledgement, &fractions);
+            QuotaMessage::Fractions { acknowledgement, is_ready, fractions } => {
+                self.proxy.handle_fractions(cx, from, (acknowledgement, is_ready), &fractions);
             }
             QuotaMessage::Totals { proxies, counters, acknowledgement } => {
                 let Some(member) = membership.member(from) else { return };
@@ -201,7 +201,7 @@
                 relay.receive_totals(cx, &self.limits, (from, zone), totals);
             }
             QuotaMessage::Probe => {
-                if self.peers.candidates.first() == Some(&cx.me.id) {
+                if self.relay.as_ref().is_some_and(|relay| relay.is_ready(cx.now)) {
                     cx.send(from, QuotaMessage::ProbeAnswer);
                 }
             }
@@ -212,8 +212,8 @@
     fn handle_own_report(&mut self, cx: &Context<'_>, report: &Counters) {
         let relay = self.relay.get_or_insert_with(|| Relay::new(cx.now));
         let answer = relay.receive_report(cx, &self.limits, cx.me.id, report);
-        if let QuotaMessage::Fractions { acknowledgement, fractions } = answer {
-            self.proxy.handle_fractions(cx, cx.me.id, acknowledgement, &fractions);
+        if let QuotaMessage::Fractions { acknowledgement, is_ready, fractions } = answer {
+            self.proxy.handle_fractions(cx, cx.me.id, (acknowledgement, is_ready), &fractions);
         }
     }
 
--- a/crates/core/src/quota/proxy.rs
+++ b/crates/core/src/quota/proxy.rs
@@ -23,11 +23,20 @@
 /// Shortest interval between two reports, in milliseconds.
 const MIN_REPORT_INTERVAL_MS: u64 = 20;
 /// Time without an answer after which a proxy reports to the next candidate, in milliseconds.
-const RELAY_TIMEOUT_MS: u64 = 500;
+const RELAY_TIMEOUT_MS: u64 = 400;
+/// Time without an answer after which a proxy admits no more than before, in milliseconds. The
+/// relay may have stopped at the start of a burst, of which its fractions say nothing.
+const RELAY_LATE_MS: u64 = 250;
+/// Rate that a host may admit while its relay is late, as a multiple of its recent rate, and of its
+/// share of the quota.
+const LATE_RECENT_FACTOR: f64 = 2.0;
+const LATE_SHARE_FACTOR: f64 = 1.5;
 /// Interval at which a proxy that reports to another candidate probes the first, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time without a tick after which this process counts as stopped in between, in milliseconds.
 const STOPPED_MS: u64 = 600;
+/// Time over which the recent rate of a host is averaged, in milliseconds.
+const RECENT_MS: f64 = 1_000.0;
 /// Calls that may always be admitted before the relay acknowledges them.
 const MIN_UNACKNOWLEDGED: f64 = 4.0;
 /// Bounds of `Retry-After`, in milliseconds.
@@ -47,6 +56,10 @@
     /// `admitted` in the last report, and in the last acknowledged one.
     reported: u32,
     acknowledged: u32,
+    /// `admitted` in the last report that a ready relay has acknowledged.
+    settled: u32,
+    /// Calls per second that were admitted lately.
+    recent_per_s: f64,
     /// Fraction that the relay distributes.
     pub fraction: f64,
     /// Error diffusion: a call is admitted when the sum of the fractions reaches 1.
@@ -70,6 +83,8 @@
             demanded: 0,
             reported: 0,
             acknowledged: 0,
+            settled: 0,
+            recent_per_s: 0.0,
             fraction: 1.0,
             diffusion: start,
             credit: start,
@@ -93,6 +108,17 @@
         self.credit = (self.credit + elapsed_s * self.limit.rate_per_s / members).min(max);
     }
 
+    /// Records that a ready relay has acknowledged all that `acknowledged` holds.
+    fn settle(&mut self, elapsed_ms: Option<u64>) {
+        let calls = f64::from(self.acknowledged.wrapping_sub(self.settled) as i32);
+        self.settled = self.acknowledged;
+        if let Some(elapsed_ms) = elapsed_ms {
+            let weight = 1.0 - (-(elapsed_ms as f64) / RECENT_MS).exp();
+            let rate_per_s = calls * 1_000.0 / elapsed_ms as f64;
+            self.recent_per_s += weight * (rate_per_s - self.recent_per_s);
+        }
+    }
+
     /// Decides a call by the share of this host alone.
     fn take_credit(&mut self, now: Instant, members: u32) -> Result<(), QuotaExceeded> {
         self.fill_credit(now, members);
@@ -104,8 +130,18 @@
         Err(QuotaExceeded::after_ms((1.0 - self.credit) / rate_per_s * 1_000.0))
     }
 
-    /// Decides a call by the fraction of the relay.
-    fn take_fraction(&mut self) -> Result<(), QuotaExceeded> {
+    /// Decides a call by the fraction of the relay. `late_s` is the time since the last report that
+    /// a ready relay has acknowledged, if the relay is late.
+    fn take_fraction(&mut self, members: u32, late_s: Option<f64>) -> Result<(), QuotaExceeded> {
+        if let Some(late_s) = late_s {
+            let share_per_s = self.limit.rate_per_s / f64::from(members.max(1));
+            let rate_per_s = LATE_RECENT_FACTOR * self.recent_per_s;
+            let rate_per_s = rate_per_s.max(LATE_SHARE_FACTOR * share_per_s);
+            let unsettled = self.admitted.wrapping_sub(self.settled) as i32;
+            if f64::from(unsettled) >= 1.0 + rate_per_s * late_s {
+                return Err(QuotaExceeded { retry_after_ms: RETRY_UNACKNOWLEDGED_MS });
+            }
+        }
         let unacknowledged = self.admitted.wrapping_sub(self.acknowledged) as i32;
         if f64::from(unacknowledged) >= self.max_unacknowledged() {
             return Err(QuotaExceeded { retry_after_ms: RETRY_UNACKNOWLEDGED_MS });
@@ -139,6 +175,10 @@
     ticked_at: Instant,
     /// When the newest report was sent that a relay has acknowledged.
     answered_at: Option<Instant>,
+    /// The same for a relay that was ready.
+    settled_at: Option<Instant>,
+    /// Whether the relay that answered last had counted for long enough.
+    is_relay_ready: bool,
     /// Number of processes that share the quotas.
     members: u32,
 }
@@ -174,9 +214,10 @@
     /// Decides whether a call of an organisation is admitted.
     pub fn try_take(&mut self, now: Instant, name: &Name) -> Result<(), QuotaExceeded> {
         let is_answered = self.is_answered(now);
+        let late_s = self.late_s(now);
         let Some(organisation) = self.organisations.get_mut(name) else { return Ok(()) };
         let taken = match is_answered {
-            true => organisation.take_fraction(),
+            true => organisation.take_fraction(self.members, late_s),
             false => organisation.take_credit(now, self.members),
         };
         organisation.demanded = organisation.demanded.wrapping_add(1);
@@ -211,6 +252,14 @@
         self.answered_at.is_some_and(|at| now.since_ms(at) <= PROXY_SILENT_MS)
     }
 
+    fn late_s(&self, now: Instant) -> Option<f64> {
+        let waiting_since = self.outbox.waiting_since();
+        let is_waiting = waiting_since.is_some_and(|at| now.since_ms(at) > RELAY_LATE_MS);
+        let settled_at = self.settled_at?;
+        let is_late = is_waiting || !self.is_relay_ready;
+        is_late.then(|| now.since_us(settled_at) as f64 / 1e6)
+    }
+
     /// Selects the relay and returns it with the next report, if one is due.
     pub fn tick(&mut self, cx: &mut Context<'_>, peers: &Peers) -> Option<(NodeId, Counters)> {
         // While no relay answers, members that are forgotten may run, cut off from this process.
@@ -268,19 +317,31 @@
         &mut self,
         cx: &Context<'_>,
         from: NodeId,
-        acknowledgement: Acknowledgement,
+        (acknowledgement, is_ready): (Acknowledgement, bool),
         fractions: &[(OrganisationKey, Fraction)],
     ) {
         if self.relay != Some(from) {
             return;
         }
         if let Some((sent_at, acknowledged)) = self.outbox.acknowledge(acknowledgement) {
-            self.answered_at = self.answered_at.max(Some(sent_at));
+            // A relay without enough counts prolongs the fractions of its predecessor, but allows
+            // nothing to a process that has none.
+            if is_ready || self.is_answered(cx.now) {
+                self.answered_at = self.answered_at.max(Some(sent_at));
+            }
+            self.is_relay_ready = is_ready;
+            let elapsed_ms = self.settled_at.map(|at| sent_at.since_ms(at).max(1));
+            if is_ready {
+                self.settled_at = self.settled_at.max(Some(sent_at));
+            }
             let acknowledged: HashMap<OrganisationKey, _> = acknowledged.into_iter().collect();
             for organisation in self.organisations.values_mut() {
                 if let Some(usage) = acknowledged.get(&organisation.key) {
                     organisation.acknowledged = usage.admitted;
                 }
+                if is_ready {
+                    organisation.settle(elapsed_ms);
+                }
             }
         }
         if acknowledgement.needs_full {
@@ -288,13 +349,18 @@
             self.report_at = self.report_at.min(at);
         }
         // Fractions that waited in a stalled connection are outdated.
-        if !self.is_answered(cx.now) {
+        if !is_ready || !self.is_answered(cx.now) {
             return;
         }
         let fractions: HashMap<OrganisationKey, Fraction> = fractions.iter().copied().collect();
         for organisation in self.organisations.values_mut() {
             let fraction = fractions.get(&organisation.key);
             organisation.fraction = fraction.map_or(1.0, |fraction| fraction.share());
+            if fraction.is_some() {
+                // The burst is spent, wherever that was.
+                organisation.credit = 0.0;
+                organisation.credit_at = cx.now;
+            }
         }
     }
 }
@@ -302,8 +368,5 @@
 fn rows(
     organisations: &BTreeMap<Name, Organisation>,
 ) -> impl Iterator<Item = CounterRow> + use<'_> {
-    organisations.values().map(|organisation| {
-        let fraction = Fraction::of(organisation.fraction);
-        (organisation.key, organisation.admitted, organisation.demanded, fraction)
-    })
+    organisations.values().map(|o| (o.key, o.admitted, o.demanded))
 }
--- a/crates/core/src/quota/relay.rs
+++ b/crates/core/src/quota/relay.rs
@@ -34,8 +34,8 @@
 /// Time without reports of other proxies after which a process that is not the relay of its zone
 /// stops acting as one, in milliseconds.
 const RETIRE_MS: u64 = 2_000;
-/// Time for which a new relay uses the fractions of others, in milliseconds.
-const ADOPT_MS: u64 = 500;
+/// Time for which a relay counts before it distributes fractions, in milliseconds.
+const READY_AFTER_MS: u64 = 400;
 /// Time without a run after which this process counts as stopped in between, in milliseconds.
 const STOPPED_MS: u64 = 600;
 /// A fraction that falls below this part of the last sent one is sent at once.
@@ -117,12 +117,6 @@
         let inbox = self.proxies.entry(from).or_default();
         let received = inbox.receive(cx.now, counters, PROXY_SILENT_MS);
         let acknowledgement = inbox.acknowledgement();
-        let is_adopting = self.is_adopting(cx.now);
-        for (key, _, _, fraction) in &counters.rows {
-            if let Some(account) = self.account(cx.now, limits, *key).filter(|_| is_adopting) {
-                account.adopt(fraction.share());
-            }
-        }
         if let Received::Changes { changes, .. } = received {
             for (key, change) in changes {
                 let Some(account) = self.account(cx.now, limits, key) else { continue };
@@ -132,7 +126,7 @@
                 }
             }
         }
-        self.fractions(acknowledgement)
+        self.fractions(cx.now, acknowledgement)
     }
 
     /// Handles the totals of another relay.
@@ -145,7 +139,6 @@
     ) {
         self.resume(cx.now);
         self.outboxes.entry(from).or_default().acknowledge(acknowledgement);
-        let is_adopting = self.is_adopting(cx.now);
         let other = Other { zone, inbox: Inbox::default(), proxies };
         let other = self.others.entry(from).or_insert(other);
         let was_current = other.inbox.is_current(cx.now, RELAY_SILENT_MS);
@@ -159,11 +152,6 @@
             self.totals_at = self.totals_at.min(cx.now);
             self.hasten(cx.now);
         }
-        for (key, _, _, fraction) in &counters.rows {
-            if let Some(account) = self.account(cx.now, limits, *key).filter(|_| is_adopting) {
-                account.adopt(fraction.share());
-            }
-        }
         let Received::Changes { elapsed_ms, changes } = received else { return };
         for (key, _) in &changes {
             self.account(cx.now, limits, *key);
@@ -229,7 +217,6 @@
             doubtful: 1.0 - reporting(RELAY_DOUBTFUL_MS),
             alone: is_alone.then_some(1.0 - reserved),
             is_current: &is_current,
-            adopts: self.is_adopting(now),
         };
         for account in self.accounts.values_mut() {
             account.sample_own(cx.me.id, now);
@@ -250,7 +237,7 @@
         self.sent = self.accounts.iter().map(|(key, a)| (*key, a.fraction)).collect();
         for (id, inbox) in &self.proxies {
             if *id != cx.me.id && inbox.is_current(cx.now, PROXY_SILENT_MS) {
-                cx.send(*id, self.fractions(inbox.acknowledgement()));
+                cx.send(*id, self.fractions(cx.now, inbox.acknowledgement()));
             }
         }
     }
@@ -294,9 +281,11 @@
         limited.map(|(key, account)| (*key, account.fraction))
     }
 
-    fn fractions(&self, acknowledgement: Acknowledgement) -> QuotaMessage {
-        let fractions = self.limited().map(|(key, share)| (key, Fraction::of(share))).collect();
-        QuotaMessage::Fractions { acknowledgement, fractions }
+    fn fractions(&self, now: Instant, acknowledgement: Acknowledgement) -> QuotaMessage {
+        let is_ready = self.is_ready(now);
+        let limited = self.limited().filter(|_| is_ready);
+        let fractions = limited.map(|(key, share)| (key, Fraction::of(share))).collect();
+        QuotaMessage::Fractions { acknowledgement, is_ready, fractions }
     }
 
     fn reporting_proxies(&self, now: Instant) -> u32 {
@@ -304,8 +293,13 @@
         self.proxies.values().filter(is_current).count() as u32
     }
 
-    fn is_adopting(&self, now: Instant) -> bool {
-        now.since_ms(self.started_at) < ADOPT_MS
+    /// Whether it has counted for long enough to distribute fractions.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        now.since_ms(self.started_at.max(self.resumed_at(now))) >= READY_AFTER_MS
+    }
+
+    fn resumed_at(&self, now: Instant) -> Instant {
+        if now.since_ms(self.last_run_at) > STOPPED_MS { now } else { self.started_at }
     }
 
     fn hasten(&mut self, now: Instant) {
@@ -339,8 +333,5 @@
 fn rows(
     accounts: &BTreeMap<OrganisationKey, Account>,
 ) -> impl Iterator<Item = CounterRow> + use<'_> {
-    accounts.iter().map(|(key, account)| {
-        let fraction = Fraction::of(account.fraction);
-        (*key, account.total.admitted, account.total.demanded, fraction)
-    })
+    accounts.iter().map(|(key, account)| (*key, account.total.admitted, account.total.demanded))
 }
--- a/crates/core/tests/quota/main.rs
+++ b/crates/core/tests/quota/main.rs
@@ -137,11 +137,15 @@
 fn no_window_exceeds_the_quota() {
     let mut failures = Vec::new();
     for seed in seeds(1..5) {
-        for organisation in &run_random(seed).organisations {
+        let world = run_random(seed);
+        for organisation in &world.organisations {
             let (calls, bound, end) = organisation.worst_window();
             if calls as f64 > bound {
                 let name = &organisation.name;
-                failures.push(format!("seed {seed}: {name} {calls} > {bound:.0} until {end} us"));
+                failures.push(format!(
+                    "seed {seed}: {name} {calls} > {bound:.0} until {end} us; burst {:?}; {:#?}",
+                    organisation.bursts, world.planned
+                ));
             }
         }
     }
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -69,6 +69,8 @@
     loss: f64,
     pub rng: SmallRng,
     pub messages: u64,
+    /// The faults, for reports of failures.
+    pub planned: Vec<String>,
 }
 
 pub fn name(text: &str) -> Name {
@@ -119,6 +121,7 @@
             loss: 0.002,
             rng: SmallRng::seed_from_u64(seed),
             messages: 0,
+            planned: Vec::new(),
         };
         (0..hosts).for_each(|node| world.schedule(0, Event::Join(node)));
         (0..world.organisations.len()).for_each(|o| world.schedule(SECOND, Event::Arrival(o)));
@@ -136,6 +139,8 @@
     }
 
     pub fn plan(&mut self, at: u64, fault: Fault) {
+        let text: String = format!("{fault:?}").chars().take(60).collect();
+        self.planned.push(format!("{:.1} s {text}", at as f64 / 1e6));
         self.schedule(at, Event::Fault(fault));
     }
 
