Quotas: proxies report more often, smaller start credit and bucket

The rate of one host with the whole demand of an organisation was estimated from lumps of 50 ms, so that a quota without burst refused 2.5% below the quota.

--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -17,7 +17,7 @@
 /// organisation below its quota are not refused. The agreed bound allows 20.
 const EXTRA_CALLS: f64 = 6.0;
 /// The same in seconds of the rate. The agreed bound allows 0.5 s.
-const EXTRA_S: f64 = 0.1;
+const EXTRA_S: f64 = 0.06;
 /// Largest debt, in seconds of the rate. Earlier usage is outside of the 5 s that are checked.
 const MAX_DEBT_S: f64 = 2.0;
 /// Mean age of the counters of the proxies when they reach the relay, in seconds.
@@ -25,7 +25,7 @@
 /// Number of calls over which a rate is averaged.
 const AVERAGED_CALLS: f64 = 12.0;
 /// Bounds of the time over which a rate is averaged, in seconds.
-const AVERAGE_S: (f64, f64) = (0.12, 2.0);
+const AVERAGE_S: (f64, f64) = (0.16, 2.0);
 /// Time for which the usage of a source that does not report is unknown before its share is
 /// reserved, in seconds.
 const UNKNOWN_S: f64 = 0.7;
@@ -113,9 +113,9 @@
         self.own_tokens = self.own_tokens.clamp(min, max);
     }
 
-    /// Calls that a relay or proxy reports at once instead of at the next interval.
-    pub fn early_report_calls(&self) -> f64 {
-        self.limit.early_report_calls()
+    /// Calls that a relay reports to the others at once instead of at the next interval.
+    pub fn early_totals_calls(&self) -> f64 {
+        2.0 * self.limit.early_report_calls()
     }
 
     /// Adds usage of an own proxy.
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -30,10 +30,10 @@
 use proxy::Proxy;
 use relay::Relay;
 
-/// Calls of an organisation that are reported at once, at least.
-const MIN_EARLY_REPORT_CALLS: f64 = 3.0;
+/// Calls of an organisation that a proxy reports at once, at least.
+const MIN_EARLY_REPORT_CALLS: f64 = 2.0;
 /// The same in seconds of the organisation's rate.
-const EARLY_REPORT_S: f64 = 0.05;
+const EARLY_REPORT_S: f64 = 0.025;
 /// Most organisations in the metrics.
 const MAX_METRICS: usize = 32;
 /// Time for which an organisation must be below its quota before that is logged, in milliseconds.
--- a/crates/core/src/quota/proxy.rs
+++ b/crates/core/src/quota/proxy.rs
@@ -87,7 +87,8 @@
             recent_per_s: 0.0,
             fraction: 1.0,
             diffusion: start,
-            credit: start,
+            // When all hosts have restarted, a quarter of them may admit a call at once.
+            credit: 2.0 * start - 1.0,
             credit_at: now,
             admitted_calls: 0,
             refused_calls: 0,
--- a/crates/core/src/quota/relay.rs
+++ b/crates/core/src/quota/relay.rs
@@ -121,7 +121,7 @@
             for (key, change) in changes {
                 let Some(account) = self.account(cx.now, limits, key) else { continue };
                 account.add_own(change);
-                if account.unsent >= account.early_report_calls() {
+                if account.unsent >= account.early_totals_calls() {
                     self.hasten(cx.now);
                 }
             }
@@ -161,7 +161,7 @@
         for (key, account) in &mut self.accounts {
             let change = changes.get(key).copied().unwrap_or_default();
             account.add_other(from, cx.now, change, elapsed_ms);
-            is_fast |= change.admitted >= account.early_report_calls();
+            is_fast |= change.admitted >= account.early_totals_calls();
         }
         if is_fast {
             self.hasten(cx.now);
@@ -181,7 +181,7 @@
         self.update_accounts(cx, peers);
         self.push_fractions(cx);
         let is_fast =
-            self.accounts.values().any(|account| account.unsent >= account.early_report_calls());
+            self.accounts.values().any(|account| account.unsent >= account.early_totals_calls());
         if is_fast || cx.now >= self.totals_at {
             self.send_totals(cx, peers);
         }
