Routing: calls take credit from the quota of their organisation

The ingress refuses a call above the quota with quota-exceeded, status 429, and returns the credit of calls that do not run.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -1,13 +1,16 @@
 //! The entry point of the reducer: [`reduce`].
 
 use crate::api::ApiParts;
+use crate::config::Configuration;
 use crate::consensus::ControlOutput;
 use crate::context::Context;
 use crate::event::{Effect, Event};
-use crate::ids::NodeId;
+use crate::ids::{Name, NodeId};
 use crate::membership::MembershipChange;
 use crate::message::PeerMessage;
+use crate::organisation::Decimal;
 use crate::organisation::redact;
+use crate::quota::QuotaLimit;
 use crate::state::State;
 use crate::time::Instant;
 
@@ -85,7 +88,7 @@
             }
             state.membership.tick(&mut cx);
             state.distribution.tick(&mut cx, &state.membership);
-            state.routing.tick(&mut cx, &mut state.slo);
+            state.routing.tick(&mut cx, &mut state.slo, &mut state.quotas);
             state.routing.send_suspects(&mut cx, state.membership.linked_peers());
             state.slo.tick(&mut cx, &state.membership);
             state.quotas.tick(&mut cx, &state.membership);
@@ -120,7 +123,7 @@
         Event::Call(event) => {
             let may_be_outdated = state.distribution.lacks_source(now, state.me.control);
             state.routing.set_may_be_outdated(may_be_outdated);
-            state.routing.step(&mut cx, &mut state.slo, event);
+            state.routing.step(&mut cx, &mut state.slo, &mut state.quotas, event);
             for target in state.routing.take_leaving_targets() {
                 state.membership.drain_own_target(&mut cx, &target);
             }
@@ -241,6 +244,7 @@
     let has_changed = applied.is_some();
     if let Some(configuration) = applied {
         state.routing.configure(&mut cx, configuration.clone());
+        state.quotas.configure(&mut cx, quota_limits(&configuration));
         state.slo.configure(&mut cx, configuration);
     }
     let progress = state.distribution.take_progress();
@@ -250,3 +254,11 @@
     }
     has_changed
 }
+
+fn quota_limits(configuration: &Configuration) -> impl Iterator<Item = (Name, QuotaLimit)> {
+    configuration.organisations().filter_map(|organisation| {
+        let rate_per_s = organisation.rate_per_s?.value();
+        let burst = organisation.burst.map_or(0.0, Decimal::value);
+        Some((organisation.name.clone(), QuotaLimit { rate_per_s, burst }))
+    })
+}
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -14,6 +14,7 @@
 use crate::context::Context;
 use crate::event::Effect;
 use crate::ids::CallId;
+use crate::quota::{QuotaExceeded, Quotas};
 use crate::slo::CallResult;
 use crate::time::Instant;
 
@@ -22,12 +23,26 @@
 const MAX_HOPS: u8 = 20;
 
 impl Routing {
-    pub(super) fn arrived(&mut self, cx: &mut Context<'_>, id: CallId, head: CallHead) {
+    pub(super) fn arrived(
+        &mut self,
+        cx: &mut Context<'_>,
+        quotas: &mut Quotas,
+        id: CallId,
+        head: CallHead,
+    ) {
+        let mut credit_in_ms = None;
         let checked = match &head.origin {
             CallOrigin::Caller => self.check_caller(cx, &head),
             CallOrigin::Proxy(forward) => self.check_forwarded(cx, &head, forward),
         };
-        match checked {
+        let charged = checked.and_then(|(mut call, target)| {
+            charge(cx, quotas, &mut call).map_err(|exceeded| {
+                credit_in_ms = Some(exceeded.retry_after_ms);
+                RefusalCode::QuotaExceeded
+            })?;
+            Ok((call, target))
+        });
+        match charged {
             Ok((call, target)) => {
                 if let (CallOrigin::Proxy(forward), Some(target)) = (&head.origin, target) {
                     self.adopt_rate_limit(cx, target, forward.rate_limit);
@@ -41,12 +56,19 @@
                     self.unserved_calls.record(content, first_arrived_at, cx.now);
                 }
                 self.refusals.count(code);
-                // A caller without a key cannot use up the error budget of a service.
-                if !matches!(code, RefusalCode::Unauthenticated | RefusalCode::BadCredential) {
+                // A caller without a key or above its quota cannot use up the error budget of a
+                // service.
+                let is_own_fault = matches!(
+                    code,
+                    RefusalCode::Unauthenticated
+                        | RefusalCode::BadCredential
+                        | RefusalCode::QuotaExceeded
+                );
+                if !is_own_fault {
                     self.count_refused(&head);
                 }
                 let refusal = Refusal { code, outcome: Outcome::NotRun };
-                let retry_after_ms = self.retry_after_ms(cx, refusal, None);
+                let retry_after_ms = self.retry_after_ms(cx, refusal, credit_in_ms);
                 let refuse = CallEffect::Refuse { call: id, refusal, load: None, retry_after_ms };
                 let step = Step::Refused {
                     code,
@@ -67,7 +89,12 @@
         if let (CallOrigin::Caller, Some(rule)) = (&head.origin, rule) {
             let service = rule.service.clone();
             let rule = Arc::clone(rule);
-            self.finished.push(Finished { service, rule, result: CallResult::Refused });
+            self.finished.push(Finished {
+                service,
+                rule,
+                result: CallResult::Refused,
+                refunded: None,
+            });
         }
     }
 
@@ -225,6 +252,16 @@
     }
 }
 
+/// Takes credit from the quota of the organisation of a call, at its ingress.
+fn charge(cx: &Context<'_>, quotas: &mut Quotas, call: &mut Call) -> Result<(), QuotaExceeded> {
+    let Some(organisation) = call.organisation.as_ref().filter(|_| call.is_ingress()) else {
+        return Ok(());
+    };
+    quotas.try_take(cx.now, organisation)?;
+    call.charged = call.organisation.clone();
+    Ok(())
+}
+
 fn new_call(now: Instant, head: &CallHead, service: ServiceKey, deadline: Instant) -> Call {
     Call {
         service,
@@ -240,6 +277,7 @@
         useful_until: deadline,
         class: CallClass::default(),
         organisation: None,
+        charged: None,
         key: None,
         is_bulk: false,
         is_upload: false,
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -16,6 +16,7 @@
 use crate::context::Context;
 use crate::event::Effect;
 use crate::ids::{CallId, Name};
+use crate::quota::Quotas;
 use crate::slo::{CallResult, Slo};
 use crate::time::Instant;
 
@@ -31,6 +32,8 @@
     pub service: Name,
     pub rule: Arc<RouteRule>,
     pub result: CallResult,
+    /// Organisation to which the credit for the call is returned, because it did not run.
+    pub refunded: Option<Name>,
 }
 
 impl Routing {
@@ -119,6 +122,7 @@
         }
         let min_ms = match (refusal.code, wait_ms) {
             (RefusalCode::Overloaded, Some(wait_ms)) => wait_ms.max(MIN_RETRY_AFTER_MS),
+            (RefusalCode::QuotaExceeded, Some(credit_in_ms)) => credit_in_ms,
             (RefusalCode::Stopping | RefusalCode::TargetGone, _) => MIN_RETRY_AFTER_MS,
             (RefusalCode::NoConfiguration, _) => {
                 let remaining_ms = EXPECTED_STARTUP_MS.saturating_sub(cx.now.as_ms()) as u32;
@@ -319,12 +323,18 @@
             None => service.counts.cancelled += 1,
         }
         let service = service.name.clone();
-        self.finished.push(Finished { service, rule, result });
+        let refunded = call.charged.filter(|_| outcome == Some(Outcome::NotRun));
+        self.finished.push(Finished { service, rule, result, refunded });
     }
 
-    /// Cancels the calls made on behalf of a call that ended without a response, and passes
-    /// ended calls to the burn report.
-    pub(super) fn process_ended(&mut self, cx: &mut Context<'_>, slo: &mut Slo) {
+    /// Cancels the calls made on behalf of a call that ended without a response, passes ended
+    /// calls to the burn report and returns the credit of those that did not run.
+    pub(super) fn process_ended(
+        &mut self,
+        cx: &mut Context<'_>,
+        slo: &mut Slo,
+        quotas: &mut Quotas,
+    ) {
         while let Some(orphan) = self.orphans.pop() {
             if self.calls.contains_key(&orphan) {
                 self.cancel_orphan(cx, orphan);
@@ -332,6 +342,9 @@
         }
         for finished in self.finished.drain(..) {
             slo.count(&finished.service, &finished.rule.policy, finished.result);
+            if let Some(organisation) = finished.refunded {
+                quotas.give_back(cx.now, &organisation);
+            }
         }
     }
 
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -71,6 +71,7 @@
 use crate::ids::{CallId, Name, NodeId, TargetId};
 use crate::membership::Member;
 use crate::organisation::OrganisationTable;
+use crate::quota::Quotas;
 use crate::slo::Slo;
 use crate::time::Instant;
 
@@ -198,9 +199,15 @@
     }
 
     /// Applies an event of a call and emits the resulting effects.
-    pub fn step(&mut self, cx: &mut Context<'_>, slo: &mut Slo, event: CallEvent) {
+    pub fn step(
+        &mut self,
+        cx: &mut Context<'_>,
+        slo: &mut Slo,
+        quotas: &mut Quotas,
+        event: CallEvent,
+    ) {
         match event {
-            CallEvent::Arrived { call, head } => self.arrived(cx, call, head),
+            CallEvent::Arrived { call, head } => self.arrived(cx, quotas, call, head),
             CallEvent::Answered { call, attempt, status, notice } => {
                 self.answered(cx, call, attempt, status, notice);
             }
@@ -213,7 +220,7 @@
             CallEvent::CallerGone { call } => self.caller_gone(cx, call),
             CallEvent::CallerFailed { call, code } => self.caller_failed(cx, call, code),
         }
-        self.process_ended(cx, slo);
+        self.process_ended(cx, slo, quotas);
     }
 
     /// Returns the targets of this host that stated since the last call that they are leaving.
@@ -236,7 +243,7 @@
     }
 
     /// Handles every timer that is due.
-    pub fn tick(&mut self, cx: &mut Context<'_>, slo: &mut Slo) {
+    pub fn tick(&mut self, cx: &mut Context<'_>, slo: &mut Slo, quotas: &mut Quotas) {
         if self.leave_at.is_some_and(|at| at <= cx.now) {
             self.leave_at = None;
         }
@@ -257,7 +264,7 @@
             self.deadlines.pop_first();
             self.check_due(cx, call);
         }
-        self.process_ended(cx, slo);
+        self.process_ended(cx, slo, quotas);
     }
 
     /// Begins a graceful stop. New calls are accepted for the stop notice and refused
--- a/crates/core/src/routing/refusal.rs
+++ b/crates/core/src/routing/refusal.rs
@@ -99,6 +99,8 @@
     Unauthenticated,
     /// The route requires a key of an organisation, and the call has a malformed credential.
     BadCredential,
+    /// The call is above the quota of its organisation.
+    QuotaExceeded,
 }
 
 impl RefusalCode {
@@ -113,6 +115,7 @@
                 502
             }
             Self::CallerStalled => 408,
+            Self::QuotaExceeded => 429,
             Self::Unauthorized | Self::Unauthenticated => 401,
             Self::BadRequest | Self::BadCredential => 400,
             Self::NoConfiguration
@@ -155,6 +158,7 @@
             Self::BadRequest => "the request is malformed",
             Self::Unauthenticated => "the call has no valid key of an organisation",
             Self::BadCredential => "the credential of the call is malformed",
+            Self::QuotaExceeded => "the organisation has used up its quota",
         }
     }
 }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -91,6 +91,8 @@
     pub class: CallClass,
     /// Organisation of the caller.
     pub organisation: Option<Name>,
+    /// Organisation from whose quota this ingress has taken credit for the call.
+    pub charged: Option<Name>,
     /// Key by which the organisation was determined.
     pub key: Option<VerifiedKey>,
     /// Whether the response is large.
--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -10,6 +10,7 @@
 use fireflylug_core::membership::{
     Member, MemberStatus, MembershipChange, TargetRecord, TargetState,
 };
+use fireflylug_core::quota::Quotas;
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
     CallClass, CallEffect, CallEvent, CallHead, CallOrigin, Chain, ForwardHead, Outcome, Refusal,
@@ -78,6 +79,7 @@
 pub struct Harness {
     pub routing: Routing,
     pub slo: Slo,
+    pub quotas: Quotas,
     pub me: Identity,
     pub now: Instant,
     rng: SmallRng,
@@ -97,6 +99,7 @@
         Self {
             routing: Routing::new(settings),
             slo: Slo::new(),
+            quotas: Quotas::new(),
             me: identity(host, locality("z1", "r1")),
             now: Instant::from_ms(1_000),
             rng: SmallRng::seed_from_u64(7),
@@ -122,9 +125,20 @@
     }
 
     fn with_context(&mut self, run: impl FnOnce(&mut Routing, &mut Slo, &mut Context<'_>)) {
+        self.with_all(|routing, slo, _, cx| run(routing, slo, cx));
+    }
+
+    pub fn with_quotas(&mut self, run: impl FnOnce(&mut Quotas, &mut Context<'_>)) {
+        self.with_all(|_, _, quotas, cx| run(quotas, cx));
+    }
+
+    fn with_all(
+        &mut self,
+        run: impl FnOnce(&mut Routing, &mut Slo, &mut Quotas, &mut Context<'_>),
+    ) {
         let mut cx =
             Context { now: self.now, rng: &mut self.rng, me: &self.me, effects: &mut self.effects };
-        run(&mut self.routing, &mut self.slo, &mut cx);
+        run(&mut self.routing, &mut self.slo, &mut self.quotas, &mut cx);
     }
 
     pub fn set_member(&mut self, host: &str, locality: Locality, status: MemberStatus) {
@@ -140,7 +154,7 @@
     }
 
     pub fn step(&mut self, event: CallEvent) {
-        self.with_context(|routing, slo, cx| routing.step(cx, slo, event));
+        self.with_all(|routing, slo, quotas, cx| routing.step(cx, slo, quotas, event));
     }
 
     pub fn stop(&mut self) {
@@ -152,7 +166,7 @@
         let end = self.now.plus_ms(ms);
         while self.routing.next_deadline() <= end {
             self.now = self.now.max(self.routing.next_deadline());
-            self.with_context(|routing, slo, cx| routing.tick(cx, slo));
+            self.with_all(|routing, slo, quotas, cx| routing.tick(cx, slo, quotas));
         }
         self.now = end;
     }
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -6,6 +6,7 @@
 mod links;
 mod organisations;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod regions;
 mod repeated;
--- a/crates/daemon/src/calls/dialect.rs
+++ b/crates/daemon/src/calls/dialect.rs
@@ -88,7 +88,7 @@
             return by_code;
         }
         match (refusal.code, refusal.outcome) {
-            // Errors of the caller: a retry cannot succeed.
+            // Errors of the caller: a retry cannot succeed, or only after a while.
             (
                 RefusalCode::NoRoute
                 | RefusalCode::BodyTooLarge
@@ -96,6 +96,7 @@
                 | RefusalCode::Unauthorized
                 | RefusalCode::Unauthenticated
                 | RefusalCode::BadCredential
+                | RefusalCode::QuotaExceeded
                 | RefusalCode::HopLimit,
                 Outcome::NotRun,
             ) => by_code,
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -13,6 +13,7 @@
 use fireflylug_core::membership::{
     Member, MemberStatus, MembershipChange, TargetRecord, TargetState,
 };
+use fireflylug_core::quota::Quotas;
 use fireflylug_core::resource::{Resource, Route, Service};
 use fireflylug_core::routing::{CallEvent, CallHead, Routing, RoutingSettings, TargetLoad};
 use fireflylug_core::slo::Slo;
@@ -35,6 +36,7 @@
     let me = identity("host-0");
     let mut routing = Routing::new(RoutingSettings::default());
     let mut slo = Slo::new();
+    let mut quotas = Quotas::new();
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut effects = Vec::new();
     populate(&mut routing, &me, &mut rng);
@@ -46,14 +48,19 @@
         now = now.plus_us(PAUSE_US);
         let mut cx = Context { now, rng: &mut rng, me: &me, effects: &mut effects };
         let head = CallHead::new("seats.example", &paths[index as usize % SERVICES]);
-        routing.step(&mut cx, &mut slo, CallEvent::Arrived { call: CallId(index), head });
+        routing.step(
+            &mut cx,
+            &mut slo,
+            &mut quotas,
+            CallEvent::Arrived { call: CallId(index), head },
+        );
         if let Some(call) = index.checked_sub(IN_FLIGHT).map(CallId) {
             let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, rate: None, held_ms: 0 };
             let answered =
                 CallEvent::Answered { call, attempt: 1, status: 200, notice: load.into() };
-            routing.step(&mut cx, &mut slo, answered);
+            routing.step(&mut cx, &mut slo, &mut quotas, answered);
             let ended = CallEvent::Ended { call, attempt: 1, is_complete: true };
-            routing.step(&mut cx, &mut slo, ended);
+            routing.step(&mut cx, &mut slo, &mut quotas, ended);
         }
         effects.clear();
     }
--- a/crates/measure/src/calls/selection.rs
+++ b/crates/measure/src/calls/selection.rs
@@ -12,6 +12,7 @@
 use fireflylug_core::context::{Context, Identity};
 use fireflylug_core::ids::{CallId, TargetId, Version};
 use fireflylug_core::membership::{Member, MembershipChange, TargetRecord, TargetState};
+use fireflylug_core::quota::Quotas;
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
 use fireflylug_core::routing::{
     CallEffect, CallEvent, CallHead, Outcome, Refusal, RefusalCode, Routing, RoutingSettings,
@@ -126,6 +127,7 @@
     scenario: Scenario,
     routing: Routing,
     slo: Slo,
+    quotas: Quotas,
     me: Identity,
     rng: SmallRng,
     now: Instant,
@@ -176,6 +178,7 @@
             scenario,
             routing: Routing::new(RoutingSettings::default()),
             slo: Slo::new(),
+            quotas: Quotas::new(),
             me: identity("ingress"),
             rng: SmallRng::seed_from_u64(seed),
             now: Instant::ZERO,
@@ -189,7 +192,8 @@
             failed: 0,
             attempts: BTreeMap::new(),
         };
-        simulation.run_reducer(|routing, _, cx| routing.configure(cx, Arc::new(configuration())));
+        simulation
+            .run_reducer(|routing, _, _, cx| routing.configure(cx, Arc::new(configuration())));
         for (host, service) in (0..TARGETS).flat_map(|host| [(host, "one"), (host, "other")]) {
             simulation.add_target(host, service);
         }
@@ -213,18 +217,21 @@
             has_departed: false,
         };
         self.slots.insert(record.target.clone(), vec![Instant::ZERO; SLOTS as usize]);
-        self.run_reducer(|routing, _, cx| {
+        self.run_reducer(|routing, _, _, cx| {
             routing.membership_changed(cx, &MembershipChange::Member(member));
             routing.membership_changed(cx, &MembershipChange::Target(record));
         });
     }
 
     /// Runs a step of the reducer and applies its effects.
-    fn run_reducer(&mut self, run: impl FnOnce(&mut Routing, &mut Slo, &mut Context<'_>)) {
+    fn run_reducer(
+        &mut self,
+        run: impl FnOnce(&mut Routing, &mut Slo, &mut Quotas, &mut Context<'_>),
+    ) {
         let mut effects = Vec::new();
         let mut cx =
             Context { now: self.now, rng: &mut self.rng, me: &self.me, effects: &mut effects };
-        run(&mut self.routing, &mut self.slo, &mut cx);
+        run(&mut self.routing, &mut self.slo, &mut self.quotas, &mut cx);
         for effect in effects {
             if let Effect::Call(effect) = effect {
                 self.apply_effect(effect);
@@ -240,7 +247,7 @@
     fn advance_to(&mut self, at: Instant) {
         while self.routing.next_deadline() <= at {
             self.now = self.now.max(self.routing.next_deadline());
-            self.run_reducer(|routing, slo, cx| routing.tick(cx, slo));
+            self.run_reducer(|routing, slo, quotas, cx| routing.tick(cx, slo, quotas));
         }
         self.now = at;
     }
@@ -272,7 +279,7 @@
     }
 
     fn step(&mut self, event: CallEvent) {
-        self.run_reducer(|routing, slo, cx| routing.step(cx, slo, event));
+        self.run_reducer(|routing, slo, quotas, cx| routing.step(cx, slo, quotas, event));
     }
 
     fn fail(&mut self, call: u64, attempt: u8, refusal: Refusal) {
