--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -15,7 +15,7 @@
 const REPAY_S: f64 = 1.5;
 /// Calls by which the bucket is deeper than the burst, so that the random arrivals of a small
 /// organisation below its quota are not refused. The agreed bound allows 20.
-const EXTRA_CALLS: f64 = 6.0;
+const EXTRA_CALLS: f64 = 4.0;
 /// The same in seconds of the rate. The agreed bound allows 0.5 s.
 const EXTRA_S: f64 = 0.06;
 /// Largest debt, in seconds of the rate. Earlier usage is outside of the 5 s that are checked.
--- a/crates/core/src/quota/relay.rs
+++ b/crates/core/src/quota/relay.rs
@@ -272,13 +272,15 @@
         let current = |other: &&Other| other.inbox.is_current(cx.now, RELAY_SILENT_MS);
         receivers.extend(self.others.iter().filter(|(_, o)| current(o)).map(|(id, _)| *id));
         for (name, zone) in &peers.zones {
-            let is_heard = *name == cx.me.locality.availability_zone
-                || self.others.values().filter(current).any(|other| other.zone == *name);
-            match is_heard {
-                true => receivers.extend(zone.candidates.first()),
-                // The first candidate may be stopped while another one acts as the relay.
-                false if retries_silent => receivers.extend(&zone.candidates),
-                false => {}
+            let is_own = *name == cx.me.locality.availability_zone;
+            let is_heard = self.others.values().filter(current).any(|other| other.zone == *name);
+            if is_own || is_heard {
+                receivers.extend(zone.candidates.first());
+            }
+            // The first candidate may be stopped while another one acts as the relay. In the own
+            // zone, that may be a process that does not know of this one.
+            if retries_silent && (is_own || !is_heard) {
+                receivers.extend(&zone.candidates);
             }
         }
         receivers.remove(&cx.me.id);
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -66,6 +66,8 @@
     groups: Vec<usize>,
     holds: bool,
     held: Vec<(usize, usize, QuotaMessage)>,
+    /// Processes that the others have recorded as dead.
+    dead: Vec<usize>,
     loss: f64,
     pub rng: SmallRng,
     pub messages: u64,
@@ -118,6 +120,7 @@
             groups: vec![0; hosts],
             holds: false,
             held: Vec::new(),
+            dead: Vec::new(),
             loss: 0.002,
             rng: SmallRng::seed_from_u64(seed),
             messages: 0,
@@ -278,6 +281,14 @@
         let records = Records { members, targets: Vec::new() };
         self.learn(index, MembershipMessage::Welcome { records, reachability: Vec::new() });
         self.configure(index);
+        if self.dead.contains(&index) {
+            self.dead.retain(|dead| *dead != index);
+            let recorded = self.nodes[index].me.incarnation;
+            // As if the process had refuted its death.
+            self.nodes[index].me.incarnation += 1;
+            self.spread(index, MemberStatus::Alive);
+            self.nodes[index].me.incarnation = recorded;
+        }
     }
 
     fn learn(&mut self, index: usize, message: MembershipMessage) {
@@ -327,7 +338,10 @@
                     self.spread(index, MemberStatus::Alive);
                 }
             }
-            Fault::Dead { node } => self.spread(node, MemberStatus::Dead),
+            Fault::Dead { node } => {
+                self.dead.push(node);
+                self.spread(node, MemberStatus::Dead);
+            }
             Fault::Limit { organisation, limit } => {
                 self.organisations[organisation].limits.push((self.now, limit));
                 (0..self.nodes.len()).for_each(|index| self.configure(index));
