--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -67,7 +67,7 @@
 pub struct QuotaMetrics {
     /// The organisation.
     pub organisation: Name,
-    /// Calls that were admitted and not returned, since the organisation has a quota.
+    /// Calls that were admitted since the organisation has a quota.
     pub admitted: u64,
     /// Calls that were refused.
     pub refused: u64,
--- a/crates/core/src/quota/proxy.rs
+++ b/crates/core/src/quota/proxy.rs
@@ -253,7 +253,6 @@
         let Some(organisation) = self.organisations.get_mut(name) else { return };
         organisation.admitted = organisation.admitted.wrapping_sub(1);
         organisation.demanded = organisation.demanded.wrapping_sub(1);
-        organisation.admitted_calls = organisation.admitted_calls.saturating_sub(1);
         if !is_answered {
             organisation.credit += 1.0;
         }
--- a/crates/core/tests/quota/main.rs
+++ b/crates/core/tests/quota/main.rs
@@ -216,3 +216,25 @@
         })
     });
 }
+
+/// Guards against messages that fill the links of the hosts. 81 organisations make 1,500 calls per
+/// second; no host sends more than 1 KB/s on average.
+#[test]
+fn traffic_is_small() {
+    let hosts = 610;
+    let sum: f64 = (1..82).map(|rank| f64::from(rank).powf(-1.2)).sum();
+    let organisation = |rank: i32| {
+        let usual_per_s = 1_500.0 * f64::from(rank).powf(-1.2) / sum;
+        Organisation::new(&format!("o{rank}"), usual_per_s * 1.6, usual_per_s, &vec![1.0; hosts])
+    };
+    let mut world = World::new(1, hosts, 8, (1..82).map(organisation).collect());
+    world.run(2 * SECOND);
+    world.sent_bytes = Some(0);
+
+    world.run(7 * SECOND);
+
+    let sent_bytes = world.sent_bytes.expect("it is counted");
+    let bytes_per_s = sent_bytes / 5 / hosts as u64;
+    println!("{bytes_per_s} bytes/s for each host");
+    assert!(bytes_per_s < 1_000, "{bytes_per_s} bytes/s");
+}
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -71,7 +71,8 @@
     dead: Vec<usize>,
     loss: f64,
     pub rng: SmallRng,
-    pub messages: u64,
+    /// Size of the messages, if it is counted.
+    pub sent_bytes: Option<u64>,
     /// The faults, for reports of failures.
     pub planned: Vec<String>,
 }
@@ -124,7 +125,7 @@
             dead: Vec::new(),
             loss: 0.002,
             rng: SmallRng::seed_from_u64(seed),
-            messages: 0,
+            sent_bytes: None,
             planned: Vec::new(),
         };
         (0..hosts).for_each(|node| world.schedule(0, Event::Join(node)));
@@ -219,7 +220,12 @@
     }
 
     fn send(&mut self, from: usize, to: usize, message: QuotaMessage) {
-        self.messages += 1;
+        if let Some(sent_bytes) = &mut self.sent_bytes {
+            let mut encoded = Vec::new();
+            let message = PeerMessage::Quota(message.clone());
+            ciborium::into_writer(&message, &mut encoded).expect("the message can be encoded");
+            *sent_bytes += encoded.len() as u64;
+        }
         if self.groups[from] != self.groups[to] {
             if self.holds {
                 self.held.push((from, to, message));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -11,6 +11,7 @@
 use fireflylug_core::consensus::{ControlRole, ControlStatus};
 use fireflylug_core::ids::Name;
 use fireflylug_core::membership::{MemberStatus, TargetState};
+use fireflylug_core::quota::QuotaMetrics;
 use fireflylug_core::routing::{Outcome, RoutingMetrics, ServiceCounts, TargetMetrics};
 use fireflylug_core::{Instant, State};
 use opentelemetry::KeyValue;
@@ -41,6 +42,7 @@
     members: BTreeMap<(String, MemberStatus), u64>,
     targets: BTreeMap<(String, &'static str), u64>,
     routing: RoutingMetrics,
+    quotas: Vec<QuotaMetrics>,
     traffic: Vec<TrafficRow>,
     control: Option<ControlStatus>,
     cut_off_ms: u64,
@@ -72,6 +74,7 @@
         instruments.add_control();
         instruments.add_mesh();
         instruments.add_calls();
+        instruments.add_quotas();
         instruments.add_peers();
         Ok(Self { registry, snapshot, peers, _provider: provider })
     }
@@ -104,6 +107,7 @@
             ready: state.distribution().is_ready(),
             stopping: state.is_stopping(),
             routing: state.routing().metrics(),
+            quotas: state.quotas().metrics(),
             control: state.control().map(|control| control.status(me.id, now)),
             cut_off_ms: cut_off_since.map_or(0, |since| now.since_ms(since)),
             ..Self::default()
@@ -241,6 +245,23 @@
         });
     }
 
+    /// These have values for organisations that are or were above their quota.
+    fn add_quotas(&self) {
+        self.counter(
+            "quota.admitted",
+            "Calls admitted here by the quota of an organisation",
+            |s| by_organisation(s, |row| row.admitted),
+        );
+        self.counter("quota.refused", "Calls refused here by the quota of an organisation", |s| {
+            by_organisation(s, |row| row.refused)
+        });
+        self.gauge(
+            "quota.fraction_permille",
+            "Share of the calls of an organisation that its quota admits here, in thousandths",
+            |s| by_organisation(s, |row| (row.fraction * 1_000.0).round() as u64),
+        );
+    }
+
     fn add_peers(&self) {
         self.counter("peer.sent_bytes", "Bytes sent to other processes", |s| {
             by_traffic(s, |row| row.traffic.sent_bytes)
@@ -307,6 +328,11 @@
     sums.into_iter().map(|(service, sum)| (sum, vec![service_label(service)])).collect()
 }
 
+fn by_organisation(snapshot: &Snapshot, value: impl Fn(&QuotaMetrics) -> u64) -> Rows {
+    let label = |row: &QuotaMetrics| KeyValue::new("organisation", row.organisation.to_string());
+    snapshot.quotas.iter().map(|row| (value(row), vec![label(row)])).collect()
+}
+
 fn by_traffic(snapshot: &Snapshot, value: impl Fn(&TrafficRow) -> u64) -> Rows {
     let rows = snapshot.traffic.iter();
     rows.map(|row| {
