--- a/crates/core/src/organisation/mod.rs
+++ b/crates/core/src/organisation/mod.rs
@@ -12,6 +12,6 @@
 
 pub use credential::{Credential, IdentityHeaders, VerifiedKey};
 pub use key::{ApiKey, KeyDigest, MAX_API_KEY_BYTES, is_token68};
-pub use redact::{redact, redacted_resource};
+pub use redact::{message_without_values, redact, redacted_resource};
 pub use resource::{Decimal, Organisation};
 pub use table::{Member, OrganisationTable, Unverified};
--- a/crates/core/src/organisation/redact.rs
+++ b/crates/core/src/organisation/redact.rs
@@ -1,4 +1,5 @@
-//! Replaces keys by their digests, for every process that needs no keys as text.
+//! Replaces keys by their digests, for every process that needs no keys as text, and removes
+//! them from error messages.
 
 use std::sync::Arc;
 
@@ -36,3 +37,22 @@
     let resource = Arc::new(Resource::Organisation(organisation));
     StoredResource { version: stored.version, resource }
 }
+
+/// Returns the message of a deserialization error without the values that it quotes. A value in
+/// the wrong place of a malformed document may be a key.
+pub fn message_without_values(message: &str) -> String {
+    if message.starts_with("missing field") || message.starts_with("duplicate field") {
+        return message.to_owned();
+    }
+    // Values are quoted at the start: `invalid type: string "x", expected u8`.
+    let (is_quoted, rest) = match message.rsplit_once('"') {
+        Some((_, rest)) => (true, rest),
+        None => (false, message),
+    };
+    match rest.rsplit_once(", expected ") {
+        Some((_, expected)) => format!("expected {expected}"),
+        None if is_quoted => format!("the value{rest}"),
+        None if rest.contains('`') => "the value is invalid".to_owned(),
+        None => rest.to_owned(),
+    }
+}
--- a/crates/daemon/src/api/json.rs
+++ b/crates/daemon/src/api/json.rs
@@ -4,6 +4,7 @@
 use fireflylug_core::config::{ChangeSet, Finding, FindingCode, Operation};
 use fireflylug_core::ids::{Name, TargetId, Version};
 use fireflylug_core::membership::{MAX_LEASE_MS, TargetAnnouncement};
+use fireflylug_core::organisation::message_without_values;
 use fireflylug_core::resource::{
     Limits, Organisation, Policy, Release, Resource, ResourceKey, ResourceKind, Route, Service,
 };
@@ -196,11 +197,33 @@
             deserialize_object::<Release>(object, place, findings).map(Resource::Release)
         }
         ResourceKind::Organisation => {
-            deserialize_object::<Organisation>(object, place, findings).map(Resource::Organisation)
+            organisation(object, place, findings).map(Resource::Organisation)
         }
     }
 }
 
+/// Deserializes an organisation. The findings contain no value of the object and no unknown
+/// field: any of them may be a key.
+fn organisation(
+    object: Map<String, Value>,
+    place: &str,
+    findings: &mut Vec<Finding>,
+) -> Option<Organisation> {
+    let mut own = Vec::new();
+    let organisation = deserialize_object(object, "", &mut own);
+    findings.extend(own.into_iter().map(|finding| {
+        let field = ORGANISATION_FIELDS.into_iter().find(|field| {
+            let rest = finding.place.strip_prefix(field);
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('['))
+        });
+        let path = if field.is_some() { finding.place.as_str() } else { "" };
+        Finding::new(finding.code, join(place, path), message_without_values(&finding.message))
+    }));
+    organisation
+}
+
+const ORGANISATION_FIELDS: [&str; 5] = ["name", "keys", "priority", "rate_per_s", "burst"];
+
 /// Deserializes an object into `T`. Each invalid field is reported and removed, and the
 /// object is deserialized again, so that all invalid fields are found.
 fn deserialize_object<T: DeserializeOwned>(
--- a/crates/daemon/tests/api.rs
+++ b/crates/daemon/tests/api.rs
@@ -186,6 +186,33 @@
     daemon.kill();
 }
 
+/// Errors of the JSON library quote the value that they found. The value may be a key in the
+/// wrong place, and the operator's tools may log the error.
+#[rstest]
+#[case::bare_key(r#"{"keys": "s3cret"}"#)]
+#[case::as_priority(r#"{"keys": [], "priority": "s3cret"}"#)]
+#[case::as_rate(r#"{"keys": [], "rate_per_s": "s3cret, expected s3cret"}"#)]
+#[case::as_name(r#"{"keys": [], "name": "s3cret=="}"#)]
+#[case::as_field(r#"{"keys": [], "s3cret": ["s3cret"]}"#)]
+#[case::cut_off(r#"{"keys": ["s3cret"#)]
+#[case::bad_escape(r#"{"keys": ["s3cret\q"]}"#)]
+#[case::no_list(r#"["s3cret"]"#)]
+#[tokio::test]
+async fn no_error_contains_a_value_that_may_be_a_key(#[case] resource: &str) {
+    let daemon = Daemon::start(settings("host")).await.unwrap();
+    let tagged = resource.replacen('{', r#"{"kind": "organisation", "#, 1);
+    let changes = format!(r#"{{"operations": [{{"op": "put", "resource": {tagged}}}]}}"#);
+
+    let put = send(&daemon, "PUT /v1/organisations/acme", resource).await;
+    let change = send(&daemon, "POST /v1/changes", &changes).await;
+
+    for response in [put, change] {
+        assert_eq!(response.status, 400, "{}", response.body);
+        assert!(!response.body.contains("s3cret"), "{}", response.body);
+    }
+    daemon.kill();
+}
+
 #[rstest]
 #[tokio::test]
 async fn body_that_is_too_long_is_refused_and_the_daemon_lives() {
