Fuzz: keys are added, moved and revoked while calls wait and are forwarded

The oracle derives the holder of each key from the versions that the hosts hold. No call may go on with a key that the newer version of ingress and owner does not hold, or with the name of another organisation than the key's in it.

--- a/crates/core/tests/fuzz/calls.rs
+++ b/crates/core/tests/fuzz/calls.rs
@@ -11,12 +11,12 @@
 use rand::Rng;
 
 use crate::crashing_calls::Crashes;
+use crate::organisations::{Caller, Organisations};
 use crate::rate_limits::RateLimits;
 use crate::targets::{TARGETS, Target, TargetStatus, owner_of, target_id};
 use crate::world::{Item, World};
 
-/// Time after a departure in which new work may still arrive, in microseconds.
-const DEPARTURE_US: u64 = 3_000_000;
+mod promises;
 
 /// A due event of a call or a target.
 #[derive(Clone)]
@@ -38,6 +38,7 @@
 /// A call of a caller.
 struct Call {
     repeatable: bool,
+    caller: Caller,
     /// Its content.
     fingerprint: Fingerprint,
     /// Host at which it began.
@@ -69,6 +70,7 @@
     pub targets: Vec<Target>,
     pub rate_limits: RateLimits,
     pub crashes: Crashes,
+    pub organisations: Organisations,
     calls: Vec<Call>,
     legs: BTreeMap<CallId, Leg>,
     next_leg: u64,
@@ -79,9 +81,15 @@
     pub fn new() -> Self {
         let absent = || Target { status: TargetStatus::Absent, generation: 0, slots: 2 };
         let targets = std::iter::repeat_with(absent).take(TARGETS).collect();
-        let rate_limits = RateLimits::default();
-        let (calls, legs) = (Vec::new(), BTreeMap::new());
-        Self { targets, rate_limits, crashes: Crashes::default(), calls, legs, next_leg: 0 }
+        Self {
+            targets,
+            rate_limits: RateLimits::default(),
+            crashes: Crashes::default(),
+            organisations: Organisations::new(),
+            calls: Vec::new(),
+            legs: BTreeMap::new(),
+            next_leg: 0,
+        }
     }
 
     /// Sets the number of concurrent calls that each target announces.
@@ -89,6 +97,12 @@
         self.targets.iter_mut().for_each(|target| target.slots = slots);
     }
 
+    /// The caller of the call of a leg, and the leg and attempt that forwarded it.
+    pub fn caller_of(&self, leg: CallId) -> (Caller, Option<(CallId, u8)>) {
+        let leg = &self.legs[&leg];
+        (self.calls[leg.call].caller, leg.upstream)
+    }
+
     fn add_leg(
         &mut self,
         call: usize,
@@ -113,47 +127,11 @@
         id
     }
 
-    /// Records the outcome that the caller of a call receives.
-    fn report_outcome(&mut self, call: usize, outcome: Outcome) {
-        let call = &mut self.calls[call];
-        assert!(call.reported_outcome.is_none(), "promise 4: a call was answered twice");
-        let has_run_unreported = outcome == Outcome::NotRun && call.runs > 0;
-        assert!(!has_run_unreported, "promise 5: reported as not run, but it ran");
-        call.reported_outcome = Some(outcome);
-    }
-
-    fn record_run(&mut self, call: usize, target: usize, now_us: u64) {
-        let call = &mut self.calls[call];
-        call.runs += 1;
-        call.ran_at = Some(target);
-        self.rate_limits.record_run(target, call.host, now_us);
-        let is_reported_not_run = call.reported_outcome == Some(Outcome::NotRun);
-        assert!(!is_reported_not_run, "promise 5: ran after it was reported as not run");
-        assert!(call.repeatable || call.runs == 1, "promise 6: a call ran {} times", call.runs);
-        if let TargetStatus::Departing { departed_at_us } = self.targets[target].status {
-            let is_late = now_us > departed_at_us + DEPARTURE_US;
-            assert!(!is_late, "promise 7: target {target} received new work after its departure");
-        }
-    }
-
     /// Drops the legs of a process that ended.
     pub fn host_ended(&mut self, host: usize) {
         self.legs.retain(|_, leg| leg.host != host);
         self.rate_limits.excuse(host);
     }
-
-    /// Checks that a graceful stop cut off no call.
-    pub fn check_stopped(&self, host: usize) {
-        let cut_off_count =
-            self.legs.values().filter(|leg| leg.host == host && !leg.is_abandoned).count();
-        assert_eq!(cut_off_count, 0, "promise 8: calls were cut off by the stop of host {host}");
-    }
-
-    /// Checks that no caller still waits at a running process after the recovery.
-    pub fn check_all_answered(&self) {
-        let waiting_count = self.legs.values().filter(|leg| leg.upstream.is_none()).count();
-        assert_eq!(waiting_count, 0, "promise 4: calls were never answered");
-    }
 }
 
 impl World {
@@ -164,15 +142,21 @@
 
     /// Makes a call with a content at a host. Does nothing if the host is down.
     pub fn call_with(&mut self, host: usize, repeatable: bool, fingerprint: Fingerprint) {
-        if !self.is_up(host) {
-            return;
+        if self.is_up(host) {
+            let head = head(CallOrigin::Caller, repeatable, fingerprint, Chain::default());
+            self.call_with_head(host, Caller::default(), head);
         }
+    }
+
+    /// Makes a call at a host that is up.
+    pub fn call_with_head(&mut self, host: usize, caller: Caller, head: CallHead) {
+        let (repeatable, fingerprint) = (head.is_safe_method, head.fingerprint);
         let (ran_at, reported_outcome) = (None, None);
-        let call = Call { repeatable, fingerprint, host, runs: 0, ran_at, reported_outcome };
+        let call =
+            Call { repeatable, caller, fingerprint, host, runs: 0, ran_at, reported_outcome };
         self.calls.calls.push(call);
         let call = self.calls.calls.len() - 1;
         let leg = self.calls.add_leg(call, host, self.hosts[host].epoch, None);
-        let head = head(CallOrigin::Caller, repeatable, fingerprint, Chain::default());
         self.submit(host, Event::Call(CallEvent::Arrived { call: leg, head }));
     }
 
@@ -211,11 +195,14 @@
         match effect {
             CallEffect::Forward { call, attempt, owner, head, chain, .. } => {
                 self.begin_attempt(call, attempt);
+                let name = head.organisation.as_ref();
+                self.check_forwarded_identity(host, call, attempt, name, head.key);
                 let forwarded = CallItem::Forwarded { leg: call, attempt, owner, head, chain };
                 self.push_call(forwarded);
             }
-            CallEffect::Dispatch { call, attempt, target, .. } => {
+            CallEffect::Dispatch { call, attempt, target, identity, .. } => {
                 self.begin_attempt(call, attempt);
+                self.check_dispatched_identity(host, call, &identity);
                 let target = (0..TARGETS).find(|index| target_id(*index) == target);
                 let target = target.expect("promise 2: a call went to an unknown target");
                 assert_eq!(owner_of(target), host, "promise 2: a call bypassed its owner");
@@ -360,6 +347,9 @@
             let fingerprint = self.calls.calls[leg.call].fingerprint;
             self.calls.crashes.record_quarantined(fingerprint);
         }
+        if refusal.code == RefusalCode::Unauthenticated && leg.upstream.is_some() {
+            self.calls.organisations.record_refused_by_owner();
+        }
         match leg.upstream {
             Some((upstream_leg, attempt)) => {
                 self.push_failed_with(upstream_leg, attempt, refusal, notice);
--- a/crates/core/tests/fuzz/main.rs
+++ b/crates/core/tests/fuzz/main.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod network;
 mod oracle;
+mod organisations;
 mod rate_limits;
 mod regressions;
 mod targets;
--- a/crates/core/tests/fuzz/world.rs
+++ b/crates/core/tests/fuzz/world.rs
@@ -406,6 +406,7 @@
         if self.is_traced {
             println!("{} {index} holds {} ready {}", self.now_us, held.0.version(), held.1);
         }
+        self.calls.organisations.record_version(&held.0);
         if held.1 {
             self.oracle.record_serving(index, &held.0);
         }
--- a/crates/core/tests/fuzz/world/inspect.rs
+++ b/crates/core/tests/fuzz/world/inspect.rs
@@ -79,6 +79,13 @@
         watches.collect()
     }
 
+    /// Version by which a host that is up serves calls. A host that is not ready has none, also if
+    /// its disk holds one.
+    pub fn serving_version(&self, host: usize) -> Version {
+        let held = self.hosts[host].state.as_ref().expect("the host is up").distribution();
+        if held.is_ready() { held.current().version() } else { Version(0) }
+    }
+
     /// Hosts that may serve calls, with the version by which they serve.
     pub fn serving(&self) -> Vec<(usize, Version)> {
         let hosts = self.hosts.iter().enumerate();
