Tests: no log, metric, status or error contains a key or a digest

The test calls real daemons with valid, revoked, unknown and malformed credentials, and sends changes that are refused.

--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod end_to_end;
 mod endless;
 mod garbage;
+mod organisations;
 mod outages;
 mod stops;
 mod support;
--- a/tests/processes/support.rs
+++ b/tests/processes/support.rs
@@ -40,15 +40,21 @@
 impl Cluster {
     /// Starts one daemon per entry of `zones`, in that availability zone.
     pub async fn start(zones: &[usize]) -> Self {
+        Self::start_with_log_level(zones, LogLevel::Info).await
+    }
+
+    /// Starts one daemon per entry of `zones`, each of which logs from this level on.
+    pub async fn start_with_log_level(zones: &[usize], log_level: LogLevel) -> Self {
         let dir = TempDir::new().expect("a folder for the test");
         let links = links(zones.len());
         let mut proxies = Vec::new();
         for to in 0..zones.len() {
             proxies.push(proxies_to(&links, to).await);
         }
-        let settings: Vec<_> =
+        let settings: Vec<Settings> =
             (0..zones.len()).map(|host| settings(&dir, zones, &proxies, host)).collect();
-        let daemons = settings.into_iter().zip(proxies).map(|(settings, proxies)| DaemonHandle {
+        let settings = settings.into_iter().map(|settings| Settings { log_level, ..settings });
+        let daemons = settings.zip(proxies).map(|(settings, proxies)| DaemonHandle {
             settings,
             proxies,
             child: None,
@@ -173,6 +179,12 @@
         self.daemons[host].addresses.expect("a daemon that runs")
     }
 
+    /// Returns what the daemon of a host has logged since its last start.
+    pub fn log(&self, host: usize) -> String {
+        let file = self.dir.path().join(format!("host-{host}.log"));
+        std::fs::read_to_string(file).expect("a log file")
+    }
+
     /// Returns the hosts whose daemon runs.
     pub fn running(&self) -> Vec<usize> {
         (0..self.daemons.len()).filter(|host| self.daemons[*host].child.is_some()).collect()
@@ -333,7 +345,6 @@
     settings.advertise =
         Advertise { peers: Some(advertised_address(host)), ..Advertise::default() };
     settings.addresses_file = Some(dir.path().join(format!("host-{host}.json")));
-    settings.log_level = LogLevel::Info;
     settings.translate = proxies
         .iter()
         .enumerate()
