Client: check a file before it is applied

fireflylug check FILE [--against CURRENT] reports the errors of validation, entries without effect, limits that contradict each other, and the differences from a configuration in a file or in force. The checks are pure code in the core (config::lint).

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -47,6 +47,12 @@
     from: Option<u64>,
     #[options(no_short, help = "read the local state of the process, which may be stale")]
     stale: bool,
+    #[options(
+        no_short,
+        help = "also compare with the configuration in FILE, or read through the API: current",
+        meta = "FILE"
+    )]
+    against: Option<String>,
     #[options(no_short, help = "also write the burn report as an SVG chart", meta = "FILE")]
     svg: Option<String>,
 }
@@ -101,6 +107,8 @@
     ReplaceVoter(ReplaceVoter),
     /// Print resources.
     Get(Get),
+    /// Check a file before it is sent.
+    Check(Check),
     /// Print events.
     Watch {
         /// Version after which events are printed.
@@ -164,6 +172,30 @@
     pub stale: bool,
 }
 
+/// Check a file before it is sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Check {
+    /// Input file; `-` is standard input.
+    pub file: String,
+    /// Configuration to compare with.
+    pub against: Option<Against>,
+}
+
+/// Configuration to compare a file with.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Against {
+    /// The configuration in force, read through the resource API.
+    InForce,
+    /// The configuration in a file.
+    File(String),
+}
+
+impl From<&str> for Against {
+    fn from(text: &str) -> Self {
+        if text == "current" { Self::InForce } else { Self::File(text.to_owned()) }
+    }
+}
+
 impl Command {
     /// Parses and validates the arguments, which exclude the program name.
     pub fn from_args(args: &[String]) -> Result<Self, CliError> {
@@ -206,6 +238,10 @@
             name: Some(parse_name(name)?),
             stale: args.stale,
         }),
+        ["check", file] => Action::Check(Check {
+            file: (*file).to_owned(),
+            against: args.against.as_deref().map(Against::from),
+        }),
         ["watch"] => Action::Watch { from: args.from.map(Version) },
         ["status"] => Action::Status,
         ["burn"] => Action::Burn { svg: args.svg.clone().map(PathBuf::from) },
@@ -221,6 +257,7 @@
     let is_change = matches!(action, Action::Apply(_) | Action::Delete(_));
     let is_watch = matches!(action, Action::Watch { .. });
     let is_get = matches!(action, Action::Get(_));
+    let is_check = matches!(action, Action::Check(_));
     let is_burn = matches!(action, Action::Burn { .. });
     let options = [
         ("--wait", args.wait, is_change),
@@ -229,6 +266,7 @@
         ("--if-version", args.if_version.is_some(), is_change),
         ("--from", args.from.is_some(), is_watch),
         ("--stale", args.stale, is_get),
+        ("--against", args.against.is_some(), is_check),
         ("--svg", args.svg.is_some(), is_burn),
     ];
     match options.iter().find(|(_, is_given, applies)| *is_given && !applies) {
@@ -257,7 +295,9 @@
         "limits" => Ok(ResourceKind::Limits),
         "release" | "releases" => Ok(ResourceKind::Release),
         "organisation" | "organisations" => Ok(ResourceKind::Organisation),
-        _ => Err(CliError::Usage(format!("{text:?} is not a kind; use service, route or policy"))),
+        _ => Err(CliError::Usage(format!(
+            "{text:?} is not a kind; use service, route, policy, limits or organisation"
+        ))),
     }
 }
 
@@ -272,8 +312,9 @@
          Usage: fireflylug COMMAND [OPTIONS]\n\n\
          Commands:\n  \
          apply FILE          put resources from JSON: one, a list, or a change set; - is stdin\n  \
+         check FILE          report mistakes in a file before it is applied\n  \
          delete KIND NAME    delete a resource\n  \
-         get KIND [NAME]     show resources; KIND is service, route or policy\n  \
+         get KIND [NAME]     show resources; KIND is service, route, policy or organisation\n  \
          watch               print events as JSON lines until interrupted\n  \
          status              show the mesh as seen by one process\n  \
          burn                show the service-level burn report\n  \
@@ -282,12 +323,14 @@
          Examples:\n  \
          fireflylug apply routes.json --wait\n  \
          echo '{{\"kind\":\"service\",\"name\":\"seatdesk\"}}' | fireflylug apply - --if-version 0\n  \
+         fireflylug check routes.json --against current\n  \
          fireflylug get routes --output json\n  \
          fireflylug watch --from 41 --api 10.0.0.1:7312 --api 10.0.0.2:7312\n  \
          fireflylug burn --svg burn.svg\n  \
          fireflylug replace-voter aluva-1 aluva-5\n\n\
-         Exit status: 0 done, 1 refused, 2 wrong arguments or input, 3 outcome unknown (resend\n\
-         with the same --key), 4 no resource API reachable, 5 accepted but not in force in time",
+         Exit status: 0 done, 1 refused or errors found, 2 wrong arguments or input, 3 outcome\n\
+         unknown (resend with the same --key), 4 no resource API reachable, 5 accepted but not in\n\
+         force in time",
         options_help()
     )
 }
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -8,7 +8,7 @@
 pub enum ExitStatus {
     /// The command succeeded.
     Done = 0,
-    /// Refused: the change is not applied and will not be.
+    /// Refused: the change is not applied and will not be. Also: `check` found errors.
     Refused = 1,
     /// Wrong arguments or input.
     Usage = 2,
@@ -51,6 +51,12 @@
         /// The timeout, in seconds.
         limit_s: u64,
     },
+    /// `check` found errors, which it has printed.
+    #[error("the check found {errors} errors")]
+    CheckFailed {
+        /// Number of errors.
+        errors: usize,
+    },
     /// The reader of the output, such as `head`, closed it.
     #[error("the output was closed")]
     OutputClosed,
@@ -65,7 +71,7 @@
         match self {
             Self::Usage(_) | Self::Input(_) => ExitStatus::Usage,
             Self::Refused(error) if error.code == ErrorCode::OutcomeUnknown => ExitStatus::Unknown,
-            Self::Refused(_) | Self::Failed(_) => ExitStatus::Refused,
+            Self::Refused(_) | Self::Failed(_) | Self::CheckFailed { .. } => ExitStatus::Refused,
             Self::Unknown { .. } => ExitStatus::Unknown,
             Self::OutputClosed => ExitStatus::Done,
             Self::Unreachable(_) => ExitStatus::Unreachable,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod args;
 pub mod burn;
 mod change;
+pub mod check;
 pub mod client;
 mod error;
 mod input;
@@ -57,6 +58,7 @@
         Action::Delete(delete) => change::delete(&mut client, delete, output).await,
         Action::ReplaceVoter(replace) => change::replace_voter(&mut client, replace, output).await,
         Action::Get(get) => read::get(&mut client, &get, output).await,
+        Action::Check(check) => check::check(&mut client, &check, output).await,
         Action::Status => read::status(&mut client, output).await,
         Action::Burn { svg } => burn::burn(&mut client, svg.as_deref(), output).await,
         Action::Watch { from } => watch::print_events(&mut client, from).await,
--- a/crates/cli/tests/args.rs
+++ b/crates/cli/tests/args.rs
@@ -20,6 +20,7 @@
 #[case::bad_address("status --api nowhere")]
 #[case::bad_form("status --output xml")]
 #[case::option_of_another_command("status --wait")]
+#[case::against_of_another_command("apply f.json --against current")]
 #[case::limit_without_wait("apply f.json --wait-limit-s 3")]
 #[case::bad_key("apply f.json --key a\u{e9}")]
 fn wrong_arguments_end_with_the_usage_status(#[case] line: &str) {
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod finding;
 mod json;
+pub mod lint;
 mod organisations;
 mod replacement;
 mod validate;
--- a/tests/processes/organisations.rs
+++ b/tests/processes/organisations.rs
@@ -80,3 +80,29 @@
         assert_no_secret("a log", &log.await, false);
     }
 }
+
+// Guards against a check that reads the configuration in force incompletely or prints its keys.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_file_is_checked_against_the_configuration_in_force() {
+    let cluster = Cluster::start_with_service(&[0, 0, 1]).await;
+    let version = cluster.change(0, "acme", declare_acme(&[KEY])).await;
+    cluster.wait_in_force(version).await;
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    let check = |changes: &Value| {
+        std::fs::write(file.path(), changes.to_string()).expect("a file");
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_fireflylug"));
+        command.arg("check").arg(file.path()).args(["--against", "current", "--api"]);
+        let output = command.arg(cluster.addresses(2).api.to_string()).output().expect("it runs");
+        (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+
+    let (unchanged, nothing) = check(&declare_acme(&[KEY]));
+    let (rotated, difference) = check(&declare_acme(&[KEY, REVOKED]));
+    let (failed, errors) = check(&declare_acme(&[KEY, KEY]));
+
+    assert_eq!((unchanged, rotated, failed), (Some(0), Some(0), Some(1)));
+    assert_eq!(nothing.trim(), "0 errors, 0 remarks");
+    assert!(difference.contains("organisation/acme: keys: 1 added, 0 removed"), "{difference}");
+    assert!(errors.starts_with("error: operations[0].resource.keys[1]: "), "{errors}");
+    assert_no_secret("the output of check", &format!("{nothing}{difference}{errors}"), false);
+}
