--- a/crates/cli/tests/args.rs
+++ b/crates/cli/tests/args.rs
@@ -91,3 +91,16 @@
 
     assert_eq!(error.exit_status(), status);
 }
+
+// Guards against keys of organisations in errors about input that is cut off or malformed.
+#[rstest]
+#[case::cut_off(r#"{"kind": "organisation", "keys": ["s3cret"#)]
+#[case::bad_escape(r#"{"kind": "organisation", "keys": ["s3cret\q"]}"#)]
+#[case::bare_key(r#""s3cret""#)]
+#[case::no_quotes(r#"{"keys": [s3cret]}"#)]
+fn an_error_about_input_does_not_quote_it(#[case] text: &str) {
+    let input = change_set("f.json", text, None).unwrap_err();
+    let current = fireflylug_cli::check::configuration("f.json", text).unwrap_err();
+
+    assert!(!format!("{input} {current}").contains("s3cret"), "{input} {current}");
+}
