Quotas: a late repeated call gets no credit while its organisation exceeds the quota

Callers that were refused came back and took credit 0.5 to 1 s later, when their target latency had ended (51 late answers in each 2 s), while new calls were refused.

Change: such a call is refused again; it is not part of the demand from which the fraction is computed.

--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -128,8 +128,15 @@
     }
 
     /// Takes the credit for a call of an organisation.
-    pub fn try_take(&mut self, now: Instant, organisation: &Name) -> Result<(), QuotaExceeded> {
-        self.proxy.try_take(now, organisation)
+    ///
+    /// A call that is late (`is_late`) gets no credit while its organisation exceeds its quota.
+    pub fn try_take(
+        &mut self,
+        now: Instant,
+        organisation: &Name,
+        is_late: bool,
+    ) -> Result<(), QuotaExceeded> {
+        self.proxy.try_take(now, organisation, is_late)
     }
 
     /// Returns the credit for a call that did not run.
--- a/crates/core/src/quota/proxy.rs
+++ b/crates/core/src/quota/proxy.rs
@@ -156,8 +156,13 @@
             self.diffusion -= 1.0;
             return Ok(());
         }
-        // Time in which the quota serves the calls that exceed it within a second.
-        Err(QuotaExceeded::after_ms((1.0 / self.fraction.max(0.01) - 1.0) * 1_000.0))
+        Err(self.exceeded())
+    }
+
+    /// The refusal of a call by the fraction: the quota serves in the stated time the calls that
+    /// exceed it within a second.
+    fn exceeded(&self) -> QuotaExceeded {
+        QuotaExceeded::after_ms((1.0 / self.fraction.max(0.01) - 1.0) * 1_000.0)
     }
 }
 
@@ -217,10 +222,20 @@
     }
 
     /// Decides whether a call of an organisation is admitted.
-    pub fn try_take(&mut self, now: Instant, name: &Name) -> Result<(), QuotaExceeded> {
+    pub fn try_take(
+        &mut self,
+        now: Instant,
+        name: &Name,
+        is_late: bool,
+    ) -> Result<(), QuotaExceeded> {
         let is_answered = self.is_answered(now);
         let late_s = self.late_s(now);
         let Some(organisation) = self.organisations.get_mut(name) else { return Ok(()) };
+        if is_late && is_answered && organisation.fraction < 1.0 {
+            // Not part of the demand: the fraction is for calls that can be served in time.
+            organisation.refused_calls += 1;
+            return Err(organisation.exceeded());
+        }
         let taken = match is_answered {
             true => organisation.take_fraction(self.members, late_s),
             false => organisation.take_credit(now, self.members),
--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -36,7 +36,8 @@
             CallOrigin::Proxy(forward) => self.check_forwarded(cx, &head, forward),
         };
         let charged = checked.and_then(|(mut call, target)| {
-            charge(cx, quotas, &mut call).map_err(|exceeded| {
+            let typical_us = self.services[call.service].typical_us(call.class).unwrap_or(0);
+            charge(cx, quotas, &mut call, typical_us).map_err(|exceeded| {
                 credit_in_ms = Some(exceeded.retry_after_ms);
                 RefusalCode::QuotaExceeded
             })?;
@@ -253,11 +254,21 @@
 }
 
 /// Takes credit from the quota of the organisation of a call, at its ingress.
-fn charge(cx: &Context<'_>, quotas: &mut Quotas, call: &mut Call) -> Result<(), QuotaExceeded> {
+///
+/// A repeated call that can no longer be answered within its target latency must not take the
+/// credit of one that can.
+fn charge(
+    cx: &Context<'_>,
+    quotas: &mut Quotas,
+    call: &mut Call,
+    typical_us: u64,
+) -> Result<(), QuotaExceeded> {
     let Some(organisation) = call.organisation.as_ref().filter(|_| call.is_ingress()) else {
         return Ok(());
     };
-    quotas.try_take(cx.now, organisation)?;
+    let is_repeated = call.first_arrived_at < call.arrived_at;
+    let is_late = is_repeated && cx.now.plus_us(typical_us) > call.useful_until;
+    quotas.try_take(cx.now, organisation, is_late)?;
     call.charged = call.organisation.clone();
     Ok(())
 }
--- a/crates/core/tests/quota/main.rs
+++ b/crates/core/tests/quota/main.rs
@@ -217,6 +217,22 @@
     });
 }
 
+/// Guards against repeated calls that take the credit of calls which can still be served in time.
+#[test]
+fn late_calls_get_credit_only_below_the_quota() {
+    let mut world = World::new(1, HOSTS, ZONES, organisations());
+    let [exceeding, below] = [3, 1];
+    world.organisations[exceeding].bursts.push((2 * SECOND, 8 * SECOND, 4.0));
+    world.run(6 * SECOND);
+
+    let admitted = |world: &mut World, organisation| {
+        (0..HOSTS).filter(|host| world.admits_late(*host, organisation)).count()
+    };
+
+    assert_eq!(admitted(&mut world, exceeding), 0);
+    assert_eq!(admitted(&mut world, below), HOSTS);
+}
+
 /// Guards against messages that fill the links of the hosts. 81 organisations make 1,500 calls per
 /// second; no host sends more than 1 KB/s on average.
 #[test]
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -197,6 +197,15 @@
         }
     }
 
+    /// Whether a process gives credit to a late call of an organisation.
+    pub fn admits_late(&mut self, index: usize, organisation: usize) -> bool {
+        let name = self.organisations[organisation].name.clone();
+        let now = Instant::from_us(self.now - self.nodes[index].started_at);
+        let mut is_admitted = false;
+        self.act(index, |quotas, _, _| is_admitted = quotas.try_take(now, &name, true).is_ok());
+        is_admitted
+    }
+
     fn act(&mut self, index: usize, act: impl FnOnce(&mut Quotas, &mut Context<'_>, &Membership)) {
         let node = &mut self.nodes[index];
         let now = Instant::from_us(self.now - node.started_at);
@@ -265,7 +274,7 @@
         // Some calls do not run for another reason.
         let is_returned = self.rng.random_bool(0.03);
         self.act(index, |quotas, _, _| {
-            taken = quotas.try_take(now, &name);
+            taken = quotas.try_take(now, &name, false);
             if taken.is_ok() && is_returned {
                 quotas.give_back(now, &name);
             }
