Routing: concurrency limit and speed of each target

The owner of a target measures the work that it finishes and lowers the limit of concurrent calls by a trial, while the target is full and calls are slow. It reports usable slots and the recent hold time with each response and refusal. An ingress draws targets in proportion to slots and reported speed, and compares zones by the expected wait. Until now each ingress used its own few observations.

Applies to a service with adaptive_limit, or whose targets state the fourth figure of their load; other services are routed as before.

--- a/crates/core/src/resource/service.rs
+++ b/crates/core/src/resource/service.rs
@@ -30,6 +30,11 @@
     /// Path of the health check of a target.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub health_path: Option<CompactString>,
+    /// Whether the limit of concurrent calls and the share of calls of each target follow its
+    /// observed capacity. If absent, they do if the configuration declares an organisation or
+    /// the targets state how long work takes on their machines.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adaptive_limit: Option<bool>,
 }
 
 const fn default_retry_budget_percent() -> u8 {
@@ -55,6 +60,7 @@
             slow_start_ms: default_slow_start_ms(),
             max_connections: None,
             health_path: None,
+            adaptive_limit: None,
         }
     }
 
--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -12,7 +12,8 @@
 //! this target, may wait in its priority until its deadline. Its refusal would free little
 //! capacity, and the call it was made for usually holds a slot elsewhere for longer.
 
-use super::call::{CallClass, RateReport, TargetLoad};
+use super::call::{CallClass, CapacityReport, RateReport, TargetLoad};
+use super::capacity::{CapacityMark, TargetCapacity};
 use super::hold_times::HoldTimes;
 use super::rate_limit::{RateGate, RateLimit};
 use crate::ids::CallId;
@@ -71,8 +72,12 @@
 /// Slots and queue of one target. Only the target's owner has one.
 #[derive(Debug, Default)]
 pub(super) struct AdmissionControl {
-    /// Maximum number of concurrent calls: the lesser of slots and connections.
+    /// Maximum number of concurrent calls: the lesser of slots and connections, or fewer if the
+    /// target handles fewer well.
     limit: u32,
+    capacity: TargetCapacity,
+    /// Whether the observed capacity is applied and reported.
+    is_adaptive: bool,
     in_flight: u32,
     /// Maximum number of concurrent calls with large responses. None if the link of the host is
     /// fast.
@@ -89,11 +94,50 @@
 
 impl AdmissionControl {
     pub fn set_limit(&mut self, slots: u32, connections: u32, is_link_slow: bool) {
-        self.limit = slots.min(connections);
-        let bulk_limit = (self.limit / SLOTS_PER_BULK_CALL).max(1);
+        self.capacity.set_announced(slots.min(connections));
+        self.limit = self.capacity_limit();
+        let bulk_limit = (slots.min(connections) / SLOTS_PER_BULK_CALL).max(1);
         self.bulk_limit = is_link_slow.then_some(bulk_limit);
     }
 
+    /// Sets whether the observed capacity is applied and reported.
+    pub fn set_adaptive(&mut self, is_adaptive: bool) {
+        self.is_adaptive = is_adaptive;
+        self.limit = self.capacity_limit();
+    }
+
+    fn capacity_limit(&self) -> u32 {
+        if self.is_adaptive { self.capacity.usable_slots() } else { self.capacity.announced() }
+    }
+
+    /// What is known of the capacity for calls of a class, if it is reported.
+    pub fn capacity_report(&self, class: CallClass) -> Option<CapacityReport> {
+        self.is_adaptive.then(|| self.capacity.report(class))
+    }
+
+    /// Present sums of the capacity, for a call that has just been admitted.
+    pub fn capacity_mark(&self, now: Instant) -> CapacityMark {
+        self.capacity.mark(now)
+    }
+
+    /// Records how long work takes at the target at this moment, in percent.
+    pub fn record_pace(&mut self, percent: u32, now: Instant) {
+        self.capacity.record_pace(percent, now);
+        self.hold_times.set_pace(self.capacity.pace_percent(now));
+    }
+
+    /// Records a call that the target completed without a server error, before its release.
+    pub fn observe_capacity(&mut self, class: CallClass, since: CapacityMark, now: Instant) {
+        self.capacity.observe(class, since, now);
+        self.limit = self.capacity_limit();
+    }
+
+    /// Forgets the observed capacity, because the target has started again.
+    pub fn forget_capacity(&mut self) {
+        self.capacity.reset();
+        self.limit = self.capacity_limit();
+    }
+
     pub fn rate_gate(&self) -> Option<RateGate> {
         self.rate_gate
     }
@@ -157,6 +201,8 @@
 
     fn take_slot(&mut self, is_bulk: bool, now: Instant) {
         self.in_flight += 1;
+        self.capacity.set_in_flight(self.in_flight, now);
+        self.hold_times.set_pace(self.capacity.pace_percent(now));
         self.bulk_in_flight += u32::from(is_bulk);
         self.rate_gate.iter_mut().for_each(|gate| gate.record_call(now));
     }
@@ -171,6 +217,7 @@
                 .rate_gate
                 .map(|gate| RateReport { limit: gate.limit(), usable_slots: self.usable_slots() }),
             held_ms: 0,
+            capacity: None,
         }
     }
 
@@ -278,23 +325,26 @@
         unservable
     }
 
-    /// Releases the slot of a call that was admitted at `admitted_at`.
+    /// Releases the slot of a call that was admitted at `admitted`.
     ///
     /// `completed` is false if the call was cut short. Its hold time is then not used as an
     /// observation.
     pub fn release(
         &mut self,
         now: Instant,
-        admitted_at: Instant,
+        admitted: CapacityMark,
         completed: bool,
         class: CallClass,
         is_bulk: bool,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.capacity.set_in_flight(self.in_flight, now);
         self.bulk_in_flight = self.bulk_in_flight.saturating_sub(u32::from(is_bulk));
         if completed {
-            self.hold_times.observe(class, now.since_us(admitted_at));
+            let pace_percent = self.capacity.mean_pace_percent(admitted, now);
+            self.hold_times.observe(class, now.since_us(admitted.at), pace_percent);
         }
+        self.hold_times.set_pace(self.capacity.pace_percent(now));
     }
 
     /// Removes the next call that may be admitted from the queue, if a slot is free and the
--- a/crates/core/src/routing/answer.rs
+++ b/crates/core/src/routing/answer.rs
@@ -33,6 +33,7 @@
         if running.holds_slot {
             self.apply_rate_limit(cx, running.target, notice.rate_limit);
             self.note_leaving(running.target, notice.is_leaving);
+            self.record_pace(cx, running.target, notice.pace_percent);
         }
         if is_ingress {
             self.observe_answer(cx, id, running, status, notice.load);
@@ -113,6 +114,11 @@
         if let Some(load) = load {
             self.record_owner_load(cx, attempt.target, load);
         }
+        if let Some(load) = load.or_else(|| self.own_load(cx, attempt.target, class)) {
+            // The call that ends is not part of the load that the next one finds.
+            let load = TargetLoad { in_flight: load.in_flight.saturating_sub(1), ..load };
+            self.record_capacity(cx, attempt.target, class, load);
+        }
         let target = &mut self.targets[attempt.target];
         target.observe(class, took_us, cx.now);
         let service = &mut self.services[target.service];
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -1,7 +1,9 @@
 //! Attempts of a call: the choice of the next one, dispatch or forwarding, and the
 //! release of the slot.
 
+use super::answer::FIRST_SERVER_ERROR;
 use super::call::{CallClass, ForwardHead};
+use super::capacity::CapacityMark;
 use super::chain::Chain;
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
@@ -143,9 +145,12 @@
 
     fn begin_running(&mut self, cx: &Context<'_>, id: CallId, target: TargetKey, holds_slot: bool) {
         let overdue_after_us = self.overdue_after_us(id, target);
+        let admission = self.targets[target].admission.as_ref();
+        let mark = admission.map_or_else(CapacityMark::default, |a| a.capacity_mark(cx.now));
+        let began_at = cx.now;
+        let attempt = Attempt { target, began_at, mark, holds_slot, is_overdue: false };
         let call = self.call_mut(id);
-        call.stage =
-            Stage::Running(Attempt { target, began_at: cx.now, holds_slot, is_overdue: false });
+        call.stage = Stage::Running(attempt);
         let mut due = attempt_timeout_at(call, holds_slot);
         if let Some(overdue_after_us) = overdue_after_us {
             due = due.min(cx.now.plus_us(overdue_after_us));
@@ -197,6 +202,7 @@
         let is_ingress = call.is_some_and(Call::is_ingress);
         let class = call.map_or(CallClass::default(), |call| call.class);
         let is_bulk = call.is_some_and(|call| call.is_bulk);
+        let is_error = call.is_some_and(|call| call.status >= FIRST_SERVER_ERROR);
         let target = &mut self.targets[attempt.target];
         target.health.end_probe();
         target.attempts -= 1;
@@ -204,7 +210,10 @@
         if attempt.holds_slot
             && let Some(admission) = &mut target.admission
         {
-            admission.release(cx.now, attempt.began_at, completed, class, is_bulk);
+            if completed && !is_error {
+                admission.observe_capacity(class, attempt.mark, cx.now);
+            }
+            admission.release(cx.now, attempt.mark, completed, class, is_bulk);
             self.admit_queued(cx, attempt.target);
         }
         self.forget_target(attempt.target);
--- a/crates/core/src/routing/call.rs
+++ b/crates/core/src/routing/call.rs
@@ -27,6 +27,18 @@
     /// Time from the arrival of the call at the owner to this report, in milliseconds. The
     /// remainder of the time that the ingress measures is the network round trip.
     pub held_ms: u32,
+    /// Capacity that the owner observed. None if it does not report any.
+    pub capacity: Option<CapacityReport>,
+}
+
+/// Capacity of a target, as its owner observed it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct CapacityReport {
+    /// Number of concurrent calls that the target handles well.
+    pub usable_slots: u32,
+    /// Recent mean time for which calls of the class of this call held a slot, in
+    /// microseconds; 0 if none was observed.
+    pub hold_us: u32,
 }
 
 /// The rate limit of a target, as its owner reports it.
@@ -45,6 +57,9 @@
     pub load: Option<TargetLoad>,
     /// Rate limit that the target states.
     pub rate_limit: Option<RateLimit>,
+    /// How long work takes on the target's machine at this moment, in percent of the usual
+    /// time, if the target states it.
+    pub pace_percent: Option<u32>,
     /// Whether the target states that it is leaving.
     pub is_leaving: bool,
     /// Whether the target ended while it ran the call.
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -17,13 +17,13 @@
 use crate::membership::MemberStatus;
 
 /// Usual additional latency of a tier over the nearest tier, in microseconds.
-const TIER_EXTRA_LATENCY_US: [u64; TIERS] = [0, 2_500, 61_500];
+pub(super) const TIER_EXTRA_LATENCY_US: [u64; TIERS] = [0, 2_500, 61_500];
 /// Surcharge for traffic to a tier in addition to its latency, in percent of the policy's
 /// target latency. It keeps the links between zones and regions free while a near target is
 /// fast enough.
-const TIER_COST_PERCENT: [u64; TIERS] = [0, 5, 35];
+pub(super) const TIER_COST_PERCENT: [u64; TIERS] = [0, 5, 35];
 /// The same surcharge for calls with large requests or responses.
-const BULK_TIER_COST_PERCENT: [u64; TIERS] = [0, 30, 200];
+pub(super) const BULK_TIER_COST_PERCENT: [u64; TIERS] = [0, 30, 200];
 /// Maximum number of targets of a tier that are compared for one call.
 const MAX_CANDIDATES: usize = 12;
 /// Random variation of the expected time, in percent in either direction.
@@ -32,7 +32,7 @@
 /// Surcharge for a target without a free slot in addition to its expected time, in percent of
 /// the policy's target latency. It is limited because the information about free slots is old:
 /// a distant target is not preferred for its free slots alone.
-const WAITING_COST_PERCENT: u64 = 20;
+pub(super) const WAITING_COST_PERCENT: u64 = 20;
 
 impl Routing {
     /// Chooses the target for the next attempt of a call. None if no target of its service
@@ -43,6 +43,10 @@
         if let Some(target) = self.choose_probe(cx, call, service) {
             return Some(target);
         }
+        if self.is_adaptive(service) {
+            let chosen = self.choose_by_capacity(cx, call, service);
+            return chosen.or_else(|| self.any_ejected(cx, call, service));
+        }
         let (mut best, mut least_cost) = (None, u64::MAX);
         for tier in 0..TIERS {
             let candidates = self.candidates(cx, call, service, tier);
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -33,18 +33,22 @@
             return;
         }
         call.is_replayable &= is_replayable;
-        let (is_ingress, is_bulk) = (call.is_ingress(), call.is_bulk);
+        let (is_ingress, is_bulk, class) = (call.is_ingress(), call.is_bulk, call.class);
         if running.holds_slot {
             // Many failures come without a response, so a missing limit says nothing here.
             if notice.rate_limit.is_some() {
                 self.apply_rate_limit(cx, running.target, notice.rate_limit);
             }
             self.note_leaving(running.target, notice.is_leaving);
+            self.record_pace(cx, running.target, notice.pace_percent);
             if notice.has_ended {
                 self.record_target_end(cx, id, running.target);
             }
         }
         if is_ingress {
+            if let Some(load) = notice.load {
+                self.record_capacity(cx, running.target, class, load);
+            }
             self.observe_failure(cx, running, refusal, notice.load, is_bulk);
         }
         self.release(cx, id, running, false);
@@ -74,7 +78,11 @@
             RefusalCode::Unauthenticated => false,
             _ => !attempt.is_overdue,
         };
-        if is_target_fault {
+        let is_alike = refusal.code == RefusalCode::TargetRefused
+            && self.does_service_refuse_alike(cx, attempt.target);
+        if is_target_fault && is_alike {
+            self.note_common_refusal(cx, attempt.target);
+        } else if is_target_fault {
             self.note_failure(cx, attempt.target);
         }
     }
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -8,6 +8,7 @@
 use super::answer::FIRST_SERVER_ERROR;
 use super::attempt::{attempt_timeout_at, relay_timeout_at};
 use super::decision::Step;
+use super::health::SERVICE_SUCCESS_SMOOTHING;
 use super::quarantine::REMEMBERED_FOR_MS;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Call, ServerError, Stage};
@@ -363,13 +364,16 @@
             target.restart_slow_start(cx.now);
             self.services[target.service].ejected.retain(|other| *other != key);
         }
-        self.targets[key].health.record_success(cx.now);
+        let target = &mut self.targets[key];
+        target.health.record_success(cx.now);
+        let service = &mut self.services[target.service];
+        service.success.observe(1_000, SERVICE_SUCCESS_SMOOTHING, cx.now);
     }
 
     /// A call at a target failed. Ejects the target if needed and if not too many are ejected.
     pub(super) fn note_failure(&mut self, cx: &Context<'_>, key: TargetKey) {
+        self.note_common_refusal(cx, key);
         let target = &mut self.targets[key];
-        target.health.note_failure(cx.now);
         if !target.health.count_failure() {
             return;
         }
@@ -387,6 +391,14 @@
         target.health.eject(cx.now);
     }
 
+    /// Records a failure that does not lead to an ejection.
+    pub(super) fn note_common_refusal(&mut self, cx: &Context<'_>, key: TargetKey) {
+        let target = &mut self.targets[key];
+        target.health.note_failure(cx.now);
+        let service = &mut self.services[target.service];
+        service.success.observe(0, SERVICE_SUCCESS_SMOOTHING, cx.now);
+    }
+
     /// Whether a target that the call has not tried probably has a free slot, and the network
     /// path to it has capacity.
     pub(super) fn has_free_slot_elsewhere(&self, cx: &Context<'_>, id: CallId) -> bool {
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -20,9 +20,9 @@
     success: SuccessRate,
 }
 
-/// Moving average of the share of successful calls. It recovers with time.
+/// Moving average of the share of successful calls of a target or a service. It recovers with time.
 #[derive(Clone, Copy, Debug)]
-struct SuccessRate {
+pub(super) struct SuccessRate {
     permille: u64,
     observed_at: Instant,
 }
@@ -33,22 +33,25 @@
     }
 }
 
-/// A new outcome has a weight of one in this number.
+/// A new outcome has a weight of one in this number, for a target and for a service.
 const SUCCESS_SMOOTHING: u64 = 10;
+pub(super) const SERVICE_SUCCESS_SMOOTHING: u64 = 32;
 /// Half-life of the weight of failures, in microseconds.
 const SUCCESS_HALF_LIFE_US: u64 = 3_000_000;
 /// Lower bound of the reported share, so that a target is tried again, in thousandths.
 const MIN_SUCCESS_PERMILLE: u64 = 100;
 
 impl SuccessRate {
-    fn at(self, now: Instant) -> u64 {
+    /// Recent share of successful calls, in thousandths.
+    pub fn at(self, now: Instant) -> u64 {
         let halvings = (now.since_us(self.observed_at) / SUCCESS_HALF_LIFE_US).min(32);
         1_000 - ((1_000 - self.permille) >> halvings)
     }
 
-    fn observe(&mut self, permille: u64, now: Instant) {
+    /// Records one outcome, in thousandths, with a weight of one in `smoothing`.
+    pub fn observe(&mut self, permille: u64, smoothing: u64, now: Instant) {
         let before = self.at(now);
-        self.permille = (before * (SUCCESS_SMOOTHING - 1) + permille) / SUCCESS_SMOOTHING;
+        self.permille = (before * (smoothing - 1) + permille) / smoothing;
         self.observed_at = now;
     }
 }
@@ -57,13 +60,13 @@
     /// Records a successful call. Ends an ejection.
     pub fn record_success(&mut self, now: Instant) {
         let mut success = self.success;
-        success.observe(1_000, now);
+        success.observe(1_000, SUCCESS_SMOOTHING, now);
         *self = Self { success, ..Self::default() };
     }
 
     /// Records a failed call in the success rate.
     pub fn note_failure(&mut self, now: Instant) {
-        self.success.observe(0, now);
+        self.success.observe(0, SUCCESS_SMOOTHING, now);
     }
 
     /// Recent share of successful calls, in thousandths; never 0.
--- a/crates/core/src/routing/hold_times.rs
+++ b/crates/core/src/routing/hold_times.rs
@@ -1,4 +1,7 @@
 //! Times for which calls hold a slot of one target, as observed by its owner.
+//!
+//! A target may state how long work takes on its machine at this moment. Observed times are
+//! stored as they would have been at the usual pace, and returned for the present one.
 
 use super::call::CallClass;
 use super::estimate::{ByClass, Estimate};
@@ -8,35 +11,54 @@
 const SHORT_HOLD_DIVISOR: u64 = 2;
 
 /// Hold times over all calls and by class.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct HoldTimes {
     all: Estimate,
     by_class: ByClass<Estimate>,
+    /// How long work takes at this moment, in percent of the usual time.
+    pace_percent: u32,
+}
+
+impl Default for HoldTimes {
+    fn default() -> Self {
+        let (all, by_class) = (Estimate::default(), ByClass::default());
+        Self { all, by_class, pace_percent: 100 }
+    }
 }
 
 impl HoldTimes {
-    /// Records the hold time of a call, in microseconds.
-    pub fn observe(&mut self, class: CallClass, us: u64) {
+    /// Sets how long work takes at this moment, in percent of the usual time.
+    pub fn set_pace(&mut self, percent: u32) {
+        self.pace_percent = percent;
+    }
+
+    /// Records the hold time of a call, in microseconds, and the mean pace during the call.
+    pub fn observe(&mut self, class: CallClass, us: u64, pace_percent: u32) {
+        let us = us * 100 / u64::from(pace_percent.max(1));
         self.all.observe(us);
         if let Some(estimate) = self.by_class.entry(class) {
             estimate.observe(us);
         }
     }
 
+    fn at_pace(&self, us: u64) -> u64 {
+        us * u64::from(self.pace_percent) / 100
+    }
+
     /// Mean over all calls, in microseconds.
     pub fn mean_us(&self) -> u64 {
-        self.all.mean_us()
+        self.at_pace(self.all.mean_us())
     }
 
     /// Mean of a class, in microseconds.
     pub fn mean_us_of(&self, class: CallClass) -> u64 {
-        self.of(class).mean_us()
+        self.at_pace(self.of(class).mean_us())
     }
 
     /// Time that few calls of a class exceed, in microseconds.
     pub fn high_us(&self, class: CallClass) -> u64 {
         let estimate = self.of(class);
-        estimate.mean_us() + estimate.deviation_us()
+        self.at_pace(estimate.mean_us() + estimate.deviation_us())
     }
 
     /// Whether calls of a class hold their slot for a short time, compared with the class that
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -18,6 +18,7 @@
 mod budget;
 mod bulk_rate;
 mod call;
+mod capacity;
 mod chain;
 mod choose;
 mod decision;
@@ -38,6 +39,7 @@
 mod region_link;
 mod reported_limits;
 mod split;
+mod spread;
 mod state;
 mod table;
 mod target;
@@ -51,8 +53,8 @@
 use slotmap::SlotMap;
 
 pub use call::{
-    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, ForwardHead, RateReport, TargetLoad,
-    TargetNotice,
+    CallClass, CallEffect, CallEvent, CallHead, CallOrigin, CapacityReport, ForwardHead,
+    RateReport, TargetLoad, TargetNotice,
 };
 pub use chain::{Chain, ChainError};
 pub use decision::{Decision, Step};
--- a/crates/core/src/routing/network_path.rs
+++ b/crates/core/src/routing/network_path.rs
@@ -95,8 +95,10 @@
         target: TargetKey,
     ) -> Option<TargetLoad> {
         let call = self.calls.get(&id).filter(|call| !call.is_ingress())?;
-        let load = self.targets.get(target)?.admission.as_ref()?.load(cx.now);
+        let admission = self.targets.get(target)?.admission.as_ref()?;
+        let load = admission.load(cx.now);
+        let capacity = admission.capacity_report(call.class);
         let held_ms = u32::try_from(cx.now.since_ms(call.arrived_at)).unwrap_or(u32::MAX);
-        Some(TargetLoad { held_ms, ..load })
+        Some(TargetLoad { held_ms, capacity, ..load })
     }
 }
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -4,11 +4,14 @@
 
 use super::budget::RetryBudget;
 use super::call::CallClass;
+use super::capacity::CapacityMark;
 use super::chain::Chain;
 use super::estimate::Estimate;
+use super::health::SuccessRate;
 use super::message::Fingerprint;
 use super::metrics::ServiceCounts;
 use super::refusal::Refusal;
+use super::spread::ServiceReports;
 use super::table::RouteRule;
 use super::{ServiceKey, TargetKey};
 use crate::collections::HashMap;
@@ -51,6 +54,8 @@
 pub(super) struct Attempt {
     pub target: TargetKey,
     pub began_at: Instant,
+    /// Sums of the capacity of the target at the start, if the attempt holds a slot.
+    pub mark: CapacityMark,
     /// Whether the attempt holds a slot that this proxy admitted it to as the owner.
     pub holds_slot: bool,
     /// Whether the missing response was already counted as a failure of the target.
@@ -175,6 +180,15 @@
     pub slow_start_ms: u32,
     /// Maximum connections to each target, if the service limits them.
     pub max_connections: Option<u32>,
+    /// Whether calls are distributed by the reported capacity of targets, if the service states
+    /// it.
+    pub adaptive_limit: Option<bool>,
+    /// Whether a target stated its pace, or an owner reported a capacity.
+    pub has_reported_capacity: bool,
+    /// Capacity and load of all targets, as reported by their owners.
+    pub reports: ServiceReports,
+    /// Share of calls that any target completed.
+    pub success: SuccessRate,
     /// Time until the head of a response, over all targets.
     pub latency: Estimate,
     /// The same, by class of calls.
@@ -199,6 +213,10 @@
             max_ejected_percent: defaults.max_ejected_percent,
             slow_start_ms: defaults.slow_start_ms,
             max_connections: defaults.max_connections,
+            adaptive_limit: defaults.adaptive_limit,
+            has_reported_capacity: false,
+            reports: ServiceReports::default(),
+            success: SuccessRate::default(),
             latency: Estimate::default(),
             latency_by_class: HashMap::default(),
             last_answers: Default::default(),
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -39,10 +39,29 @@
     other_calls: u64,
     wait_ms: u32,
     rate: Option<RateReport>,
+    /// Number of concurrent calls that the target handles well, if its owner reports it.
+    usable_slots: Option<u32>,
     received_at: Instant,
     lifetime_us: u64,
 }
 
+/// Speed of a target in relation to the typical target of its service.
+#[derive(Clone, Copy, Debug)]
+struct SpeedReport {
+    speed: f64,
+    received_at: Instant,
+}
+
+/// Range of speeds that is believed.
+const MIN_SPEED: f64 = 0.1;
+const MAX_SPEED: f64 = 4.0;
+/// Age at which a reported speed expires, in microseconds. The difference to the typical speed
+/// decreases until then.
+const SPEED_LIFETIME_US: u64 = 20_000_000;
+/// Age within which a report is averaged with the one before it, which may be of another class
+/// of calls, in microseconds.
+const SPEED_AVERAGED_US: u64 = 2_000_000;
+
 /// One target as seen by this proxy.
 #[derive(Debug)]
 pub(super) struct Target {
@@ -68,6 +87,7 @@
     /// announced none.
     cold_us: Option<u64>,
     hint: Option<LoadHint>,
+    speed: Option<SpeedReport>,
     /// The last end of the target that its owner noticed, and when it did last.
     pub last_end: Option<(TargetEnd, Instant)>,
     /// Until when the link of the target's host is considered to have no capacity for large
@@ -91,6 +111,7 @@
             ready_since: now,
             cold_us: None,
             hint: None,
+            speed: None,
             last_end: None,
             link_busy_until: Instant::ZERO,
         };
@@ -106,6 +127,8 @@
         self.record = record;
         if !was_ready || moved {
             self.admission.iter_mut().for_each(AdmissionControl::forget_rate_limit);
+            self.admission.iter_mut().for_each(AdmissionControl::forget_capacity);
+            self.speed = None;
             self.begin_slow_start(now);
             self.health = Health::default();
             self.latency = Estimate::default();
@@ -124,8 +147,10 @@
         let Some(percent) = self.record.load_percent else { return };
         let load = u64::from(self.record.slots) * u64::from(percent) / 100;
         let rate = self.fresh_hint(now).and_then(|hint| hint.rate);
+        let usable_slots = self.fresh_hint(now).and_then(|hint| hint.usable_slots);
         let load = TargetLoad { in_flight: load as u32, rate, ..TargetLoad::default() };
         self.set_load_hint(load, now, SELF_REPORT_LIFETIME_US);
+        self.hint.iter_mut().for_each(|hint| hint.usable_slots = usable_slots);
     }
 
     /// Records the load that the owner reported.
@@ -146,14 +171,41 @@
     }
 
     fn set_load_hint(&mut self, load: TargetLoad, now: Instant, lifetime_us: u64) {
-        let TargetLoad { in_flight, queued, wait_ms, rate, .. } = load;
+        let TargetLoad { in_flight, queued, wait_ms, rate, capacity, .. } = load;
         let all_calls = u64::from(in_flight) + u64::from(queued);
         let other_calls = all_calls.saturating_sub(u64::from(self.in_flight)).min(MAX_OTHER_CALLS);
         let wait_ms = wait_ms.min(MAX_WAIT_MS);
-        let hint = LoadHint { other_calls, wait_ms, rate, received_at: now, lifetime_us };
+        let usable_slots = capacity.map(|report| report.usable_slots.max(1));
+        let received_at = now;
+        let hint = LoadHint { other_calls, wait_ms, rate, usable_slots, received_at, lifetime_us };
         self.hint = Some(hint);
     }
 
+    /// Records the speed of the target in relation to the typical one.
+    pub fn record_speed(&mut self, speed: f64, now: Instant) {
+        let mut speed = speed.clamp(MIN_SPEED, MAX_SPEED);
+        if let Some(before) = &self.speed
+            && now.since_us(before.received_at) < SPEED_AVERAGED_US
+        {
+            speed = (before.speed + speed) / 2.0;
+        }
+        self.speed = Some(SpeedReport { speed, received_at: now });
+    }
+
+    /// Expected speed in relation to the typical target; 1 if nothing is known.
+    pub fn speed(&self, now: Instant) -> f64 {
+        let Some(report) = self.speed else { return 1.0 };
+        let age_us = now.since_us(report.received_at).min(SPEED_LIFETIME_US);
+        let weight = 1.0 - age_us as f64 / SPEED_LIFETIME_US as f64;
+        1.0 + (report.speed - 1.0) * weight
+    }
+
+    /// Calls of other proxies at the target according to the last report, and its age in
+    /// microseconds.
+    pub fn reported_calls(&self, now: Instant) -> Option<(u64, u64)> {
+        self.fresh_hint(now).map(|hint| (hint.other_calls, now.since_us(hint.received_at)))
+    }
+
     /// Records a response that arrived `us` after the start of its attempt.
     pub fn observe(&mut self, class: CallClass, us: u64, now: Instant) {
         self.latency.observe(us);
@@ -193,7 +245,10 @@
         let slots = self.record.slots.min(self.record.connections);
         let usable = match &self.admission {
             Some(admission) => Some(admission.usable_slots()),
-            None => self.fresh_hint(now).and_then(|hint| hint.rate).map(|rate| rate.usable_slots),
+            None => self.fresh_hint(now).and_then(|hint| {
+                let within_rate = hint.rate.map(|rate| rate.usable_slots);
+                within_rate.into_iter().chain(hint.usable_slots).min()
+            }),
         };
         u64::from(usable.map_or(slots, |usable| usable.min(slots)))
     }
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -26,6 +26,7 @@
             state.max_ejected_percent = service.max_ejected_percent;
             state.slow_start_ms = service.slow_start_ms;
             state.max_connections = service.max_connections;
+            state.adaptive_limit = service.adaptive_limit;
         }
         self.splits.retain(|route| configuration.routes().any(|known| known.name == *route));
         self.configuration = configuration;
@@ -137,12 +138,14 @@
 
     fn update_admission(&mut self, cx: &mut Context<'_>, key: TargetKey) {
         let connections = self.connections_of(key);
+        let is_adaptive = self.is_adaptive(self.targets[key].service);
         let target = &mut self.targets[key];
         let is_owner = target.record.owner == cx.me.id;
         if is_owner {
             let slots = target.record.slots;
             let admission = target.admission.get_or_insert_with(AdmissionControl::default);
             admission.set_limit(slots, connections, self.settings.is_link_slow);
+            admission.set_adaptive(is_adaptive);
             if target.record.state == TargetState::Ready {
                 self.admit_queued(cx, key);
                 return;
--- a/crates/core/tests/routing/limits.rs
+++ b/crates/core/tests/routing/limits.rs
@@ -403,6 +403,7 @@
         wait_ms: u32::MAX,
         rate: RateLimit::per_second(0.0).map(|limit| RateReport { limit, usable_slots: 0 }),
         held_ms: u32::MAX,
+        capacity: None,
     };
 
     let calls = [ingress.arrive("/seats", true), ingress.arrive("/seats", true)];
--- a/crates/core/tests/routing/links.rs
+++ b/crates/core/tests/routing/links.rs
@@ -165,7 +165,14 @@
             let harness = &mut self.ingresses[ingress];
             if answer.is_head {
                 let held_ms = WORK_MS;
-                let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, rate: None, held_ms };
+                let load = TargetLoad {
+                    in_flight: 1,
+                    queued: 0,
+                    wait_ms: 0,
+                    rate: None,
+                    held_ms,
+                    capacity: None,
+                };
                 harness.step(CallEvent::Answered {
                     call,
                     attempt,
@@ -252,7 +259,14 @@
         let call = harness.arrive("/scan", true);
         assert_eq!(harness.take_attempts().len(), 1, "round {round}");
         harness.pass_ms(100 + round * 5);
-        let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, rate: None, held_ms: WORK_MS };
+        let load = TargetLoad {
+            in_flight: 1,
+            queued: 0,
+            wait_ms: 0,
+            rate: None,
+            held_ms: WORK_MS,
+            capacity: None,
+        };
         harness.step(CallEvent::Answered { call, attempt: 1, status: 200, notice: load.into() });
         harness.step(CallEvent::Ended { call, attempt: 1, is_complete: true });
         harness.take_effects();
@@ -315,8 +329,15 @@
             attempt,
             refusal: refusal(RefusalCode::Overloaded, Outcome::NotRun),
             is_replayable: true,
-            notice: TargetLoad { in_flight: 4, queued: 2, wait_ms: 300, rate: None, held_ms: 0 }
-                .into(),
+            notice: TargetLoad {
+                in_flight: 4,
+                queued: 2,
+                wait_ms: 300,
+                rate: None,
+                held_ms: 0,
+                capacity: None,
+            }
+            .into(),
         });
     };
     let first = harness.arrive("/scan", true);
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -1,5 +1,6 @@
 //! Tests of routing decisions, each with the failure that it guards against.
 
+mod capacity;
 mod choice;
 mod harness;
 mod limits;
--- a/crates/core/tests/routing/rate_limits.rs
+++ b/crates/core/tests/routing/rate_limits.rs
@@ -269,6 +269,7 @@
         wait_ms: 0,
         rate: RateLimit::per_second(1.0).map(|limit| RateReport { limit, usable_slots: 1 }),
         held_ms: WORK_MS as u32,
+        capacity: None,
     };
     let with_room = TargetLoad { in_flight: 6, rate: None, ..at_limit };
     (0..20).for_each(|_| _ = ingress.arrive("/seats", true));
--- a/crates/core/tests/routing/regions.rs
+++ b/crates/core/tests/routing/regions.rs
@@ -79,7 +79,14 @@
 
 /// Load report of an owner whose target has no free slot.
 fn full_load(queued: u32) -> TargetLoad {
-    TargetLoad { in_flight: SLOTS, queued, wait_ms: 100, rate: None, held_ms: LOOKUP_MS }
+    TargetLoad {
+        in_flight: SLOTS,
+        queued,
+        wait_ms: 100,
+        rate: None,
+        held_ms: LOOKUP_MS,
+        capacity: None,
+    }
 }
 
 /// Completes calls of a path, so that their latency is observed.
@@ -87,7 +94,14 @@
     for _ in 0..4 {
         let (call, ..) = send(harness, path);
         harness.pass_ms(u64::from(took_ms));
-        let idle = TargetLoad { in_flight: 0, queued: 0, wait_ms: 0, rate: None, held_ms: took_ms };
+        let idle = TargetLoad {
+            in_flight: 0,
+            queued: 0,
+            wait_ms: 0,
+            rate: None,
+            held_ms: took_ms,
+            capacity: None,
+        };
         complete_with_load(harness, call, idle);
     }
 }
@@ -163,7 +177,14 @@
     let (call, _, useful_ms) = send(&mut harness, "/lookup");
     assert_eq!(useful_ms, LOOKUP_USEFUL_MS, "the round trip is not known yet");
     harness.pass_ms(u64::from(LOOKUP_MS + ROUND_TRIP_MS));
-    let idle = TargetLoad { in_flight: 0, queued: 0, wait_ms: 0, rate: None, held_ms: LOOKUP_MS };
+    let idle = TargetLoad {
+        in_flight: 0,
+        queued: 0,
+        wait_ms: 0,
+        rate: None,
+        held_ms: LOOKUP_MS,
+        capacity: None,
+    };
     complete_with_load(&mut harness, call, idle);
 
     let (_, target, useful_ms) = send(&mut harness, "/lookup");
--- a/crates/daemon/src/calls/dialect.rs
+++ b/crates/daemon/src/calls/dialect.rs
@@ -32,7 +32,9 @@
     pub not_run: HeaderName,
     /// Header of a health response: id of the target.
     pub target_id: HeaderName,
-    /// Header of a health response: running calls, waiting calls and slots, separated by commas.
+    /// Header of a health response, and of any other response of a target: running calls,
+    /// waiting calls, slots and, optionally, how long work takes on its machine at this moment
+    /// in percent of the usual time, separated by commas.
     pub target_load: HeaderName,
     /// Response header: calls per second that the target accepts from all proxies together,
     /// as a decimal number, for as long as it is present.
--- a/crates/daemon/src/calls/headers.rs
+++ b/crates/daemon/src/calls/headers.rs
@@ -16,14 +16,15 @@
 //! | `fireflylug-identity` | ingress to owner | organisation of the caller; digest of its key, version in which it was found, 1 if it is required |
 //! | `fireflylug-sent` | ingress to owner | `clock.time`: id of the ingress's clock and its time in microseconds |
 //! | `fireflylug-key` | ingress to owner | shared key, in hexadecimal |
-//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; under a rate limit then `.usable_slots.interval_us` |
+//! | `fireflylug-load` | owner to ingress | `in_flight.queued.wait_ms.held_ms` of target and call; under a rate limit then `.usable_slots.interval_us`; with an observed capacity then `;usable_slots.hold_us` |
+//! | `fireflylug-target-load` | target to mesh | running calls, waiting calls, slots and, optionally, how long work takes at this moment in percent of the usual time, separated by commas |
 
 use compact_str::CompactString;
 use fireflylug_core::ids::{Name, TargetId, Version};
 use fireflylug_core::organisation::{KeyDigest, VerifiedKey};
 use fireflylug_core::routing::{
-    CallClass, Chain, ClockId, ForwardHead, Outcome, RateLimit, RateReport, RefusalCode,
-    TargetLoad, TargetNotice,
+    CallClass, CapacityReport, Chain, ClockId, ForwardHead, Outcome, RateLimit, RateReport,
+    RefusalCode, TargetLoad, TargetNotice,
 };
 use http::Uri;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -254,7 +255,7 @@
 
 /// Adds the load of a target to an owner's response.
 pub(super) fn add_load(headers: &mut HeaderMap, load: TargetLoad) {
-    let TargetLoad { in_flight, queued, wait_ms, rate, held_ms } = load;
+    let TargetLoad { in_flight, queued, wait_ms, rate, held_ms, capacity } = load;
     let text = format!("{in_flight}.{queued}.{wait_ms}.{held_ms}");
     let text = match rate {
         Some(RateReport { limit, usable_slots }) => {
@@ -262,18 +263,38 @@
         }
         None => text,
     };
+    let text = match capacity {
+        Some(CapacityReport { usable_slots, hold_us }) => {
+            format!("{text};{usable_slots}.{hold_us}")
+        }
+        None => text,
+    };
     headers.insert(LOAD, value(text));
 }
 
 /// Parses the load of a target from its owner's response.
 fn load(headers: &HeaderMap) -> Option<TargetLoad> {
-    let mut fields = headers.get(LOAD)?.to_str().ok()?.split('.');
+    let text = headers.get(LOAD)?.to_str().ok()?;
+    let (text, capacity) = match text.split_once(';') {
+        Some((text, capacity)) => (text, capacity_report(capacity)),
+        None => (text, None),
+    };
+    let mut fields = text.split('.');
     Some(TargetLoad {
         in_flight: fields.next()?.parse().ok()?,
         queued: fields.next()?.parse().ok()?,
         wait_ms: fields.next()?.parse().ok()?,
         held_ms: fields.next()?.parse().ok()?,
         rate: rate_report(fields),
+        capacity,
+    })
+}
+
+fn capacity_report(text: &str) -> Option<CapacityReport> {
+    let (usable_slots, hold_us) = text.split_once('.')?;
+    Some(CapacityReport {
+        usable_slots: usable_slots.parse().ok()?,
+        hold_us: hold_us.parse().ok()?,
     })
 }
 
@@ -288,6 +309,7 @@
     TargetNotice {
         load: None,
         rate_limit: rate_limit(headers, dialect),
+        pace_percent: pace_percent(headers, dialect),
         is_leaving: dialect.is_leaving(headers),
         has_ended: false,
     }
@@ -304,6 +326,14 @@
     RateLimit::per_second(text.trim().parse().ok()?)
 }
 
+/// Parses the fourth figure of the load that a target states; `None` if absent or malformed.
+fn pace_percent(headers: &HeaderMap, dialect: &CallDialect) -> Option<u32> {
+    let text = headers.get(&dialect.target_load)?.to_str().ok()?;
+    let percent: f64 = text.split(',').nth(3)?.trim().parse().ok()?;
+    // The cast saturates at the bounds of `u32`.
+    (percent.is_finite() && percent > 0.0).then_some(percent as u32)
+}
+
 /// Parses the refusal in an owner's response.
 pub(super) fn refusal(headers: &HeaderMap) -> Option<(RefusalCode, Outcome)> {
     let code = headers.get(ERROR)?.to_str().ok()?.parse().ok()?;
--- a/crates/daemon/src/local_target.rs
+++ b/crates/daemon/src/local_target.rs
@@ -90,7 +90,8 @@
     let headers = answer.wrap_err("the target did not respond within the timeout")??;
     let id = header_text(&headers, &dialect.target_id)?;
     let load = header_text(&headers, &dialect.target_load)?;
-    let slots = load.rsplit(',').next().unwrap_or_default().trim();
+    // A fourth figure, how long work takes at this moment, may follow the slots.
+    let slots = load.split(',').take(3).last().unwrap_or_default().trim();
     let slots = slots.parse().wrap_err("the load header contains no valid number of slots")?;
     ensure!(slots > 0, "the target reports 0 slots");
     Ok(TargetAnnouncement {
--- a/crates/measure/src/calls/reducer_cost.rs
+++ b/crates/measure/src/calls/reducer_cost.rs
@@ -55,7 +55,14 @@
             CallEvent::Arrived { call: CallId(index), head },
         );
         if let Some(call) = index.checked_sub(IN_FLIGHT).map(CallId) {
-            let load = TargetLoad { in_flight: 1, queued: 0, wait_ms: 0, rate: None, held_ms: 0 };
+            let load = TargetLoad {
+                in_flight: 1,
+                queued: 0,
+                wait_ms: 0,
+                rate: None,
+                held_ms: 0,
+                capacity: None,
+            };
             let answered =
                 CallEvent::Answered { call, attempt: 1, status: 200, notice: load.into() };
             routing.step(&mut cx, &mut slo, &mut quotas, answered);
