--- a/crates/core/tests/routing/harness.rs
+++ b/crates/core/tests/routing/harness.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// Replaces the random numbers of the proxy: several proxies of a test must not draw alike.
+    pub fn seed(&mut self, seed: u64) {
+        self.rng = SmallRng::seed_from_u64(seed);
+    }
+
     pub fn configure(&mut self, resources: Vec<Resource>) {
         self.configure_version(1, resources);
     }
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -13,4 +13,5 @@
 mod repeated;
 mod retries;
 mod slow_link;
+mod spread;
 mod transit;
