--- a/crates/core/tests/routing/spread.rs
+++ b/crates/core/tests/routing/spread.rs
@@ -26,9 +26,16 @@
 
 /// Something that happens later at a host.
 enum Event {
-    Forwarded { from: (usize, CallId, u8), head: ForwardHead },
+    Forwarded {
+        from: (usize, CallId, u8),
+        head: ForwardHead,
+    },
     /// The target of the host ends a call, or refuses it.
-    Finished { call: CallId, attempt: u8, is_refused: bool },
+    Finished {
+        call: CallId,
+        attempt: u8,
+        is_refused: bool,
+    },
     Reported(CallEvent),
 }
 
@@ -202,13 +209,8 @@
                                 load.map_or_else(TargetNotice::default, TargetNotice::from);
                             let refusal = refusal(why.code, why.outcome);
                             let is_replayable = true;
-                            let event = CallEvent::Failed {
-                                call,
-                                attempt,
-                                refusal,
-                                is_replayable,
-                                notice,
-                            };
+                            let event =
+                                CallEvent::Failed { call, attempt, refusal, is_replayable, notice };
                             self.schedule(arrives_at, ingress, Event::Reported(event));
                         }
                         None => self.end(host, call, false),
@@ -285,7 +287,7 @@
     assert!(full[1] < 0.9 && full[2] < 0.9, "{full:?}");
     assert!(refused < 0.01, "{refused} refused");
     assert!(slow < 0.05, "{slow} of the calls are slow");
-    let of_zone = |served: &&Served| served.ingress % ZONES == 0;
+    let of_zone = |served: &&Served| served.ingress.is_multiple_of(ZONES);
     let stayed = |served: &&Served| served.target.is_some_and(|target| target % ZONES == 0);
     let calls = fleet.last(500).filter(of_zone).count() as f64;
     let near = fleet.last(500).filter(of_zone).filter(stayed).count() as f64;
