Metrics: usable slots and speed of each target of a host

The fourth figure of a target's load header was read as its number of slots by the search for a target that kept running. A test with real sockets shows the header's way to an ingress.

--- a/crates/core/src/routing/metrics.rs
+++ b/crates/core/src/routing/metrics.rs
@@ -84,6 +84,11 @@
     pub latency_us: u64,
     /// Whether the target is ejected at this proxy.
     pub is_ejected: bool,
+    /// Number of concurrent calls that the target handles well. None if this proxy does not own
+    /// the target, or does not observe its capacity.
+    pub usable_slots: Option<u32>,
+    /// Speed of the target in percent of the typical target of its service, as reported last.
+    pub speed_percent: Option<u32>,
 }
 
 /// Counters of routing at one proxy.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -338,5 +338,9 @@
         queued: admission.map_or(0, |admission| admission.queued()),
         latency_us: target.latency.mean_us(),
         is_ejected: target.health.is_ejected(),
+        usable_slots: admission
+            .and_then(|admission| admission.capacity_report(CallClass::default()))
+            .map(|report| report.usable_slots),
+        speed_percent: target.reported_speed().map(|speed| (speed * 100.0).round() as u32),
     }
 }
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -200,6 +200,11 @@
         1.0 + (report.speed - 1.0) * weight
     }
 
+    /// Speed in relation to the typical target, as reported last.
+    pub fn reported_speed(&self) -> Option<f64> {
+        self.speed.map(|report| report.speed)
+    }
+
     /// Calls of other proxies at the target according to the last report, and its age in
     /// microseconds.
     pub fn reported_calls(&self, now: Instant) -> Option<(u64, u64)> {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -9,7 +9,7 @@
 
 use eyre::WrapErr;
 use fireflylug_core::consensus::{ControlRole, ControlStatus};
-use fireflylug_core::ids::Name;
+use fireflylug_core::ids::{Name, TargetId};
 use fireflylug_core::membership::{MemberStatus, TargetState};
 use fireflylug_core::quota::QuotaMetrics;
 use fireflylug_core::routing::{Outcome, RoutingMetrics, ServiceCounts, TargetMetrics};
@@ -240,6 +240,16 @@
         self.gauge("targets_ejected", "Targets ejected by this process, by service", |s| {
             sum_by_service(s, |target| target.is_ejected.into())
         });
+        self.gauge(
+            "target_usable_slots",
+            "Concurrent calls that a target of this host handles well",
+            |s| by_own_target(s, |target| target.usable_slots),
+        );
+        self.gauge(
+            "target_speed_percent",
+            "Speed of a target of this host in percent of the typical target of its service",
+            |s| by_own_target(s, |target| target.speed_percent),
+        );
         self.gauge("calls_queued", "Calls queued at this process for a slot, by service", |s| {
             sum_by_service(s, |target| target.queued.into())
         });
@@ -314,6 +324,17 @@
     KeyValue::new("service", service.to_owned())
 }
 
+/// A value of the targets of this host whose capacity is observed.
+fn by_own_target(snapshot: &Snapshot, value: impl Fn(&TargetMetrics) -> Option<u32>) -> Rows {
+    let own = snapshot.routing.targets.iter().filter(|target| target.usable_slots.is_some());
+    let row = |target: &TargetMetrics| {
+        let TargetId { service, id } = &target.target;
+        let labels = vec![service_label(service.as_str()), KeyValue::new("target", id.to_string())];
+        value(target).map(|value| (value.into(), labels))
+    };
+    own.filter_map(row).collect()
+}
+
 fn by_service(snapshot: &Snapshot, value: impl Fn(&ServiceCounts) -> u64) -> Rows {
     let services = snapshot.routing.services.iter();
     services.map(|(name, counts)| (value(counts), vec![service_label(name.as_str())])).collect()
--- a/crates/daemon/tests/calls/main.rs
+++ b/crates/daemon/tests/calls/main.rs
@@ -1,6 +1,7 @@
 //! Calls through real sockets: complete responses, cancellation, resets and graceful shutdown.
 
 mod answers;
+mod capacity;
 mod closes;
 mod crashes;
 mod endless;
