--- a/crates/core/src/routing/spread.rs
+++ b/crates/core/src/routing/spread.rs
@@ -110,7 +110,8 @@
     /// Whether calls of a service are distributed by the reported capacity of its targets.
     pub(super) fn is_adaptive(&self, service: ServiceKey) -> bool {
         let state = &self.services[service];
-        state.adaptive_limit.unwrap_or(state.has_reported_capacity)
+        let is_declared = self.organisations.is_declared();
+        state.adaptive_limit.unwrap_or(is_declared || state.has_reported_capacity)
     }
 
     /// Records the capacity and the load that the owner of a target reported.
--- a/crates/core/tests/routing/capacity.rs
+++ b/crates/core/tests/routing/capacity.rs
@@ -1,6 +1,7 @@
 //! Concurrency and speed of a target as its owner reports them.
 
 use fireflylug_core::ids::CallId;
+use fireflylug_core::organisation::Organisation;
 use fireflylug_core::resource::{Resource, Route, Service};
 use fireflylug_core::routing::{
     CallClass, CallEffect, CapacityReport, ForwardHead, TargetLoad, TargetNotice,
@@ -268,3 +269,34 @@
     assert!((190..260).contains(&reported_ms[1]), "{reported_ms:?}");
     assert!((100..155).contains(&reported_ms[3]), "{reported_ms:?}");
 }
+
+// Guards against a changed choice in a deployment that declares no organisation and whose targets
+// state no pace, and against an owner that reports no capacity in one that does.
+#[rstest]
+#[case::neither(false, None, None, false)]
+#[case::organisation(true, None, None, true)]
+#[case::fourth_figure(false, None, Some(100), true)]
+#[case::switched_off(true, Some(false), Some(100), false)]
+fn the_capacity_is_reported_where_it_applies(
+    #[case] has_organisation: bool,
+    #[case] adaptive_limit: Option<bool>,
+    #[case] pace_percent: Option<u32>,
+    #[case] is_reported: bool,
+) {
+    let service = Service { adaptive_limit, ..Service::new(name("seatdesk")) };
+    let mut resources = vec![Resource::Service(service)];
+    if has_organisation {
+        resources.push(Resource::Organisation(Organisation::new(name("acme"), Vec::new())));
+    }
+    let mut harness = Harness::new("host-a", resources);
+    harness.set_target(record("seatdesk", "one", "host-a"));
+
+    let notice = TargetNotice { pace_percent, ..TargetNotice::default() };
+    let call = harness.arrive_forwarded("seatdesk", "one", 1_000);
+    harness.complete_with(call, 1, notice);
+
+    let is_report = |effect: &CallEffect| {
+        matches!(effect, CallEffect::Relay { load: Some(TargetLoad { capacity: Some(_), .. }), .. })
+    };
+    assert_eq!(harness.take_effects().iter().any(is_report), is_reported);
+}
