--- a/crates/core/src/routing/goodput.rs
+++ b/crates/core/src/routing/goodput.rs
@@ -7,9 +7,9 @@
 //! reduces the number of concurrent requests towards the number that is finished, and it
 //! increases that number again as soon as they succeed.
 //!
-//! Errors of another cause (a faulty release) do not depend on the number of requests. A limit
-//! that does not reduce the share of errors is removed, unless other services refuse calls for
-//! lack of capacity at the same time. Some requests are always admitted.
+//! Errors of another cause (a faulty release) do not depend on the number of requests, so there
+//! is a limit only while this proxy refuses calls to other services for lack of capacity. Some
+//! requests are always admitted.
 
 use crate::time::Instant;
 
@@ -20,24 +20,20 @@
 const SETTLE_MS: u64 = 250;
 /// Share of failed requests from which on the limit is reduced, in percent. Lower shares are
 /// common without overload.
-const HIGH_FAILURE_PERCENT: u32 = 25;
+const HIGH_FAILURE_PERCENT: u32 = 20;
 /// Share of failed requests below which the limit is increased, in percent.
 const LOW_FAILURE_PERCENT: u32 = 10;
 /// Failed requests within one step from which on a limit is set.
 const MIN_FAILURES: u32 = 3;
 /// One slot in this number is always available to new work.
-const SLOTS_PER_FLOOR_SLOT: u32 = 8;
-/// Maximum number of reductions that do not reduce the share of failures.
-const MAX_FRUITLESS_STEPS: u32 = 2;
-/// Time for which no limit is set after one that was of no use, in milliseconds. It doubles with
-/// each such limit.
-const FIRST_PAUSE_MS: u64 = 5_000;
-/// Maximum number of times that the pause doubles.
-const MAX_PAUSE_DOUBLINGS: u32 = 3;
+const SLOTS_PER_FLOOR_SLOT: u32 = 6;
 /// Time without an end after which the limit expires, in milliseconds.
 const LIFETIME_MS: u64 = 2_000;
 /// Unit of the limit: thousandths of a slot.
 const MILLI: u32 = 1_000;
+/// First increase after a reduction, in thousandths of a slot. It doubles with each step without
+/// failures: small near the limit at which requests failed, and at all slots within 2 s.
+const FIRST_INCREASE_MILLI: u32 = 250;
 
 /// Change of the limit, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -73,12 +69,8 @@
     counts_from: Instant,
     step_ends_at: Instant,
     expires_at: Instant,
-    /// Share of failures before the last reduction, in percent.
-    last_failed_percent: u32,
-    fruitless_steps: u32,
-    /// No limit is set before this time.
-    paused_until: Instant,
-    pauses: u32,
+    /// Next increase of the limit, in thousandths of a slot.
+    increase_milli: u32,
 }
 
 impl Goodput {
@@ -117,11 +109,10 @@
         now: Instant,
     ) -> Option<GoodputChange> {
         let is_failing = self.failed >= MIN_FAILURES && failed_percent >= HIGH_FAILURE_PERCENT;
-        if !is_failing || now < self.paused_until {
+        if !is_failing || !end.others_lack_capacity {
             self.begin_step(now, 0);
             return None;
         }
-        self.fruitless_steps = 0;
         self.reduce(end.slots * MILLI, failed_percent, end.slots, now);
         Some(GoodputChange::Limited { failed_percent })
     }
@@ -134,17 +125,15 @@
         now: Instant,
     ) -> Option<GoodputChange> {
         if failed_percent >= HIGH_FAILURE_PERCENT {
-            // A fifth less is more than the shares of two steps differ by chance.
-            let is_fruitless = failed_percent * 5 >= self.last_failed_percent * 4;
-            self.fruitless_steps = if is_fruitless { self.fruitless_steps + 1 } else { 0 };
-            if self.fruitless_steps > MAX_FRUITLESS_STEPS && !end.others_lack_capacity {
-                return self.pause(now);
+            if !end.others_lack_capacity {
+                return self.remove_limit(now);
             }
             self.reduce(limit_milli, failed_percent, end.slots, now);
             return None;
         }
         if failed_percent < LOW_FAILURE_PERCENT {
-            let limit_milli = limit_milli + limit_milli / 4 + MILLI / 2;
+            let limit_milli = limit_milli + self.increase_milli;
+            self.increase_milli = self.increase_milli.saturating_mul(2);
             if limit_milli >= end.slots * MILLI {
                 return self.remove_limit(now);
             }
@@ -159,22 +148,12 @@
         let floor_milli = slots.div_ceil(SLOTS_PER_FLOOR_SLOT) * MILLI;
         let finished_percent = (100 - failed_percent).max(50);
         self.limit_milli = Some((limit_milli / 100 * finished_percent).max(floor_milli));
-        self.last_failed_percent = failed_percent;
+        self.increase_milli = FIRST_INCREASE_MILLI;
         self.begin_step(now, SETTLE_MS);
     }
 
     fn remove_limit(&mut self, now: Instant) -> Option<GoodputChange> {
         self.limit_milli = None;
-        self.pauses = 0;
-        self.begin_step(now, 0);
-        Some(GoodputChange::Unlimited)
-    }
-
-    /// Removes a limit that does not reduce the share of failures, for some time.
-    fn pause(&mut self, now: Instant) -> Option<GoodputChange> {
-        self.limit_milli = None;
-        self.paused_until = now.plus_ms(FIRST_PAUSE_MS << self.pauses.min(MAX_PAUSE_DOUBLINGS));
-        self.pauses += 1;
         self.begin_step(now, 0);
         Some(GoodputChange::Unlimited)
     }
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -5,6 +5,8 @@
 mod limits;
 mod links;
 mod organisations;
+mod nested_model;
+mod nested_overload;
 mod quarantine;
 mod quotas;
 mod rate_limits;
