Routing: ingresses do not retry at a target that refused for lack of slots until its wait is over

A target whose slots are reserved for other classes, or whose new work is limited, reports free slots.

--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -120,6 +120,7 @@
         // A large call should wait in this region rather than cross the link to another one.
         let is_far = tier == TIERS - 1;
         let waits = !target.has_free_slot(cx.now)
+            || target.is_full_for(call.class, cx.now)
             || (is_large && is_far)
             || (call.is_bulk && target.is_link_busy(cx.now));
         let waiting_percent = if waits { WAITING_COST_PERCENT } else { 0 };
--- a/crates/core/src/routing/failure.rs
+++ b/crates/core/src/routing/failure.rs
@@ -2,7 +2,7 @@
 //! retried.
 
 use super::Routing;
-use super::call::{TargetLoad, TargetNotice};
+use super::call::{CallClass, TargetLoad, TargetNotice};
 use super::decision::Step;
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Attempt, Stage};
@@ -33,7 +33,7 @@
             return;
         }
         call.is_replayable &= is_replayable;
-        let (is_ingress, is_bulk) = (call.is_ingress(), call.is_bulk);
+        let (is_ingress, class, is_bulk) = (call.is_ingress(), call.class, call.is_bulk);
         if running.holds_slot {
             // Many failures come without a response, so a missing limit says nothing here.
             if notice.rate_limit.is_some() {
@@ -45,7 +45,7 @@
             }
         }
         if is_ingress {
-            self.observe_failure(cx, running, refusal, notice.load, is_bulk);
+            self.observe_failure(cx, running, refusal, notice.load, class, is_bulk);
         }
         self.release(cx, id, running, false);
         self.attempt_failed(cx, id, refusal);
@@ -57,14 +57,19 @@
         attempt: Attempt,
         refusal: Refusal,
         load: Option<TargetLoad>,
+        class: CallClass,
         is_bulk: bool,
     ) {
         self.observe_round_trip(cx, attempt, load);
         if let Some(load) = load {
             self.record_owner_load(cx, attempt.target, load);
             let target = &mut self.targets[attempt.target];
-            if is_bulk && refusal.code == RefusalCode::Overloaded {
-                target.record_bulk_refusal(load.wait_ms, cx.now);
+            if refusal.code == RefusalCode::Overloaded {
+                if is_bulk {
+                    target.record_bulk_refusal(load.wait_ms, cx.now);
+                } else {
+                    target.record_refusal(class, load.wait_ms, cx.now);
+                }
             }
         }
         let is_target_fault = match refusal.code {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -37,6 +37,7 @@
 mod rate_limit;
 mod recent_minimum;
 mod refusal;
+mod refuse;
 mod region_link;
 mod reported_limits;
 mod reservation;
--- a/crates/core/src/routing/target.rs
+++ b/crates/core/src/routing/target.rs
@@ -26,6 +26,8 @@
 /// no further call with one if another host may have capacity, in milliseconds.
 const MIN_LINK_BUSY_MS: u64 = 50;
 const MAX_LINK_BUSY_MS: u64 = 500;
+/// Maximum time for which a target that refused a call counts as full, in milliseconds.
+const MAX_FULL_MS: u32 = 500;
 /// Assumed latency of a target without observations, in microseconds.
 pub(super) const UNKNOWN_LATENCY_US: u64 = 1_000;
 /// Half-life, without new responses, of the amount by which a target's observed latency exceeds
@@ -73,6 +75,8 @@
     /// Until when the link of the target's host is considered to have no capacity for large
     /// responses.
     link_busy_until: Instant,
+    /// Until when the target is considered to have no slot for calls of a class.
+    full_until: ByClass<Instant>,
 }
 
 impl Target {
@@ -93,6 +97,7 @@
             hint: None,
             last_end: None,
             link_busy_until: Instant::ZERO,
+            full_until: ByClass::default(),
         };
         target.begin_slow_start(now);
         target.record_self_report(now);
@@ -133,6 +138,20 @@
         self.set_load_hint(load, now, OWNER_LOAD_LIFETIME_US);
     }
 
+    /// Records that the owner refused a call for lack of slots. Its slots may be reserved for
+    /// other classes, so that its load does not show that.
+    pub fn record_refusal(&mut self, class: CallClass, wait_ms: u32, now: Instant) {
+        if let Some(full_until) = self.full_until.entry(class) {
+            *full_until = now.plus_ms(u64::from(wait_ms.min(MAX_FULL_MS)));
+        }
+    }
+
+    /// Whether the owner refused a call of the class for lack of slots and its reported wait is
+    /// not over.
+    pub fn is_full_for(&self, class: CallClass, now: Instant) -> bool {
+        self.full_until.get(class).is_some_and(|until| now < *until)
+    }
+
     /// Records that the owner had no capacity for a call with a large response.
     pub fn record_bulk_refusal(&mut self, wait_ms: u32, now: Instant) {
         let wait_ms = u64::from(wait_ms).clamp(MIN_LINK_BUSY_MS, MAX_LINK_BUSY_MS);
--- a/crates/core/tests/routing/nested_model.rs
+++ b/crates/core/tests/routing/nested_model.rs
@@ -153,8 +153,8 @@
         match event {
             Event::Arrive(kind) => {
                 let rate = self.kinds[kind].rates[usize::from(OVERLOAD.contains(&self.now_s()))];
-                if rate > 0 {
-                    let gap_ms = self.rng.random_range(0..=2_000 / rate);
+                if let Some(max_gap_ms) = 2_000_u64.checked_div(rate) {
+                    let gap_ms = self.rng.random_range(0..=max_gap_ms);
                     self.schedule(gap_ms, Event::Arrive(kind));
                     self.request(kind, now_ms + PATIENCE_MS);
                 }
