Routing: slots that are reserved for others are not free for a waiting call

Cause: the expected wait of new work counted reserved slots as free, so a call that could not get one waited until its deadline in place of being refused at once.

--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -180,8 +180,11 @@
     }
 
     pub fn load(&self, now: Instant) -> TargetLoad {
-        let wait_us =
-            if self.has_free_slot(now) { 0 } else { self.wait_us(self.queue.len(), false, now) };
+        let wait_us = if self.has_free_slot(now) {
+            0
+        } else {
+            self.wait_us(self.queue.len(), Rank::new(0, false), now)
+        };
         TargetLoad {
             in_flight: self.in_flight,
             queued: self.queued(),
@@ -235,7 +238,7 @@
     /// Admits, queues or sheds a call.
     pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> AdmissionResult {
         self.reservation.record_arrival(request.class, request.priority, now);
-        let rank = Rank::new(request.priority, self.is_nested(&request));
+        let rank = self.rank_of(&request);
         let on_time = QueuedCall { is_late: false, rank, request };
         let is_next = !self.queue.iter().any(|queued| self.may_start(queued, now));
         if self.is_open(now) && is_next && self.may_start(&on_time, now) {
@@ -264,7 +267,7 @@
     /// Whether a call at a position of the queue is expected to end within its target latency,
     /// or before its deadline if its class is short.
     fn is_in_time(&self, request: &AdmissionRequest, position: usize, now: Instant) -> bool {
-        let slot_wait_us = self.wait_us(position, self.is_nested(request), now);
+        let slot_wait_us = self.wait_us(position, self.rank_of(request), now);
         let wait_us = slot_wait_us.max(self.link_wait_us(request));
         let answered_at = now.plus_us(wait_us + self.hold_times.high_us(request.class));
         let is_short = self.hold_times.is_short(request.class);
@@ -275,18 +278,25 @@
     /// Whether a call may be queued although it is expected to miss its target latency.
     fn may_queue_late(&self, request: &AdmissionRequest, now: Instant) -> bool {
         let late_count = self.queue.iter().filter(|queued| queued.is_late).count();
-        let slot_wait_us = self.wait_us(self.queue.len(), self.is_nested(request), now);
+        let slot_wait_us = self.wait_us(self.queue.len(), self.rank_of(request), now);
         let wait_us = slot_wait_us.max(self.link_wait_us(request));
         let answered_at = now.plus_us(wait_us + self.hold_times.high_us(request.class));
         late_count < self.limit as usize / SLOTS_PER_LATE_CALL && answered_at <= request.deadline
     }
 
-    /// Expected time until the call at a position of the queue is admitted.
-    fn wait_us(&self, position: usize, is_nested: bool, now: Instant) -> u64 {
-        let (limit, in_flight) = self.slots_for(is_nested, now);
-        let free_slots = u64::from(limit.saturating_sub(in_flight));
-        let releases = (position as u64 + 1).saturating_sub(free_slots);
-        let slot_wait_us = releases * self.hold_times.mean_us() / u64::from(limit.max(1));
+    fn rank_of(&self, request: &AdmissionRequest) -> Rank {
+        Rank::new(request.priority, self.is_nested(request))
+    }
+
+    /// Expected time until the call at a position of the queue is admitted, if its rank is `rank`.
+    /// Slots that are reserved for calls before it are not free for it.
+    fn wait_us(&self, position: usize, rank: Rank, now: Instant) -> u64 {
+        let reserved = self.reservation.reserved_slots(rank, self.limit, &self.hold_times, now);
+        let (limit, in_flight) = self.slots_for(rank.is_nested(), now);
+        let free_slots = limit.saturating_sub(in_flight).saturating_sub(reserved);
+        let usable_slots = limit.saturating_sub(reserved).max(1);
+        let releases = (position as u64 + 1).saturating_sub(u64::from(free_slots));
+        let slot_wait_us = releases * self.hold_times.mean_us() / u64::from(usable_slots);
         let gate_wait_us = self.rate_gate.map_or(0, |gate| gate.wait_us(position, now));
         slot_wait_us.max(gate_wait_us)
     }
@@ -325,7 +335,7 @@
         let mut unservable = Vec::new();
         for request in displaced {
             if self.queue.len() < self.limit as usize && self.may_queue_late(&request, now) {
-                let rank = Rank::new(request.priority, self.is_nested(&request));
+                let rank = self.rank_of(&request);
                 self.queue.push(QueuedCall { is_late: true, rank, request });
             } else {
                 unservable.push(request.call);
