--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -115,6 +115,11 @@
     /// Path of the health check of a target.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub health_path: Option<CompactString>,
+    /// Whether each target receives fewer requests while they end in server errors because the
+    /// calls that they make are refused for lack of capacity. Off by default: on a deployment
+    /// the limit reduced what callers received (docs/design/admission.md).
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub limit_failing_work: bool,
 }
 
 const fn default_retry_budget_percent() -> u8 {
@@ -140,6 +145,7 @@
             slow_start_ms: default_slow_start_ms(),
             max_connections: None,
             health_path: None,
+            limit_failing_work: false,
         }
     }
 
--- a/crates/core/src/routing/admit.rs
+++ b/crates/core/src/routing/admit.rs
@@ -123,12 +123,12 @@
         key: TargetKey,
         is_failure: bool,
     ) {
-        if !self.settings.limits_failing_work {
-            return;
-        }
         let Some(call) = self.calls.get(&id) else { return };
         let class = call.class;
         let Some(target) = self.targets.get(key) else { return };
+        if !self.services[target.service].limit_failing_work {
+            return;
+        }
         let others_lack_capacity = self.others_lack_capacity(target.service, cx.now);
         let target = &mut self.targets[key];
         let Some(admission) = &mut target.admission else { return };
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -106,19 +106,11 @@
     pub stop_notice_ms: u64,
     /// Whether a few concurrent large responses saturate the network link of this host.
     pub is_link_slow: bool,
-    /// Whether the new work at a target is limited while its requests end in server errors,
-    /// because the calls that they make fail.
-    pub limits_failing_work: bool,
 }
 
 impl Default for RoutingSettings {
     fn default() -> Self {
-        Self {
-            max_calls: 4_096,
-            stop_notice_ms: 1_000,
-            is_link_slow: false,
-            limits_failing_work: true,
-        }
+        Self { max_calls: 4_096, stop_notice_ms: 1_000, is_link_slow: false }
     }
 }
 
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -176,6 +176,9 @@
     pub slow_start_ms: u32,
     /// Maximum connections to each target, if the service limits them.
     pub max_connections: Option<u32>,
+    /// Whether new work at a target is limited while its requests fail for lack of capacity
+    /// elsewhere.
+    pub limit_failing_work: bool,
     /// Time until the head of a response, over all targets.
     pub latency: Estimate,
     /// The same, by class of calls.
@@ -204,6 +207,7 @@
             max_ejected_percent: defaults.max_ejected_percent,
             slow_start_ms: defaults.slow_start_ms,
             max_connections: defaults.max_connections,
+            limit_failing_work: defaults.limit_failing_work,
             latency: Estimate::default(),
             latency_by_class: HashMap::default(),
             last_answers: Default::default(),
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -26,6 +26,7 @@
             state.max_ejected_percent = service.max_ejected_percent;
             state.slow_start_ms = service.slow_start_ms;
             state.max_connections = service.max_connections;
+            state.limit_failing_work = service.limit_failing_work;
         }
         self.splits.retain(|route| configuration.routes().any(|known| known.name == *route));
         self.configuration = configuration;
--- a/crates/core/tests/routing/nested_model.rs
+++ b/crates/core/tests/routing/nested_model.rs
@@ -81,9 +81,8 @@
 }
 
 impl Model {
-    pub fn new(kinds: Vec<Kind>, limits_failing_work: bool, seed: u64) -> Self {
-        let settings = RoutingSettings { limits_failing_work, ..RoutingSettings::default() };
-        let mut harness = Harness::without_configuration("host-a", settings);
+    pub fn new(kinds: Vec<Kind>, limit_failing_work: bool, seed: u64) -> Self {
+        let mut harness = Harness::without_configuration("host-a", RoutingSettings::default());
         let policy = |policy: &str, deadline_ms, target_latency_ms| {
             let policy = Policy::new(name(policy)).with_deadline_ms(deadline_ms);
             Resource::Policy(policy.with_target_latency_ms(target_latency_ms).with_priority(1))
@@ -91,7 +90,9 @@
         let mut all = vec![policy("request", PATIENCE_MS as u32, 800), policy("nested", 450, 130)];
         for kind in &kinds {
             let service = name(kind.name);
-            all.push(Resource::Service(Service::new(service.clone()).with_policy(name("request"))));
+            let mut of_kind = Service::new(service.clone()).with_policy(name("request"));
+            of_kind.limit_failing_work = limit_failing_work;
+            all.push(Resource::Service(of_kind));
             for (prefix, policy) in [("request", "request"), ("nested", "nested")] {
                 let route = name(&format!("{prefix}-{service}"));
                 let path = format!("/{prefix}-{service}");
