Routing: calls above a share use no credit of the quota

The share was checked before the quota, so that calls above the quota counted as demand and used up the share. It is checked after it now, and a call that is refused returns its credit; the model fails if it does not.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -39,14 +39,17 @@
         };
         let charged = checked.and_then(|(mut call, target)| {
             first_arrived_at = Some(call.first_arrived_at);
-            self.check_share(cx.now, &call).map_err(|share_in_ms| {
-                wait_ms = Some(share_in_ms);
-                RefusalCode::Overloaded
-            })?;
             charge(cx, quotas, &mut call).map_err(|exceeded| {
                 wait_ms = Some(exceeded.retry_after_ms);
                 RefusalCode::QuotaExceeded
             })?;
+            if let Err(share_in_ms) = self.check_share(cx.now, &call) {
+                if let Some(organisation) = &call.charged {
+                    quotas.give_back(cx.now, organisation);
+                }
+                wait_ms = Some(share_in_ms);
+                return Err(RefusalCode::Overloaded);
+            }
             Ok((call, target))
         });
         match charged {
--- a/crates/core/tests/routing/ingress_shares.rs
+++ b/crates/core/tests/routing/ingress_shares.rs
@@ -2,6 +2,7 @@
 
 use fireflylug_core::membership::MemberStatus;
 use fireflylug_core::organisation::{ApiKey, Credential, KeyDigest, Organisation};
+use fireflylug_core::quota::QuotaLimit;
 use fireflylug_core::resource::Resource;
 use fireflylug_core::routing::{CallEffect, CallEvent, Outcome, RefusalCode};
 use rand::rngs::SmallRng;
@@ -35,6 +36,11 @@
     let mut ingress = Harness::new("host-a", resources);
     ingress.set_member("host-b", locality("z1", "r1"), MemberStatus::Alive);
     ingress.set_target(record("seatdesk", "one", "host-b"));
+    let limit = QuotaLimit { rate_per_s: 100.0, burst: 100.0 };
+    let quotas: Vec<_> =
+        (0..calls_per_s.len()).map(|i| (name(&format!("org-{i}")), limit)).collect();
+    ingress.with_quotas(|all, cx| all.configure(cx, quotas));
+    ingress.pass_ms(10_000);
     let mut ends = vec![Ends::default(); calls_per_s.len()];
     let mut credit = 0;
     for ms in 0..SECONDS * 1_000 {
@@ -60,7 +66,9 @@
                         ingress.fail(call, attempt, RefusalCode::Overloaded, Outcome::NotRun);
                         ended.refused_by_owner = 1;
                     }
-                    CallEffect::Refuse { retry_after_ms, .. } => {
+                    CallEffect::Refuse { retry_after_ms, refusal, .. } => {
+                        // Refused calls use no credit of the quota.
+                        assert_eq!(refusal.code, RefusalCode::Overloaded);
                         assert!(retry_after_ms.is_some_and(|ms| ms <= 6_000));
                         ended.refused_at_once = 1;
                     }
