--- a/crates/core/src/resource/service.rs
+++ b/crates/core/src/resource/service.rs
@@ -35,6 +35,11 @@
     /// the targets state how long work takes on their machines.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub adaptive_limit: Option<bool>,
+    /// Whether each target receives fewer requests while they end in server errors because the
+    /// calls that they make are refused for lack of capacity. Off by default: on a deployment
+    /// the limit reduced what callers received (docs/design/admission.md).
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub limit_failing_work: bool,
 }
 
 const fn default_retry_budget_percent() -> u8 {
@@ -61,6 +66,7 @@
             max_connections: None,
             health_path: None,
             adaptive_limit: None,
+            limit_failing_work: false,
         }
     }
 
--- a/crates/core/src/routing/attempt.rs
+++ b/crates/core/src/routing/attempt.rs
@@ -203,6 +203,7 @@
         let class = call.map_or(CallClass::default(), |call| call.class);
         let is_bulk = call.is_some_and(|call| call.is_bulk);
         let is_error = call.is_some_and(|call| call.status >= FIRST_SERVER_ERROR);
+        let priority = call.map_or(0, |call| call.priority);
         let target = &mut self.targets[attempt.target];
         target.health.end_probe();
         target.attempts -= 1;
@@ -213,7 +214,7 @@
             if completed && !is_error {
                 admission.observe_capacity(class, attempt.mark, cx.now);
             }
-            admission.release(cx.now, attempt.mark, completed, class, is_bulk);
+            admission.release(cx.now, attempt.mark, completed, class, priority, is_bulk);
             self.admit_queued(cx, attempt.target);
         }
         self.forget_target(attempt.target);
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -1,17 +1,15 @@
-//! Ends of calls: refusals, timeouts, disconnected callers, complete and cut-off responses, and
+//! Ends of calls: timeouts, disconnected callers, complete and cut-off responses, and
 //! what each end counts for the health of the target.
 
 use std::sync::Arc;
 
-use rand::Rng;
-
 use super::answer::FIRST_SERVER_ERROR;
-use super::attempt::{attempt_timeout_at, relay_timeout_at};
+use super::attempt::attempt_timeout_at;
 use super::decision::Step;
+use super::fair_queue::OrganisationKey;
 use super::health::SERVICE_SUCCESS_SMOOTHING;
-use super::quarantine::REMEMBERED_FOR_MS;
-use super::refusal::{Outcome, Refusal, RefusalCode};
-use super::state::{Attempt, Call, ServerError, Stage};
+use super::refusal::{Outcome, RefusalCode};
+use super::state::{Attempt, Call, Stage};
 use super::table::RouteRule;
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
@@ -21,13 +19,6 @@
 use crate::slo::{CallResult, Slo};
 use crate::time::Instant;
 
-/// Time since its start within which a process that started together with all others should
-/// have a configuration, in milliseconds.
-const EXPECTED_STARTUP_MS: u64 = 500;
-
-/// Minimum time after which a refused caller may retry, in milliseconds.
-const MIN_RETRY_AFTER_MS: u32 = 100;
-
 /// A call of this ingress that ended, for the burn report.
 pub(super) struct Finished {
     pub service: Name,
@@ -38,103 +29,6 @@
 }
 
 impl Routing {
-    /// Refuses a call with the code of its last failed attempt, or with `NoTarget` if there was
-    /// none.
-    pub(super) fn refuse_after_failure(&mut self, cx: &mut Context<'_>, id: CallId) {
-        let call = &self.calls[&id];
-        let code = call.last_failure.map_or(RefusalCode::NoTarget, |failure| failure.code);
-        self.refuse(cx, id, code);
-    }
-
-    /// Refuses a call for which no target was found, or only targets behind a saturated link to
-    /// another region.
-    pub(super) fn refuse_without_target(&mut self, cx: &mut Context<'_>, id: CallId) {
-        match self.path_wait_ms(cx, id) {
-            Some(wait_ms) if !self.calls[&id].may_have_run => {
-                self.refuse_with_wait(cx, id, RefusalCode::Overloaded, Some(wait_ms));
-            }
-            _ => self.refuse_after_failure(cx, id),
-        }
-    }
-
-    fn refuse(&mut self, cx: &mut Context<'_>, id: CallId, code: RefusalCode) {
-        self.refuse_with_wait(cx, id, code, None);
-    }
-
-    /// Refuses a call. `wait_ms` is the time after which a retry may be admitted, if that is
-    /// not the wait at the last target.
-    fn refuse_with_wait(
-        &mut self,
-        cx: &mut Context<'_>,
-        id: CallId,
-        code: RefusalCode,
-        wait_ms: Option<u32>,
-    ) {
-        if let Some(earlier_error) = self.call_mut(id).earlier_error.take() {
-            return self.relay_earlier(cx, id, earlier_error);
-        }
-        let call = &self.calls[&id];
-        let outcome = if call.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
-        let refusal = Refusal { code, outcome };
-        let tried = usize::from(call.attempt).checked_sub(1).and_then(|i| call.tried.get(i));
-        let target = tried.and_then(|key| self.targets.get(*key));
-        let load = tried.and_then(|key| self.load_for_ingress(cx, id, *key));
-        let wait_ms = wait_ms.or_else(|| target.map(|target| target.wait_ms(cx.now)));
-        let retry_after_ms = self.retry_after_ms(cx, refusal, wait_ms);
-        let refuse = CallEffect::Refuse { call: id, refusal, load, retry_after_ms };
-        let call = &self.calls[&id];
-        let step = Step::Refused {
-            code,
-            outcome,
-            attempts: call.attempt,
-            after_ms: cx.now.since_ms(call.arrived_at),
-            retry_after_ms,
-        };
-        cx.log_decision(id, step);
-        cx.emit(Effect::Call(refuse));
-        self.refusals.count(code);
-        self.remove(cx.now, id, Some(outcome), CallResult::Refused);
-    }
-
-    /// Relays the server error of an earlier attempt, because no later attempt succeeded.
-    fn relay_earlier(&mut self, cx: &mut Context<'_>, id: CallId, earlier_error: ServerError) {
-        let call = self.call_mut(id);
-        call.stage = Stage::RelayingEarlier;
-        call.status = earlier_error.status;
-        let timeout_at = relay_timeout_at(call);
-        self.set_due(id, timeout_at);
-        self.log_server_error(cx, id, earlier_error);
-        cx.emit(Effect::Call(CallEffect::RelayEarlier { call: id }));
-    }
-
-    /// Time after which a retry of a refused call may be admitted, in milliseconds.
-    ///
-    /// `wait_ms` is the wait at the target that refused, if known. The result is randomised, so
-    /// that callers that were refused together do not retry together.
-    pub(super) fn retry_after_ms(
-        &self,
-        cx: &mut Context<'_>,
-        refusal: Refusal,
-        wait_ms: Option<u32>,
-    ) -> Option<u32> {
-        let default_ms = refusal.default_retry_after_ms();
-        if refusal.outcome != Outcome::NotRun {
-            return default_ms;
-        }
-        let min_ms = match (refusal.code, wait_ms) {
-            (RefusalCode::Overloaded, Some(wait_ms)) => wait_ms.max(MIN_RETRY_AFTER_MS),
-            (RefusalCode::QuotaExceeded, Some(credit_in_ms)) => credit_in_ms,
-            (RefusalCode::Stopping | RefusalCode::TargetGone, _) => MIN_RETRY_AFTER_MS,
-            (RefusalCode::NoConfiguration, _) => {
-                let remaining_ms = EXPECTED_STARTUP_MS.saturating_sub(cx.now.as_ms()) as u32;
-                remaining_ms.max(MIN_RETRY_AFTER_MS)
-            }
-            (RefusalCode::Quarantined, _) => REMEMBERED_FOR_MS as u32,
-            _ => default_ms.map(|default_ms| default_ms * 2 / 3)?,
-        };
-        Some(min_ms + cx.rng.random_range(0..=min_ms / 2))
-    }
-
     /// Handles the end of a response: relayed completely, or cut off.
     pub(super) fn ended(
         &mut self,
@@ -165,6 +59,9 @@
         if is_success {
             self.record_answered_content(cx, id);
         }
+        if is_complete {
+            self.record_request_end(cx, id, relaying.target, !is_success);
+        }
         self.release(cx, id, relaying, is_complete);
         if is_ingress && !is_complete && self.targets.contains_key(relaying.target) {
             self.note_failure(cx, relaying.target);
@@ -173,7 +70,18 @@
     }
 
     fn remove_answered(&mut self, cx: &Context<'_>, id: CallId, is_success: bool) {
-        let took_us = cx.now.since_us(self.calls[&id].arrived_at);
+        let call = &self.calls[&id];
+        let took_us = cx.now.since_us(call.arrived_at);
+        if call.is_ingress() {
+            let service = &mut self.services[call.service];
+            if is_success {
+                service.return_times.record_answer(cx.now);
+            }
+            if call.organisation.is_some() {
+                let organisation = OrganisationKey::new(call.organisation.as_ref());
+                service.shares.record_answer(call.priority, organisation, cx.now);
+            }
+        }
         self.remove(cx.now, id, Some(Outcome::Ran), CallResult::Answered { is_success, took_us });
     }
 
@@ -194,6 +102,13 @@
             let after_ms = cx.now.since_ms(call.arrived_at);
             let step = Step::CallerGone { attempts: call.attempt, after_ms };
             cx.log_decision(id, step);
+            // A caller that waited this long has timed out.
+            if let Stage::Running(attempt) = self.calls[&id].stage
+                && attempt.holds_slot
+                && cx.now >= self.calls[&id].useful_until
+            {
+                self.record_request_end(cx, id, attempt.target, true);
+            }
             self.drop_attempt(cx, id);
             self.remove(cx.now, id, None, CallResult::Cancelled);
         }
@@ -253,6 +168,9 @@
 
     fn expire(&mut self, cx: &mut Context<'_>, id: CallId, attempt: Attempt) {
         self.call_mut(id).may_have_run = true;
+        if attempt.holds_slot {
+            self.record_request_end(cx, id, attempt.target, true);
+        }
         self.release(cx, id, attempt, false);
         self.refuse(cx, id, RefusalCode::DeadlineExceeded);
     }
@@ -304,7 +222,13 @@
     }
 
     /// Removes a call. `outcome` is absent if the caller cancelled it.
-    fn remove(&mut self, now: Instant, id: CallId, outcome: Option<Outcome>, result: CallResult) {
+    pub(super) fn remove(
+        &mut self,
+        now: Instant,
+        id: CallId,
+        outcome: Option<Outcome>,
+        result: CallResult,
+    ) {
         let Some(call) = self.calls.remove(&id) else { return };
         self.deadlines.remove(&(call.due, id));
         let service = &mut self.services[call.service];
@@ -406,9 +330,10 @@
         let tiers = &self.services[call.service].tiers;
         tiers.iter().flatten().any(|key| {
             let target = &self.targets[*key];
-            let is_link_busy = call.is_bulk && target.is_link_busy(cx.now);
+            let is_busy = target.is_full_for(call.class, cx.now)
+                || (call.is_bulk && target.is_link_busy(cx.now));
             let has_capacity =
-                !target.health.is_ejected() && target.has_free_slot(cx.now) && !is_link_busy;
+                !target.health.is_ejected() && target.has_free_slot(cx.now) && !is_busy;
             has_capacity && !call.was_tried(*key) && self.has_path_capacity(cx, call, *key)
         })
     }
--- a/crates/core/src/routing/identity.rs
+++ b/crates/core/src/routing/identity.rs
@@ -80,8 +80,12 @@
         let Some(found) = found else { return Ok(()) };
         call.organisation = found.map(|organisation| organisation.name.clone());
         call.key = found.map(|_| VerifiedKey { version: self.organisations.version(), ..key });
-        let of_policy = call.rule.as_ref().map_or(call.priority, |rule| rule.policy.priority);
-        call.priority = found.and_then(|organisation| organisation.priority).unwrap_or(of_policy);
+        // A queued call keeps its place, and its slot is counted under the priority of its queueing.
+        if !matches!(call.stage, Stage::Queued(_)) {
+            let of_policy = call.rule.as_ref().map_or(call.priority, |rule| rule.policy.priority);
+            let of_organisation = found.and_then(|organisation| organisation.priority);
+            call.priority = of_organisation.unwrap_or(of_policy);
+        }
         Ok(())
     }
 
--- a/crates/core/src/routing/state.rs
+++ b/crates/core/src/routing/state.rs
@@ -8,10 +8,12 @@
 use super::chain::Chain;
 use super::estimate::Estimate;
 use super::health::SuccessRate;
+use super::ingress_shares::IngressShares;
 use super::message::Fingerprint;
 use super::metrics::ServiceCounts;
 use super::refusal::Refusal;
 use super::reports::TypicalHoldTimes;
+use super::return_times::ReturnTimes;
 use super::table::RouteRule;
 use super::{ServiceKey, TargetKey};
 use crate::collections::HashMap;
@@ -188,6 +190,9 @@
     pub typical_hold: TypicalHoldTimes,
     /// Share of calls that any target completed.
     pub success: SuccessRate,
+    /// Whether new work at a target is limited while its requests fail for lack of capacity
+    /// elsewhere.
+    pub limit_failing_work: bool,
     /// Time until the head of a response, over all targets.
     pub latency: Estimate,
     /// The same, by class of calls.
@@ -196,6 +201,12 @@
     /// it.
     pub last_answers: [(TargetKey, Instant); 2],
     pub counts: ServiceCounts,
+    /// Callers that this proxy refused for lack of capacity.
+    pub return_times: ReturnTimes,
+    /// Shares of organisations in the calls of this ingress.
+    pub shares: IngressShares,
+    /// Until when the service counts as lacking capacity, after a refusal.
+    pub lacks_capacity_until: Instant,
 }
 
 impl ServiceState {
@@ -216,10 +227,14 @@
             has_reported_capacity: false,
             typical_hold: TypicalHoldTimes::default(),
             success: SuccessRate::default(),
+            limit_failing_work: defaults.limit_failing_work,
             latency: Estimate::default(),
             latency_by_class: HashMap::default(),
             last_answers: Default::default(),
             counts: ServiceCounts::default(),
+            return_times: ReturnTimes::default(),
+            shares: IngressShares::default(),
+            lacks_capacity_until: Instant::ZERO,
         }
     }
 
--- a/crates/core/src/routing/view.rs
+++ b/crates/core/src/routing/view.rs
@@ -27,6 +27,7 @@
             state.slow_start_ms = service.slow_start_ms;
             state.max_connections = service.max_connections;
             state.adaptive_limit = service.adaptive_limit;
+            state.limit_failing_work = service.limit_failing_work;
         }
         self.splits.retain(|route| configuration.routes().any(|known| known.name == *route));
         self.configuration = configuration;
--- a/crates/core/tests/routing/capacity.rs
+++ b/crates/core/tests/routing/capacity.rs
@@ -150,7 +150,7 @@
 
     fn begin(&mut self, call: CallId) {
         let (_, class, work_ms) = self.heads.iter().copied().find(|head| head.0 == call).unwrap();
-        self.heads.retain(|head| head.0 >= call);
+        self.heads.retain(|head| head.0 != call);
         let work_ms = work_ms * self.rng.random_range(0.6..1.4);
         let nested_ms = (self.machine.nested_ms)(self.now_ms());
         self.running.push(Running { call, class, work_ms, nested_ms });
--- a/crates/core/tests/routing/main.rs
+++ b/crates/core/tests/routing/main.rs
@@ -2,9 +2,13 @@
 
 mod capacity;
 mod choice;
+mod fair_shares;
 mod harness;
+mod ingress_shares;
 mod limits;
 mod links;
+mod nested_model;
+mod nested_overload;
 mod organisations;
 mod quarantine;
 mod quotas;
@@ -12,6 +16,7 @@
 mod regions;
 mod repeated;
 mod retries;
+mod returns;
 mod slow_link;
 mod spread;
 mod transit;
