--- a/crates/daemon/src/calls/pipeline/mod.rs
+++ b/crates/daemon/src/calls/pipeline/mod.rs
@@ -1,8 +1,8 @@
 //! Requests that a caller sends before the responses to its earlier ones have arrived.
 //!
-//! The HTTP library serves the requests of a connection one by one. [`CallerSocket`] reads ahead
+//! The HTTP library serves the requests of a connection one by one. `CallerSocket` reads ahead
 //! meanwhile and starts the calls of the requests that follow, if they may run more than once.
-//! When the HTTP library reaches such a request, [`Pipeline::begin_turn`] returns its call.
+//! When the HTTP library reaches such a request, `Pipeline::begin_turn` returns its call.
 
 mod caller_socket;
 mod early_call;
