Routing: calls are told apart by their key when one is taken for a repetition

Cause: a call that was not served was remembered by its content alone, which holds no key. A call without a key, or one of an organisation above its quota, made the next call of another organisation with the same content a repetition, which gets slots last and no credit of a limited organisation. Found by reading.

Change: the key belongs to what is remembered, and calls that cannot succeed (400, 401, 404) are not remembered, since callers do not repeat them.

The test had 100 ms of the target latency of 400 ms left before, and more than 300 ms now.

--- a/crates/core/src/routing/arrive.rs
+++ b/crates/core/src/routing/arrive.rs
@@ -11,10 +11,12 @@
 use super::refusal::{Outcome, Refusal, RefusalCode};
 use super::state::{Call, MAX_ATTEMPTS, Stage};
 use super::table::RouteRule;
+use super::unserved_calls::RepeatedContent;
 use super::{CallEffect, Routing, ServiceKey, TargetKey};
 use crate::context::Context;
 use crate::event::Effect;
 use crate::ids::CallId;
+use crate::organisation::Credential;
 use crate::quota::{QuotaExceeded, Quotas};
 use crate::slo::CallResult;
 use crate::time::Instant;
@@ -61,8 +63,14 @@
                 self.begin(cx, id, call, target);
             }
             Err(code) => {
-                if head.origin == CallOrigin::Caller {
-                    let content = head.fingerprint;
+                // Callers do not repeat a call that cannot succeed.
+                let may_be_repeated = matches!(code.status(), 429 | 503);
+                if head.origin == CallOrigin::Caller && may_be_repeated {
+                    let key = match head.credential {
+                        Credential::Key(digest) => Some(digest),
+                        Credential::Absent | Credential::Malformed => None,
+                    };
+                    let content = RepeatedContent { content: head.fingerprint, key };
                     let first_arrived_at = first_arrived_at
                         .unwrap_or_else(|| self.unserved_calls.take_first_arrival(content, cx.now));
                     self.unserved_calls.record(content, first_arrived_at, cx.now);
@@ -138,7 +146,9 @@
         let name = self.splits.choose(cx.rng, &rule).clone();
         let service = *self.service_keys.get(&name).ok_or(RefusalCode::NoTarget)?;
         self.check_call_limit(service)?;
-        let first_arrived_at = self.unserved_calls.take_first_arrival(head.fingerprint, cx.now);
+        let key = identity.key.map(|key| key.digest);
+        let content = RepeatedContent { content: head.fingerprint, key };
+        let first_arrived_at = self.unserved_calls.take_first_arrival(content, cx.now);
         let useful_until = match rule.policy.target_latency_ms {
             Some(useful_ms) => deadline.min(first_arrived_at.plus_ms(u64::from(useful_ms))),
             None => deadline,
--- a/crates/core/src/routing/finish.rs
+++ b/crates/core/src/routing/finish.rs
@@ -11,6 +11,7 @@
 use super::refusal::{Outcome, RefusalCode};
 use super::state::{Attempt, Call, Stage};
 use super::table::RouteRule;
+use super::unserved_calls::RepeatedContent;
 use super::{CallEffect, Routing, TargetKey};
 use crate::context::Context;
 use crate::event::Effect;
@@ -241,7 +242,9 @@
         // A caller that cancelled its call does not repeat it.
         let is_served = matches!(result, CallResult::Answered { is_success: true, .. });
         if outcome.is_some() && !is_served {
-            self.unserved_calls.record(call.fingerprint, call.first_arrived_at, now);
+            let key = call.key.map(|key| key.digest);
+            let content = RepeatedContent { content: call.fingerprint, key };
+            self.unserved_calls.record(content, call.first_arrived_at, now);
         }
         match outcome {
             Some(outcome) => service.counts.count_ended(outcome),
--- a/crates/core/src/routing/unserved_calls.rs
+++ b/crates/core/src/routing/unserved_calls.rs
@@ -2,13 +2,14 @@
 //!
 //! A caller measures the target latency from its first attempt. A repeated call whose target
 //! latency has ended is of reduced use to it, so such a call must not delay one that can still be
-//! served in time. A repeated call has the same content as the call before it and arrives at the
-//! same ingress.
+//! served in time. A repeated call has the same content and key as the call before it and arrives
+//! at the same ingress.
 
 use std::collections::VecDeque;
 
 use super::message::Fingerprint;
 use crate::collections::HashMap;
+use crate::organisation::KeyDigest;
 use crate::time::Instant;
 
 /// Maximum number of calls that are remembered. The oldest is forgotten first.
@@ -17,6 +18,14 @@
 /// Time for which a call is remembered, in milliseconds. Few callers repeat a call later.
 const REMEMBERED_FOR_MS: u64 = 10_000;
 
+/// What a repeated call has in common with the call before it. The key keeps the refused calls of
+/// one organisation apart from calls of others with the same content.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct RepeatedContent {
+    pub content: Fingerprint,
+    pub key: Option<KeyDigest>,
+}
+
 /// One call that was not served.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct UnservedCall {
@@ -28,16 +37,16 @@
 /// The calls that were not served recently, by content.
 #[derive(Debug, Default)]
 pub(super) struct UnservedCalls {
-    by_content: HashMap<Fingerprint, UnservedCall>,
+    by_content: HashMap<RepeatedContent, UnservedCall>,
     /// Contents in the order in which they were recorded, with the time at which each is forgotten.
-    order: VecDeque<(Instant, Fingerprint)>,
+    order: VecDeque<(Instant, RepeatedContent)>,
 }
 
 impl UnservedCalls {
     /// Records a call that was not served. `first_arrived_at` is when the first attempt of its
     /// caller arrived.
-    pub fn record(&mut self, content: Fingerprint, first_arrived_at: Instant, now: Instant) {
-        if content == Fingerprint::default() {
+    pub fn record(&mut self, content: RepeatedContent, first_arrived_at: Instant, now: Instant) {
+        if content.content == Fingerprint::default() {
             return;
         }
         self.forget_old(now);
@@ -49,7 +58,7 @@
     /// When the first attempt arrived of which an arriving call is the repetition; `now` if it
     /// repeats none. Each recorded call accounts for one repetition, so that further callers that
     /// send the same content are not taken for it.
-    pub fn take_first_arrival(&mut self, content: Fingerprint, now: Instant) -> Instant {
+    pub fn take_first_arrival(&mut self, content: RepeatedContent, now: Instant) -> Instant {
         let recorded = self.by_content.remove(&content).filter(|call| now < call.forget_at);
         recorded.map_or(now, |call| call.first_arrived_at)
     }
--- a/crates/core/tests/routing/quotas.rs
+++ b/crates/core/tests/routing/quotas.rs
@@ -1,12 +1,13 @@
 //! Calls and the quotas of organisations at one ingress.
 
 use fireflylug_core::Instant;
+use fireflylug_core::membership::MemberStatus;
 use fireflylug_core::organisation::{ApiKey, Credential, Decimal, KeyDigest, Organisation};
 use fireflylug_core::quota::QuotaLimit;
 use fireflylug_core::resource::{Policy, Resource, Route, Service};
-use fireflylug_core::routing::{CallEffect, Outcome, RefusalCode};
+use fireflylug_core::routing::{CallEffect, Fingerprint, Outcome, RefusalCode};
 
-use crate::harness::{Harness, name, record, refusal};
+use crate::harness::{Harness, locality, name, record, refusal};
 
 const ACME: &str = "rth5mgjy5rcpihhacrud";
 
@@ -87,3 +88,44 @@
     harness.with_quotas(|quotas, cx| quotas.configure(cx, []));
     assert_eq!(harness.quotas.next_deadline(), Instant::NEVER);
 }
+
+/// A call without a key was refused, and the next call with the same content counted as its
+/// repetition, although it came from another caller. While the quota is exceeded, or slots lack,
+/// that caller would have been served last.
+#[test]
+fn refused_calls_of_others_make_no_call_a_repetition() {
+    let policy = Policy::new(name("quick")).with_deadline_ms(5_000).with_target_latency_ms(400);
+    let acme = Organisation::new(name("acme"), vec![ApiKey::from(ACME)]);
+    let other = Organisation::new(name("other"), vec![ApiKey::from("dedev3nax7u27gxprymh")]);
+    let route = Route::new(name("seats"), "/", name("seatdesk")).with_policy(name("quick"));
+    let resources = vec![
+        Resource::Policy(policy),
+        Resource::Service(Service::new(name("seatdesk"))),
+        Resource::Route(route),
+        Resource::Organisation(acme),
+        Resource::Organisation(other),
+    ];
+    let mut harness = Harness::new("host-a", resources);
+    harness.set_member("host-b", locality("z1", "r1"), MemberStatus::Alive);
+    let credentials = [
+        Credential::Absent,
+        Credential::Key(KeyDigest::of("dedev3nax7u27gxprymh")),
+        Credential::Key(KeyDigest::of(ACME)),
+    ];
+    let arrive = |harness: &mut Harness, credential| {
+        harness.arrive_with("/", |head| {
+            head.credential = credential;
+            head.fingerprint = Fingerprint(7);
+        });
+        harness.take_effects()
+    };
+    // Neither is served: one has no key, and there is no target for the other.
+    credentials[..2].iter().for_each(|credential| _ = arrive(&mut harness, *credential));
+    harness.pass_ms(300);
+    harness.set_target(record("seatdesk", "one", "host-b"));
+
+    let effects = arrive(&mut harness, credentials[2]);
+
+    let [CallEffect::Forward { head, .. }] = &effects[..] else { panic!("{effects:?}") };
+    assert!(head.useful_ms > 300, "{} ms of the target latency are left", head.useful_ms);
+}
