--- a/review/harness-2/deadly_answer.rs
+++ b/review/harness-2/deadly_answer.rs
@@ -9,9 +9,8 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::endpoint::{Behaviour, Endpoint, write_answer};
+use crate::endpoint::{Behaviour, Endpoint, Place, write_answer};
 use crate::http;
-use crate::mesh::Mesh;
 use crate::operator::{HOST, Route};
 use crate::record::Record;
 use crate::setup::{self, Client};
@@ -43,10 +42,10 @@
     let Some(mesh) = setup::start(record, &services, &routes) else {
         return Verdict::CouldNotRun;
     };
-    let mesh = Arc::new(mesh);
     let crashes = Crashes::default();
     for number in 0..3 {
-        run_endpoint(record, &mesh, mesh.side(number), &crashes, has_trouble);
+        let place = Place::beside(&mesh, mesh.side(number));
+        run_endpoint(record, place, &crashes, has_trouble);
     }
     thread::sleep(CONNECTIVITY_WINDOW + Duration::from_secs(1));
     let pause = Duration::from_millis(100);
@@ -82,19 +81,13 @@
 }
 
 /// Runs an endpoint that is back, as a new incarnation, some time after each crash.
-fn run_endpoint(
-    record: &Record,
-    mesh: &Arc<Mesh>,
-    node: usize,
-    crashes: &Crashes,
-    is_deadly: bool,
-) {
-    let (record, mesh, crashes) = (record.clone(), Arc::clone(mesh), Arc::clone(crashes));
+fn run_endpoint(record: &Record, place: Place, crashes: &Crashes, is_deadly: bool) {
+    let (record, crashes) = (record.clone(), Arc::clone(crashes));
     thread::spawn(move || {
         loop {
             let behaviour =
                 Behaviour { work: Duration::ZERO, answer_bytes: 0, breaks_off_one_in: None };
-            let endpoint = Endpoint::new(&record, &mesh, node, "sheetyard", behaviour);
+            let endpoint = Endpoint::new(&record, &place, "sheetyard", behaviour);
             endpoint.beat_regularly();
             let incarnation = Arc::new(Incarnation {
                 id: endpoint.id.clone(),
@@ -103,7 +96,7 @@
                 record: record.clone(),
                 crashes: Arc::clone(&crashes),
             });
-            incarnation.serve_until_crash(mesh.app(node));
+            incarnation.serve_until_crash(place.address());
             endpoint.stop_beating();
             thread::sleep(BACK_AFTER);
         }
--- a/review/harness-2/endpoint.rs
+++ b/review/harness-2/endpoint.rs
@@ -25,6 +25,29 @@
     pub breaks_off_one_in: Option<u64>,
 }
 
+/// Where an endpoint runs.
+#[derive(Clone, Debug)]
+pub struct Place {
+    node: usize,
+    address: SocketAddr,
+    /// Where the node beside it takes its heartbeats.
+    control: SocketAddr,
+    zone: &'static str,
+}
+
+impl Place {
+    /// The place beside a node.
+    pub fn beside(mesh: &Mesh, node: usize) -> Self {
+        let (address, control) = (mesh.app(node), mesh.control(node));
+        Self { node, address, control, zone: mesh.zone(node) }
+    }
+
+    /// Address at which the endpoint accepts requests.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 /// One run of a request.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -36,9 +59,7 @@
 pub struct Endpoint {
     pub id: String,
     service: String,
-    address: SocketAddr,
-    control: SocketAddr,
-    zone: String,
+    place: Place,
     born: u64,
     next_seq: AtomicU64,
     /// Whether it has begun to leave: its health check fails, and its answers say so.
@@ -53,20 +74,12 @@
 
 impl Endpoint {
     /// Creates a new incarnation, which neither listens nor sends heartbeats yet.
-    pub fn new(
-        record: &Record,
-        mesh: &Mesh,
-        node: usize,
-        service: &str,
-        behaviour: Behaviour,
-    ) -> Arc<Self> {
+    pub fn new(record: &Record, place: &Place, service: &str, behaviour: Behaviour) -> Arc<Self> {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
         Arc::new(Self {
-            id: format!("i-{node:02}{:08x}", now.as_nanos() as u32),
+            id: format!("i-{:02}{:08x}", place.node, now.as_nanos() as u32),
             service: service.to_owned(),
-            address: mesh.app(node),
-            control: mesh.control(node),
-            zone: mesh.zone(node).to_owned(),
+            place: place.clone(),
             born: now.as_millis() as u64,
             next_seq: AtomicU64::new(1),
             is_leaving: AtomicBool::new(false),
@@ -87,8 +100,9 @@
         service: &str,
         behaviour: Behaviour,
     ) -> Arc<Self> {
-        let endpoint = Self::new(record, mesh, node, service, behaviour);
-        let listener = TcpListener::bind(endpoint.address).expect("a free port");
+        let place = Place::beside(mesh, node);
+        let endpoint = Self::new(record, &place, service, behaviour);
+        let listener = TcpListener::bind(place.address).expect("a free port");
         let server = Arc::clone(&endpoint);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -121,7 +135,7 @@
     pub fn beat(&self) -> String {
         let seq = self.next_seq.fetch_add(1, Ordering::SeqCst);
         let state = if self.is_leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
-        let Self { service, address, zone, born, .. } = self;
+        let Self { service, born, place: Place { address, zone, .. }, .. } = self;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"{state}\",\"cold-left\":\"0ms\",\
@@ -144,7 +158,7 @@
         let line = format!("POST /api/rpc?call={call}&of={}", self.id);
         let headers = [("Host", "node"), ("Content-Type", "application/json")];
         let timeout = Duration::from_secs(1);
-        let answer = http::send(self.control, &line, &headers, body.as_bytes(), timeout);
+        let answer = http::send(self.place.control, &line, &headers, body.as_bytes(), timeout);
         answer.map_or(0, |answer| answer.status())
     }
 
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -51,6 +51,8 @@
         "deadly-answer" => deadly_answer::run(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     });
+    // The deployment of the case has ended with it; this is for what a panic left.
+    mesh::kill_all();
     let (code, text) = match run {
         Ok(Verdict::Held) => (0, "the rule held"),
         Ok(Verdict::Broken) => (1, "the rule was broken"),
