--- a/review/harness-2/drain.rs
+++ b/review/harness-2/drain.rs
@@ -22,7 +22,7 @@
 /// Time for which the endpoint serves on after its departure was acknowledged.
 const SERVES_ON: Duration = Duration::from_secs(9);
 /// Clients beside each of two machines, and their pause between two requests.
-const CLIENTS: usize = 7;
+const CLIENTS: usize = 9;
 const CLIENT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A deployment with one endpoint that is about to leave.
